--- /dev/null
+++ b/packages/config/include/lt/config/snapshot.h
@@ -0,0 +1,151 @@
+/** @file
+    An immutable configuration snapshot.  All texts and arrays belong to the
+    snapshot; references between rows are array indexes.  */
+#ifndef LT_CONFIG_SNAPSHOT_H
+#define LT_CONFIG_SNAPSHOT_H
+
+#include "lt/base/hash.h"
+#include "lt/base/str.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+/** Index that stands for "no row".  */
+#define LT_NO_INDEX UINT32_MAX
+
+  typedef enum lt_access
+  {
+    LT_ACCESS_KEYED, /**< Only with a workspace's key. */
+    LT_ACCESS_OPEN   /**< Open to all. */
+  } lt_access_t;
+
+  typedef enum lt_action
+  {
+    LT_ACTION_IDEMPOTENT,  /**< May be sent again and hedged. */
+    LT_ACTION_REPEATABLE,  /**< Sent again only when nothing was sent. */
+    LT_ACTION_NEVER_REPEAT /**< Claimed first, sent once. */
+  } lt_action_t;
+
+  typedef struct lt_workspace
+  {
+    str_t name;
+    int64_t rate_milli_per_s; /**< Requests per 1,000 s, fleet-wide. */
+    int64_t burst;            /**< Requests, fleet-wide. */
+  } lt_workspace_t;
+
+  typedef struct lt_key
+  {
+    str_t name;         /**< Key id for operators; not secret. */
+    uint32_t workspace; /**< Index into workspaces. */
+    lt_digest_t hash;   /**< Keyed hash of the secret. */
+  } lt_key_t;
+
+  typedef struct lt_service
+  {
+    str_t name;
+    int32_t floor_percent; /**< Least healthy share of slots, 0 to 100. */
+    uint32_t first_upstream;
+    uint32_t upstream_count; /**< Upstreams of a service are contiguous. */
+  } lt_service_t;
+
+  typedef struct lt_upstream
+  {
+    str_t name;
+    uint32_t service; /**< Index into services. */
+    str_t region;
+    str_t failure_domain;
+    str_t address; /**< "ip:port". */
+    int32_t slots;
+    int32_t connections;
+    bool drained; /**< Taken out of service by an operator. */
+  } lt_upstream_t;
+
+  typedef struct lt_route
+  {
+    str_t name;
+    str_t path;       /**< Prefix; matches on segment boundaries. */
+    str_t methods;    /**< "GET|POST". */
+    uint32_t service; /**< Index into services. */
+    lt_access_t access;
+    lt_action_t action;
+    bool hedge;
+    int32_t timeout_ms;
+    int64_t max_body_bytes;
+    bool all_workspaces;
+    uint32_t *workspaces; /**< Sorted indexes when not all_workspaces. */
+    uint32_t workspace_count;
+  } lt_route_t;
+
+  /** A planned stop of an upstream, in microseconds since the epoch (UTC).  */
+  typedef struct lt_stop
+  {
+    uint32_t upstream;
+    int64_t starts_wall_us;
+    int64_t ends_wall_us;
+  } lt_stop_t;
+
+  typedef struct lt_snapshot
+  {
+    int64_t version; /**< Position in the order of changes; 0: not accepted. */
+    str_t deployment;
+    str_t day;    /**< YYYY-MM-DD. */
+    str_t author; /**< Who made the change. */
+    int64_t created_wall_us;
+    lt_workspace_t *workspaces;
+    uint32_t workspace_count;
+    lt_key_t *keys;
+    uint32_t key_count;
+    lt_service_t *services;
+    uint32_t service_count;
+    lt_upstream_t *upstreams;
+    uint32_t upstream_count;
+    lt_route_t *routes;
+    uint32_t route_count;
+    lt_stop_t *stops;
+    uint32_t stop_count;
+    struct lt_snapshot_index *index; /**< Lookup tables; built once. */
+    struct lt_arena *arena;          /**< Owns every text and array. */
+  } lt_snapshot_t;
+
+  /** Outcome of a route lookup.  */
+  typedef enum lt_route_match
+  {
+    LT_ROUTE_FOUND,
+    LT_ROUTE_NONE,
+    LT_ROUTE_METHOD_NOT_ALLOWED
+  } lt_route_match_t;
+
+  void lt_snapshot_destroy (lt_snapshot_t *snapshot);
+  /** Returns the key whose hash is HASH, or NULL.  */
+  const lt_key_t *lt_snapshot_find_key (const lt_snapshot_t *snapshot,
+                                        const lt_digest_t *hash);
+  /** Finds the route with the longest path prefix of PATH that ends on a
+      segment boundary and allows METHOD.  PATH has no query.  Sets *ALLOW to
+     the methods of the longest prefix on LT_ROUTE_METHOD_NOT_ALLOWED.  */
+  lt_route_match_t lt_snapshot_match_route (const lt_snapshot_t *snapshot,
+                                            str_t method, str_t path,
+                                            const lt_route_t **route,
+                                            str_t *allow);
+  /** Returns whether WORKSPACE may use ROUTE.  */
+  bool lt_route_allows (const lt_route_t *route, uint32_t workspace);
+  /** Return an index, or LT_NO_INDEX.  */
+  uint32_t lt_snapshot_find_workspace (const lt_snapshot_t *snapshot,
+                                       str_t name);
+  uint32_t lt_snapshot_find_service (const lt_snapshot_t *snapshot,
+                                     str_t name);
+  uint32_t lt_snapshot_find_upstream (const lt_snapshot_t *snapshot,
+                                      str_t name);
+  /** Encodes SNAPSHOT as msgpack, in a canonical order: equal snapshots give
+      equal bytes.  */
+  void lt_snapshot_encode (const lt_snapshot_t *snapshot, lt_buf_t *out);
+  /** Decodes and checks BYTES, and builds the lookup tables.  Returns 0,
+      -LT_EPROTO (malformed) or -LT_EINVAL (references out of range).  */
+  int lt_snapshot_decode (str_t bytes, lt_snapshot_t **snapshot);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
