--- /dev/null
+++ b/packages/node/include/lt/node/node.h
@@ -0,0 +1,135 @@
+/** @file
+    The daemon's shared context: loop, clock, platform, snapshot in force,
+    controllers and filters.  */
+#ifndef LT_NODE_NODE_H
+#define LT_NODE_NODE_H
+
+#include "lt/base/clock.h"
+#include "lt/base/metrics.h"
+#include "lt/base/rng.h"
+#include "lt/config/snapshot.h"
+#include "lt/node/controller.h"
+#include "lt/node/filter.h"
+#include "lt/node/refusal.h"
+#include "lt/node/settings.h"
+#include "lt/platform/platform.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct ev_loop;
+  typedef struct lt_node lt_node_t;
+
+  /** A counted reference to a snapshot; requests in flight keep theirs.  */
+  typedef struct lt_snapshot_ref
+  {
+    lt_snapshot_t *snapshot;
+    int references;
+  } lt_snapshot_ref_t;
+
+  lt_snapshot_ref_t *lt_snapshot_ref_create (lt_snapshot_t *snapshot);
+  lt_snapshot_ref_t *lt_snapshot_ref_acquire (lt_snapshot_ref_t *ref);
+  void lt_snapshot_ref_release (lt_snapshot_ref_t *ref);
+
+  /** Sends messages to other VMs.  The peer transport implements it; tests put
+      a fake in its place.  */
+  typedef struct lt_peers lt_peers_t;
+  typedef struct lt_peers_vtable
+  {
+    /** Queues a message for VM_ID.  Returns 0, -LT_ENOTFOUND (address not
+        known), -LT_EUNAVAILABLE (not connected) or -LT_EFULL.  */
+    int (*send) (lt_peers_t *peers, str_t vm_id, uint16_t type,
+                 uint64_t correlation, str_t payload);
+  } lt_peers_vtable_t;
+  struct lt_peers
+  {
+    const lt_peers_vtable_t *vtable;
+  };
+
+  /** How an attempt at an upstream ended.  */
+  typedef enum lt_attempt_outcome
+  {
+    LT_ATTEMPT_OK,
+    LT_ATTEMPT_FAILED,  /**< 5xx answer. */
+    LT_ATTEMPT_RESET,   /**< Closed before the answer's header. */
+    LT_ATTEMPT_REFUSED, /**< No connection. */
+    LT_ATTEMPT_SHED,    /**< 503 with Retry-After. */
+    LT_ATTEMPT_TIMEOUT,
+    LT_ATTEMPT_TRUNCATED, /**< Body cut short. */
+    LT_ATTEMPT_CANCELED   /**< By the caller or a hedge; no evidence. */
+  } lt_attempt_outcome_t;
+
+  /** Told to every controller when an attempt ends.  */
+  typedef struct lt_observation_event
+  {
+    uint32_t upstream; /**< Index into SNAPSHOT's upstreams. */
+    const lt_snapshot_t *snapshot;
+    lt_attempt_outcome_t outcome;
+    int status;
+    int64_t latency_us;
+    int64_t retry_after_ms; /**< Of a shed answer; 0: none. */
+    uint64_t fingerprint;   /**< Of the request. */
+    uint32_t workspace;
+    bool byte_sent;
+  } lt_observation_event_t;
+
+#define LT_CONTROLLER_MAX 16
+
+  struct lt_node
+  {
+    struct ev_loop *loop;
+    lt_clock_t *clock;
+    lt_rng_t rng;
+    const lt_settings_t *settings;
+    lt_metrics_t *metrics;
+    lt_platform_t platform;
+    uint64_t incarnation;      /**< Grows with each start of this VM id. */
+    lt_snapshot_ref_t *config; /**< In force; NULL before the first. */
+    lt_peers_t *peers;         /**< NULL without other VMs. */
+    struct lt_bus *bus;
+    lt_controller_t *controllers[LT_CONTROLLER_MAX];
+    int controller_count;
+    lt_filter_t *filters[16];
+    int filter_count;
+    struct lt_upstream_client *upstreams;
+    lt_counter_t *refused[LT_REFUSAL_COUNT];
+    uint64_t next_sequence;
+    int64_t in_flight; /**< Requests of callers. */
+    bool leaving;
+    /* Set by the controllers that own them, for use by filters and admin
+       handlers; NULL when absent.  */
+    struct lt_config_controller *config_controller;
+    struct lt_freshness *freshness;
+    struct lt_health_controller *health_controller;
+    struct lt_membership *membership;
+    struct lt_limit_controller *limit_controller;
+    struct lt_claim_controller *claim_controller;
+    struct lt_quarantine_controller *quarantine_controller;
+  };
+
+  int64_t lt_node_now_us (lt_node_t *node);
+  /** Appends a controller; the node owns it from now on.  */
+  void lt_node_add_controller (lt_node_t *node, lt_controller_t *controller);
+  /** Appends a filter to the chain; the node owns it from now on.  */
+  void lt_node_add_filter (lt_node_t *node, lt_filter_t *filter);
+  /** Returns 0 or the error of the peers' send; -LT_EUNAVAILABLE without
+      peers.  */
+  int lt_node_send (lt_node_t *node, str_t vm_id, uint16_t type,
+                    uint64_t correlation, str_t payload);
+  /** Puts SNAPSHOT in force and tells every controller through the bus.  Takes
+      ownership.  A version that is not higher is refused with -LT_ESTALE and
+      destroyed.  */
+  int lt_node_install_snapshot (lt_node_t *node, lt_snapshot_t *snapshot);
+  /** Delivers a verified message from another VM to its controllers through
+     the bus; copies it.  */
+  void lt_node_deliver (lt_node_t *node, const lt_peer_message_t *message);
+  /** Tells every controller how an attempt ended, through the bus; copies.  */
+  void lt_node_observe (lt_node_t *node, const lt_observation_event_t *event);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
