--- a/packages/policy/include/lt/policy/freshness.h
+++ b/packages/policy/include/lt/policy/freshness.h
@@ -36,8 +36,8 @@
     int64_t rescue_age_us;    /**< A VM with an older confirmation reads the
                                  store itself, 3 s. */
     int64_t behind_grace_us;  /**< How long a VM may serve after it has learnt
-                                 of  a higher version, 1 s: the time to fetch it,
-                                 so that a change causes no refusals. */
+                                 of  a higher version, 1 s: the time to fetch
+                                 it,  so that a change causes no refusals. */
     int64_t push_gain_us;     /**< An asker is answered again when the
                                  confirmation is newer by this, 500 ms. */
     int64_t possible_life_us; /**< After this a write cannot still be in
@@ -67,6 +67,7 @@
   {
     uint64_t ask_id;
     int64_t held_us;
+    int64_t applied_version;
     int64_t known_version;
     int64_t possible_version;
     int64_t confirm_version;
