--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -50,6 +50,7 @@
     uint64_t ask_id;       /**< Of the question; echoed in the answer; 0: no
                               question. */
     int64_t held_us;       /**< From receipt of the question to this answer. */
+    int64_t applied_version;
     int64_t known_version; /**< Highest accepted version known. */
     int64_t possible_version; /**< A write that may take effect; 0: none. */
     int64_t confirm_version;  /**< Head of the store when confirmed. */
--- /dev/null
+++ b/packages/wire/src/message.c
@@ -0,0 +1,280 @@
+#include "lt/wire/message.h"
+
+#include "lt/base/error.h"
+#include "lt/wire/frame.h"
+#include "lt/wire/pack.h"
+
+enum
+{
+  HEARTBEAT_FIELDS = 6,
+  MEMBER_FIELDS = 6,
+  REPORT_FIELDS = 8,
+  ATTESTATION_FIELDS = 5,
+  PROBE_FIELDS = 2,
+  SNAPSHOT_GET_FIELDS = 2,
+  SNAPSHOT_DATA_FIELDS = 4,
+  DRAIN_FIELDS = 3,
+  QUARANTINE_FIELDS = 4,
+  MEMBER_STATE_MAX = 3,
+  PAGE_MAX = 3,
+  DRAIN_STATE_MAX = 2,
+  COUNT_MAX = 1000000,
+  ROUND_MAX = 1000
+};
+
+static str_t
+unpack_name (lt_unpack_t *in)
+{
+  return lt_unpack_str (in, LT_WIRE_NAME_MAX_BYTES);
+}
+
+static int64_t
+unpack_count (lt_unpack_t *in)
+{
+  return lt_unpack_i64 (in, 0, INT64_MAX);
+}
+
+static void
+pack_attestation (lt_buf_t *out, const lt_wire_attestation_t *attestation)
+{
+  lt_pack_array (out, ATTESTATION_FIELDS);
+  lt_pack_str (out, attestation->vm_id);
+  lt_pack_str (out, attestation->failure_domain);
+  lt_pack_bool (out, attestation->failing);
+  lt_pack_i64 (out, attestation->known_version);
+  lt_pack_i64 (out, attestation->age_us);
+}
+
+static void
+unpack_attestation (lt_unpack_t *in, lt_wire_attestation_t *attestation)
+{
+  lt_unpack_array (in, ATTESTATION_FIELDS, ATTESTATION_FIELDS);
+  attestation->vm_id = unpack_name (in);
+  attestation->failure_domain = unpack_name (in);
+  attestation->failing = lt_unpack_bool (in);
+  attestation->known_version = unpack_count (in);
+  attestation->age_us = unpack_count (in);
+}
+
+static void
+pack_report (lt_buf_t *out, const lt_wire_report_t *report)
+{
+  lt_pack_array (out, REPORT_FIELDS);
+  lt_pack_u64 (out, report->ask_id);
+  lt_pack_i64 (out, report->held_us);
+  lt_pack_i64 (out, report->applied_version);
+  lt_pack_i64 (out, report->known_version);
+  lt_pack_i64 (out, report->possible_version);
+  lt_pack_i64 (out, report->confirm_version);
+  lt_pack_i64 (out, report->confirm_age_us);
+  lt_pack_array (out, report->attestation_count);
+  for (uint32_t i = 0; i < report->attestation_count; i++)
+    pack_attestation (out, &report->attestations[i]);
+}
+
+static void
+unpack_report (lt_unpack_t *in, lt_wire_report_t *report)
+{
+  lt_unpack_array (in, REPORT_FIELDS, REPORT_FIELDS);
+  report->ask_id = lt_unpack_u64 (in, UINT64_MAX);
+  report->held_us = unpack_count (in);
+  report->applied_version = unpack_count (in);
+  report->known_version = unpack_count (in);
+  report->possible_version = unpack_count (in);
+  report->confirm_version = unpack_count (in);
+  report->confirm_age_us = lt_unpack_i64 (in, -1, INT64_MAX);
+  report->attestation_count
+      = lt_unpack_array (in, 0, LT_WIRE_ATTESTATIONS_MAX);
+  for (uint32_t i = 0; i < report->attestation_count; i++)
+    unpack_attestation (in, &report->attestations[i]);
+}
+
+static void
+pack_member (lt_buf_t *out, const lt_wire_member_t *member)
+{
+  lt_pack_array (out, MEMBER_FIELDS);
+  lt_pack_str (out, member->id);
+  lt_pack_u64 (out, member->incarnation);
+  lt_pack_u64 (out, member->state);
+  lt_pack_str (out, member->address);
+  lt_pack_str (out, member->region);
+  lt_pack_str (out, member->failure_domain);
+}
+
+static void
+unpack_member (lt_unpack_t *in, lt_wire_member_t *member)
+{
+  lt_unpack_array (in, MEMBER_FIELDS, MEMBER_FIELDS);
+  member->id = unpack_name (in);
+  if (member->id.len == 0)
+    in->error = -LT_EPROTO;
+  member->incarnation = lt_unpack_u64 (in, UINT64_MAX);
+  member->state = (uint32_t)lt_unpack_u64 (in, MEMBER_STATE_MAX);
+  member->address = unpack_name (in);
+  member->region = unpack_name (in);
+  member->failure_domain = unpack_name (in);
+}
+
+void
+lt_wire_heartbeat_encode (const lt_wire_heartbeat_t *message, lt_buf_t *out)
+{
+  lt_pack_array (out, HEARTBEAT_FIELDS);
+  lt_pack_u64 (out, message->member_digest);
+  lt_pack_u64 (out, message->member_count);
+  lt_pack_str (out, message->page_after);
+  lt_pack_u64 (out, message->page);
+  pack_report (out, &message->report);
+  lt_pack_array (out, message->update_count);
+  for (uint32_t i = 0; i < message->update_count; i++)
+    pack_member (out, &message->updates[i]);
+}
+
+int
+lt_wire_heartbeat_decode (str_t payload, lt_wire_heartbeat_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, HEARTBEAT_FIELDS, HEARTBEAT_FIELDS);
+  message->member_digest = lt_unpack_u64 (&in, UINT64_MAX);
+  message->member_count = (uint32_t)lt_unpack_u64 (&in, COUNT_MAX);
+  message->page_after = unpack_name (&in);
+  message->page = (uint32_t)lt_unpack_u64 (&in, PAGE_MAX);
+  unpack_report (&in, &message->report);
+  message->update_count = lt_unpack_array (&in, 0, LT_WIRE_UPDATES_MAX);
+  for (uint32_t i = 0; i < message->update_count; i++)
+    unpack_member (&in, &message->updates[i]);
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_probe_request_encode (const lt_wire_probe_request_t *message,
+                              lt_buf_t *out)
+{
+  lt_pack_array (out, PROBE_FIELDS);
+  lt_pack_str (out, message->target);
+  lt_pack_str (out, message->address);
+}
+
+int
+lt_wire_probe_request_decode (str_t payload, lt_wire_probe_request_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, PROBE_FIELDS, PROBE_FIELDS);
+  message->target = unpack_name (&in);
+  message->address = unpack_name (&in);
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_probe_result_encode (const lt_wire_probe_result_t *message,
+                             lt_buf_t *out)
+{
+  lt_pack_array (out, PROBE_FIELDS);
+  lt_pack_str (out, message->target);
+  lt_pack_bool (out, message->reached);
+}
+
+int
+lt_wire_probe_result_decode (str_t payload, lt_wire_probe_result_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, PROBE_FIELDS, PROBE_FIELDS);
+  message->target = unpack_name (&in);
+  message->reached = lt_unpack_bool (&in);
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_snapshot_get_encode (const lt_wire_snapshot_get_t *message,
+                             lt_buf_t *out)
+{
+  lt_pack_array (out, SNAPSHOT_GET_FIELDS);
+  lt_pack_i64 (out, message->version);
+  lt_pack_i64 (out, message->offset_bytes);
+}
+
+int
+lt_wire_snapshot_get_decode (str_t payload, lt_wire_snapshot_get_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, SNAPSHOT_GET_FIELDS, SNAPSHOT_GET_FIELDS);
+  message->version = unpack_count (&in);
+  message->offset_bytes = lt_unpack_i64 (&in, 0, LT_WIRE_SNAPSHOT_MAX_BYTES);
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_snapshot_data_encode (const lt_wire_snapshot_data_t *message,
+                              lt_buf_t *out)
+{
+  lt_pack_array (out, SNAPSHOT_DATA_FIELDS);
+  lt_pack_i64 (out, message->version);
+  lt_pack_i64 (out, message->offset_bytes);
+  lt_pack_i64 (out, message->total_bytes);
+  lt_pack_bin (out, message->bytes);
+}
+
+int
+lt_wire_snapshot_data_decode (str_t payload, lt_wire_snapshot_data_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, SNAPSHOT_DATA_FIELDS, SNAPSHOT_DATA_FIELDS);
+  message->version = unpack_count (&in);
+  message->offset_bytes = lt_unpack_i64 (&in, 0, LT_WIRE_SNAPSHOT_MAX_BYTES);
+  message->total_bytes = lt_unpack_i64 (&in, 0, LT_WIRE_SNAPSHOT_MAX_BYTES);
+  message->bytes = lt_unpack_bin (&in, LT_WIRE_CHUNK_MAX_BYTES);
+  if (lt_unpack_end (&in) != 0)
+    return -LT_EPROTO;
+  int64_t end = message->offset_bytes + (int64_t)message->bytes.len;
+  return end <= message->total_bytes ? 0 : -LT_EPROTO;
+}
+
+void
+lt_wire_drain_encode (const lt_wire_drain_t *message, lt_buf_t *out)
+{
+  lt_pack_array (out, DRAIN_FIELDS);
+  lt_pack_str (out, message->upstream);
+  lt_pack_u64 (out, message->state);
+  lt_pack_i64 (out, message->version);
+}
+
+int
+lt_wire_drain_decode (str_t payload, lt_wire_drain_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, DRAIN_FIELDS, DRAIN_FIELDS);
+  message->upstream = unpack_name (&in);
+  message->state = (uint32_t)lt_unpack_u64 (&in, DRAIN_STATE_MAX);
+  message->version = unpack_count (&in);
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_quarantine_encode (const lt_wire_quarantine_t *message, lt_buf_t *out)
+{
+  lt_pack_array (out, QUARANTINE_FIELDS);
+  lt_pack_bin (out, message->fingerprint);
+  lt_pack_u64 (out, message->count);
+  lt_pack_i64 (out, message->left_us);
+  lt_pack_u64 (out, message->round);
+}
+
+int
+lt_wire_quarantine_decode (str_t payload, lt_wire_quarantine_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, QUARANTINE_FIELDS, QUARANTINE_FIELDS);
+  message->fingerprint = lt_unpack_bin (&in, LT_WIRE_FINGERPRINT_BYTES);
+  message->count = (uint32_t)lt_unpack_u64 (&in, COUNT_MAX);
+  message->left_us = unpack_count (&in);
+  message->round = (uint32_t)lt_unpack_u64 (&in, ROUND_MAX);
+  if (message->fingerprint.len != LT_WIRE_FINGERPRINT_BYTES)
+    return -LT_EPROTO;
+  return lt_unpack_end (&in);
+}
