--- a/packages/policy/include/lt/policy/freshness.h
+++ b/packages/policy/include/lt/policy/freshness.h
@@ -10,7 +10,9 @@
     VM from A + max_age_us on: a confirmation dated before A is older than
     max_age_us by then, and one dated after A requires the changed version.
     While the store is attested down, changes that it accepted just before are
-    covered by known and possible versions, see lt_freshness_allows_keyed.  */
+    covered by known and possible versions: whoever writes a version announces
+    it as possible first, to the watchers of the store's region; see
+    docs/decisions/configuration-in-force.md.  */
 #ifndef LT_POLICY_FRESHNESS_H
 #define LT_POLICY_FRESHNESS_H
 
@@ -22,7 +24,10 @@
 {
 #endif
 
-#define LT_FRESHNESS_ATTESTATIONS_MAX 4
+#define LT_FRESHNESS_ATTESTATIONS_MAX 6
+/** Bound of the watchers of the store's region that an announcement waits
+    for.  */
+#define LT_FRESHNESS_ANNOUNCED_MAX 32
 
   typedef struct lt_freshness_options
   {
@@ -45,7 +50,11 @@
   } lt_freshness_options_t;
 
 #define LT_FRESHNESS_OPTIONS_DEFAULT                                          \
-  ((lt_freshness_options_t){ .max_age_us = 5000000,                           \
+  ((lt_freshness_options_t){ .vm_id = { NULL, 0 },                            \
+                             .region = { NULL, 0 },                           \
+                             .failure_domain = { NULL, 0 },                   \
+                             .store_region = { NULL, 0 },                     \
+                             .max_age_us = 5000000,                           \
                              .read_interval_us = 1000000,                     \
                              .rescue_age_us = 3000000,                        \
                              .behind_grace_us = 1000000,                      \
@@ -69,7 +78,9 @@
     int64_t held_us;
     int64_t applied_version;
     int64_t known_version;
-    int64_t possible_version;
+    int64_t possible_version; /**< 0: none. */
+    uint64_t possible_origin;
+    int64_t possible_age_us;
     int64_t confirm_version;
     int64_t confirm_age_us; /**< -1: never. */
     lt_attestation_t attestations[LT_FRESHNESS_ATTESTATIONS_MAX];
@@ -79,10 +90,11 @@
   typedef enum lt_freshness_action_type
   {
     LT_FRESHNESS_READ_STORE, /**< Read the head; then lt_freshness_on_read. */
-    LT_FRESHNESS_ANSWER, /**< Send the report of lt_freshness_answer to PEER
-                          */
-    LT_FRESHNESS_FETCH,  /**< Fetch VERSION, from PEER ("": anywhere). */
-    LT_FRESHNESS_SPREAD  /**< Send a report to a few random VMs. */
+    LT_FRESHNESS_ANSWER,   /**< Send the report of lt_freshness_answer to PEER
+                            */
+    LT_FRESHNESS_FETCH,    /**< Fetch VERSION, from PEER ("": anywhere). */
+    LT_FRESHNESS_ANNOUNCE, /**< Send a question to PEER now. */
+    LT_FRESHNESS_SPREAD    /**< Send a report to a few random VMs. */
   } lt_freshness_action_type_t;
 
   typedef struct lt_freshness_action
@@ -100,8 +112,11 @@
                                        lt_rng_t *rng);
   void lt_freshness_destroy (lt_freshness_t *freshness);
 
-  /** Tells whether this VM is one of its region's watchers.  */
-  void lt_freshness_set_watcher (lt_freshness_t *freshness, bool watcher);
+  /** Tells whether this VM is one of its region's watchers, and whether it may
+      attest that the store is down: only while it sees most of the store's
+      region, since a minority cannot tell a partition from an outage.  */
+  void lt_freshness_set_role (lt_freshness_t *freshness, bool watcher,
+                              bool may_attest);
   void lt_freshness_tick (lt_freshness_t *freshness, int64_t now_us);
   /** Takes the next action; false when there is none.  */
   bool lt_freshness_next (lt_freshness_t *freshness,
@@ -111,18 +126,38 @@
       is no head record yet.  */
   void lt_freshness_on_read (lt_freshness_t *freshness, int64_t now_us,
                              uint64_t read_id, bool failed, int64_t head);
+  /** As many watchers of each failure domain read the head.  */
+#define LT_FRESHNESS_WATCHERS 2
+
   /** The node has applied VERSION.  Lower versions are ignored.  */
   void lt_freshness_on_applied (lt_freshness_t *freshness, int64_t now_us,
                                 int64_t version);
   /** VERSION is accepted (this VM's own write, or read elsewhere).  */
   void lt_freshness_on_known (lt_freshness_t *freshness, int64_t now_us,
                               int64_t version, str_t peer);
-  /** This VM is about to write VERSION; known to others as possible.  */
+  /** A watcher of the store's region.  */
+  typedef struct lt_freshness_watcher
+  {
+    str_t vm_id;
+    str_t failure_domain;
+  } lt_freshness_watcher_t;
+
+  /** This VM wants to write VERSION and announces it as possible to WATCHERS,
+      the watchers of the store's region, by LT_FRESHNESS_ANNOUNCE actions.  It
+      may write once lt_freshness_write_announced.  */
   void lt_freshness_on_write_begin (lt_freshness_t *freshness, int64_t now_us,
-                                    int64_t version);
-  /** The write certainly took no effect.  */
+                                    int64_t version,
+                                    const lt_freshness_watcher_t *watchers,
+                                    size_t count);
+  /** Returns whether every watcher knows of the announced write, those of one
+      failure domain excepted: then no two watchers of different failure
+      domains can attest an outage without mentioning it.  */
+  bool lt_freshness_write_announced (const lt_freshness_t *freshness);
+  /** The write was not sent, or certainly took no effect.  */
   void lt_freshness_on_write_refused (lt_freshness_t *freshness,
                                       int64_t version);
+  /** No more announcements; the write's outcome is known, or never will be. */
+  void lt_freshness_on_write_end (lt_freshness_t *freshness);
 
   /** Makes the report of a question; the caller sends it to a peer now.  */
   void lt_freshness_ask (lt_freshness_t *freshness, int64_t now_us,
--- a/packages/policy/include/lt/policy/membership.h
+++ b/packages/policy/include/lt/policy/membership.h
@@ -67,7 +67,12 @@
   } lt_membership_options_t;
 
 #define LT_MEMBERSHIP_OPTIONS_DEFAULT                                         \
-  ((lt_membership_options_t){ .interval_us = 1000000,                         \
+  ((lt_membership_options_t){ .id = { NULL, 0 },                              \
+                              .incarnation = 1,                               \
+                              .address = { NULL, 0 },                         \
+                              .region = { NULL, 0 },                          \
+                              .failure_domain = { NULL, 0 },                  \
+                              .interval_us = 1000000,                         \
                               .targets = 4,                                   \
                               .ack_timeout_us = 500000,                       \
                               .probe_timeout_us = 1000000,                    \
--- /dev/null
+++ b/packages/policy/src/freshness_outage.c
@@ -0,0 +1,245 @@
+#include "freshness_state.h"
+
+#include <stdlib.h>
+
+void
+lt_freshness_clear_possible (lt_freshness_t *f)
+{
+  f->possible = 0;
+  f->possible_origin = 0;
+}
+
+void
+lt_freshness_learn_possible (lt_freshness_t *f, int64_t at_us, int64_t version,
+                             uint64_t origin)
+{
+  if (version <= f->known || version < f->possible)
+    return;
+  bool higher = version > f->possible;
+  bool other = origin != f->possible_origin;
+  /* Of one write the oldest date holds, otherwise a stale one would renew
+     itself with every hop; of two writes the younger one counts.  */
+  bool replaces = other ? at_us > f->possible_us : at_us < f->possible_us;
+  if (!higher && !replaces)
+    return;
+  f->possible = version;
+  f->possible_origin = origin;
+  f->possible_us = at_us;
+}
+
+/* The slot of VM_ID, else a free one, else that of the oldest statement; a
+   statement of success gives way last.  */
+static attested_t *
+attested_slot (lt_freshness_t *f, int64_t now_us, str_t vm_id)
+{
+  attested_t *best = NULL;
+  int64_t best_rank = INT64_MAX;
+  for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
+    {
+      attested_t *entry = &f->attested[i];
+      if (entry->vm_id.len > 0 && name_is (&entry->vm_id, vm_id))
+        return entry;
+      int64_t age_us = now_us - entry->at_us;
+      bool free = entry->vm_id.len == 0 || age_us > f->options.max_age_us;
+      int64_t rank = free ? INT64_MIN : entry->at_us;
+      if (!free && !entry->failing)
+        rank = INT64_MAX - 1;
+      if (rank < best_rank)
+        {
+          best = entry;
+          best_rank = rank;
+        }
+    }
+  return best;
+}
+
+void
+lt_freshness_learn_attestation (lt_freshness_t *f, int64_t now_us,
+                                const lt_attestation_t *statement,
+                                int64_t at_us)
+{
+  attested_t *entry = attested_slot (f, now_us, statement->vm_id);
+  bool same = name_is (&entry->vm_id, statement->vm_id);
+  if (same && at_us < entry->at_us)
+    return;
+  if (same && at_us == entry->at_us && statement->known_version < entry->known)
+    return;
+  *entry
+      = (attested_t){ .vm_id = name_make (statement->vm_id),
+                      .failure_domain = name_make (statement->failure_domain),
+                      .failing = statement->failing,
+                      .known = statement->known_version,
+                      .at_us = at_us };
+}
+
+int64_t
+lt_freshness_known_or_possible (const lt_freshness_t *f)
+{
+  return f->possible > f->known ? f->possible : f->known;
+}
+
+static void
+announce (lt_freshness_t *f, int64_t now_us)
+{
+  f->next_announce_us = now_us + ANNOUNCE_RETRY_MS * 1000;
+  for (size_t i = 0; i < f->announced_count; i++)
+    if (!f->announced[i].knows)
+      lt_freshness_push_action (f, LT_FRESHNESS_ANNOUNCE,
+                                name_str (&f->announced[i].vm_id),
+                                f->announced_version, 0);
+}
+
+void
+lt_freshness_tick_announce (lt_freshness_t *f, int64_t now_us)
+{
+  if (f->announced_version > 0 && now_us >= f->next_announce_us)
+    announce (f, now_us);
+}
+
+void
+lt_freshness_on_write_begin (lt_freshness_t *f, int64_t now_us,
+                             int64_t version,
+                             const lt_freshness_watcher_t *watchers,
+                             size_t count)
+{
+  lt_freshness_learn_possible (f, now_us, version, lt_rng_next (f->rng));
+  if (count > LT_FRESHNESS_ANNOUNCED_MAX)
+    count = LT_FRESHNESS_ANNOUNCED_MAX;
+  f->announced_count = count;
+  f->announced_version = version;
+  f->announced_us = now_us;
+  for (size_t i = 0; i < count; i++)
+    f->announced[i] = (announced_t){
+      .vm_id = name_make (watchers[i].vm_id),
+      .failure_domain = name_make (watchers[i].failure_domain),
+      .knows = name_is (&f->vm_id, watchers[i].vm_id),
+    };
+  announce (f, now_us);
+}
+
+bool
+lt_freshness_write_announced (const lt_freshness_t *f)
+{
+  const announced_t *missing = NULL;
+  for (size_t i = 0; i < f->announced_count; i++)
+    {
+      const announced_t *entry = &f->announced[i];
+      if (entry->knows)
+        continue;
+      if (missing != NULL
+          && !name_is (&missing->failure_domain,
+                       name_str (&entry->failure_domain)))
+        return false;
+      missing = entry;
+    }
+  return f->announced_version > 0;
+}
+
+void
+lt_freshness_on_write_end (lt_freshness_t *f)
+{
+  f->announced_version = 0;
+  f->announced_count = 0;
+}
+
+void
+lt_freshness_on_write_refused (lt_freshness_t *f, int64_t version)
+{
+  lt_freshness_on_write_end (f);
+  if (f->possible == version)
+    lt_freshness_clear_possible (f);
+}
+
+/* The answer of a watcher shows that it knows of this write, or of one
+   announced since.  */
+void
+lt_freshness_learn_announced (lt_freshness_t *f, int64_t now_us, str_t peer,
+                              const lt_freshness_report_t *answer)
+{
+  bool possible = answer->possible_version >= f->announced_version
+                  && answer->possible_age_us <= now_us - f->announced_us;
+  bool known = answer->known_version >= f->announced_version;
+  for (size_t i = 0; i < f->announced_count; i++)
+    if ((possible || known) && name_is (&f->announced[i].vm_id, peer))
+      f->announced[i].knows = true;
+}
+
+static bool
+any_failing (const lt_freshness_t *f, int64_t now_us)
+{
+  for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
+    {
+      const attested_t *entry = &f->attested[i];
+      if (entry->vm_id.len > 0 && entry->failing
+          && now_us - entry->at_us <= f->options.max_age_us)
+        return true;
+    }
+  return false;
+}
+
+void
+lt_freshness_fill_attestations (lt_freshness_t *f, int64_t now_us,
+                                lt_freshness_report_t *report)
+{
+  /* Successes matter only against failures; without any, a report stays
+     short.  */
+  if (!any_failing (f, now_us))
+    return;
+  for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
+    {
+      attested_t *entry = &f->attested[i];
+      int64_t age_us = now_us - entry->at_us;
+      if (entry->vm_id.len == 0 || age_us > f->options.max_age_us)
+        continue;
+      /* This VM's own statement always says all that it knows.  */
+      if (name_is (&entry->vm_id, name_str (&f->vm_id)))
+        entry->known = lt_freshness_known_or_possible (f);
+      report->attestations[report->attestation_count++]
+          = (lt_attestation_t){ .vm_id = name_str (&entry->vm_id),
+                                .failure_domain
+                                = name_str (&entry->failure_domain),
+                                .failing = entry->failing,
+                                .known_version = entry->known,
+                                .age_us = age_us };
+    }
+}
+
+bool
+lt_freshness_store_down (const lt_freshness_t *f, int64_t now_us)
+{
+  const attested_t *first = NULL;
+  bool two_domains = false;
+  for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
+    {
+      const attested_t *entry = &f->attested[i];
+      if (entry->vm_id.len == 0
+          || now_us - entry->at_us > f->options.max_age_us)
+        continue;
+      if (!entry->failing)
+        return false;
+      if (first == NULL)
+        first = entry;
+      else if (!name_is (&first->failure_domain,
+                         name_str (&entry->failure_domain)))
+        two_domains = true;
+    }
+  return two_domains;
+}
+
+/* Whether an attested outage stands in for a confirmation: no statement in
+   force may know of a version above the applied one.  */
+bool
+lt_freshness_covered_by_outage (const lt_freshness_t *f, int64_t now_us)
+{
+  if (f->applied == 0 || f->applied < lt_freshness_known_or_possible (f))
+    return false;
+  for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
+    {
+      const attested_t *entry = &f->attested[i];
+      bool in_force = entry->vm_id.len > 0
+                      && now_us - entry->at_us <= f->options.max_age_us;
+      if (in_force && entry->known > f->applied)
+        return false;
+    }
+  return lt_freshness_store_down (f, now_us);
+}
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -16,7 +16,7 @@
 /** Bounds of one heartbeat; a page of a full exchange has up to this many
     updates.  */
 #define LT_WIRE_UPDATES_MAX 128
-#define LT_WIRE_ATTESTATIONS_MAX 4
+#define LT_WIRE_ATTESTATIONS_MAX 6
 /** Snapshot bytes in one snapshot_data frame.  */
 #define LT_WIRE_CHUNK_MAX_BYTES (256 * 1024)
 /** Bound of a whole snapshot.  */
@@ -47,12 +47,14 @@
   /** Knowledge of the configuration's order, sent with each heartbeat.  */
   typedef struct lt_wire_report
   {
-    uint64_t ask_id;       /**< Of the question; echoed in the answer; 0: no
-                              question. */
-    int64_t held_us;       /**< From receipt of the question to this answer. */
+    uint64_t ask_id; /**< Of the question; echoed in the answer; 0: no
+                        question. */
+    int64_t held_us; /**< From receipt of the question to this answer. */
     int64_t applied_version;
-    int64_t known_version; /**< Highest accepted version known. */
+    int64_t known_version;    /**< Highest accepted version known. */
     int64_t possible_version; /**< A write that may take effect; 0: none. */
+    uint64_t possible_origin; /**< Tells writes of one version apart. */
+    int64_t possible_age_us;  /**< Since the write was announced. */
     int64_t confirm_version;  /**< Head of the store when confirmed. */
     int64_t confirm_age_us;   /**< -1: never confirmed. */
     lt_wire_attestation_t attestations[LT_WIRE_ATTESTATIONS_MAX];
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -8,7 +8,7 @@
 {
   HEARTBEAT_FIELDS = 6,
   MEMBER_FIELDS = 6,
-  REPORT_FIELDS = 8,
+  REPORT_FIELDS = 10,
   ATTESTATION_FIELDS = 5,
   PROBE_FIELDS = 2,
   SNAPSHOT_GET_FIELDS = 2,
@@ -65,6 +65,8 @@
   lt_pack_i64 (out, report->applied_version);
   lt_pack_i64 (out, report->known_version);
   lt_pack_i64 (out, report->possible_version);
+  lt_pack_u64 (out, report->possible_origin);
+  lt_pack_i64 (out, report->possible_age_us);
   lt_pack_i64 (out, report->confirm_version);
   lt_pack_i64 (out, report->confirm_age_us);
   lt_pack_array (out, report->attestation_count);
@@ -81,6 +83,8 @@
   report->applied_version = unpack_count (in);
   report->known_version = unpack_count (in);
   report->possible_version = unpack_count (in);
+  report->possible_origin = lt_unpack_u64 (in, UINT64_MAX);
+  report->possible_age_us = unpack_count (in);
   report->confirm_version = unpack_count (in);
   report->confirm_age_us = lt_unpack_i64 (in, -1, INT64_MAX);
   report->attestation_count
