Fetch from the first peer that has a version; order outage statements

Cause: after an outage right after an accept, VMs heard of the version from peers that did not have it yet, tried the store, and waited 500 ms before asking a peer that has it. Successes read before the outage filled the statement table and blocked the attestation until they were 5 s old.

Change: the first peer that has the version is asked at once; a success only counts against failures older than itself, and only the latest success is kept against newer statements.

--- a/packages/policy/include/lt/policy/freshness.h
+++ b/packages/policy/include/lt/policy/freshness.h
@@ -179,7 +179,7 @@
   /** Returns whether keyed requests may be served: the applied version is
       confirmed by a confirmation no older than max_age_us; or two VMs in
       different failure domains of the store's region attest that the store is
-      down, nobody attests the contrary, and no higher version is known or
+      down, nobody attests a success since, and no higher version is known or
       possible.  False always when a higher version than the applied one has
       been known for longer than behind_grace_us.  */
   bool lt_freshness_allows_keyed (const lt_freshness_t *freshness,
--- a/packages/policy/src/freshness.c
+++ b/packages/policy/src/freshness.c
@@ -264,6 +264,19 @@
   f->next_ask = (f->next_ask + 1) % ASK_CAP;
 }
 
+/* PEER has the version that this VM misses.  The first such peer is asked at
+   once: while the store is down, the first attempt, there, was in vain.  */
+static void
+learn_source (lt_freshness_t *f, int64_t now_us, str_t peer)
+{
+  bool first = f->known_from.len == 0;
+  f->known_from = name_make (peer);
+  if (!first)
+    return;
+  lt_freshness_push_action (f, LT_FRESHNESS_FETCH, peer, f->known, 0);
+  f->next_fetch_us = now_us + FETCH_RETRY_MS * 1000;
+}
+
 /* Takes in what needs no date.  */
 static void
 learn_undated (lt_freshness_t *f, int64_t now_us, str_t peer,
@@ -273,7 +286,7 @@
   str_t source = has_it ? peer : str_make (NULL, 0);
   learn_known (f, now_us, report->known_version, source);
   if (f->applied < f->known && report->applied_version >= f->known)
-    f->known_from = name_make (peer);
+    learn_source (f, now_us, peer);
   if (report->possible_version > 0 && report->possible_age_us < age_bound_us)
     lt_freshness_learn_possible (f, now_us - report->possible_age_us,
                                  report->possible_version,
--- a/packages/policy/src/freshness_outage.c
+++ b/packages/policy/src/freshness_outage.c
@@ -27,22 +27,44 @@
   f->possible_us = at_us;
 }
 
-/* The slot of VM_ID, else a free one, else that of the oldest statement; a
-   statement of success gives way last.  */
+static bool
+in_force (const lt_freshness_t *f, const attested_t *entry, int64_t now_us)
+{
+  return entry->vm_id.len > 0
+         && now_us - entry->at_us <= f->options.max_age_us;
+}
+
+/* Date of the latest success in force.  */
+static int64_t
+latest_success_us (const lt_freshness_t *f, int64_t now_us)
+{
+  int64_t latest_us = INT64_MIN;
+  for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
+    {
+      const attested_t *entry = &f->attested[i];
+      if (in_force (f, entry, now_us) && !entry->failing
+          && entry->at_us > latest_us)
+        latest_us = entry->at_us;
+    }
+  return latest_us;
+}
+
+/* The slot of VM_ID, else a free one, else that of the oldest statement.  Of
+   the successes only the latest matters; it gives way last.  */
 static attested_t *
 attested_slot (lt_freshness_t *f, int64_t now_us, str_t vm_id)
 {
-  attested_t *best = NULL;
+  int64_t success_us = latest_success_us (f, now_us);
+  attested_t *best = &f->attested[0];
   int64_t best_rank = INT64_MAX;
   for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
     {
       attested_t *entry = &f->attested[i];
       if (entry->vm_id.len > 0 && name_is (&entry->vm_id, vm_id))
         return entry;
-      int64_t age_us = now_us - entry->at_us;
-      bool free = entry->vm_id.len == 0 || age_us > f->options.max_age_us;
-      int64_t rank = free ? INT64_MIN : entry->at_us;
-      if (!free && !entry->failing)
+      bool held = in_force (f, entry, now_us);
+      int64_t rank = held ? entry->at_us : INT64_MIN;
+      if (held && !entry->failing && entry->at_us == success_us)
         rank = INT64_MAX - 1;
       if (rank < best_rank)
         {
@@ -170,8 +192,7 @@
   for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
     {
       const attested_t *entry = &f->attested[i];
-      if (entry->vm_id.len > 0 && entry->failing
-          && now_us - entry->at_us <= f->options.max_age_us)
+      if (in_force (f, entry, now_us) && entry->failing)
         return true;
     }
   return false;
@@ -207,23 +228,21 @@
 bool
 lt_freshness_store_down (const lt_freshness_t *f, int64_t now_us)
 {
+  int64_t success_us = latest_success_us (f, now_us);
   const attested_t *first = NULL;
-  bool two_domains = false;
   for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
     {
       const attested_t *entry = &f->attested[i];
-      if (entry->vm_id.len == 0
-          || now_us - entry->at_us > f->options.max_age_us)
+      if (!in_force (f, entry, now_us) || !entry->failing
+          || entry->at_us <= success_us)
         continue;
-      if (!entry->failing)
-        return false;
       if (first == NULL)
         first = entry;
       else if (!name_is (&first->failure_domain,
                          name_str (&entry->failure_domain)))
-        two_domains = true;
+        return true;
     }
-  return two_domains;
+  return false;
 }
 
 /* Whether an attested outage stands in for a confirmation: no statement in
@@ -236,9 +255,7 @@
   for (size_t i = 0; i < LT_FRESHNESS_ATTESTATIONS_MAX; i++)
     {
       const attested_t *entry = &f->attested[i];
-      bool in_force = entry->vm_id.len > 0
-                      && now_us - entry->at_us <= f->options.max_age_us;
-      if (in_force && entry->known > f->applied)
+      if (in_force (f, entry, now_us) && entry->known > f->applied)
         return false;
     }
   return lt_freshness_store_down (f, now_us);
