--- a/packages/policy/include/lt/policy/membership.h
+++ b/packages/policy/include/lt/policy/membership.h
@@ -85,6 +85,7 @@
 
   typedef enum lt_membership_action_type
   {
+    LT_MEMBERSHIP_CONNECT,       /**< Connect to ADDRESS; ID may be empty. */
     LT_MEMBERSHIP_HEARTBEAT,     /**< Send a heartbeat to ID. */
     LT_MEMBERSHIP_PROBE_REQUEST, /**< Ask ID to probe TARGET. */
     LT_MEMBERSHIP_PROBE_RESULT,  /**< Tell ID whether TARGET was reached. */
@@ -127,9 +128,10 @@
   void lt_membership_tick (lt_membership_t *membership, int64_t now_us);
   bool lt_membership_next (lt_membership_t *membership,
                            lt_membership_action_t *action);
-  /** Fills what a heartbeat carries, at most gossip_bytes of updates.  */
+  /** Fills what a heartbeat to TO carries, about gossip_bytes of updates.
+      Texts are valid until the next call that takes a time.  */
   void lt_membership_fill_heartbeat (lt_membership_t *membership,
-                                     int64_t now_us,
+                                     int64_t now_us, str_t to,
                                      lt_membership_message_t *message);
   /** A heartbeat of FROM arrived; fills the acknowledgement.  */
   void lt_membership_on_heartbeat (lt_membership_t *membership, int64_t now_us,
@@ -152,6 +154,9 @@
       live; it is tried.  ID may be empty when only the address is known.  */
   void lt_membership_add_hint (lt_membership_t *membership, int64_t now_us,
                                str_t id, str_t address);
+  /** A connection that LT_MEMBERSHIP_CONNECT asked for is open.  */
+  void lt_membership_on_connected (lt_membership_t *membership, int64_t now_us,
+                                   const lt_member_update_t *peer);
   /** This VM leaves: announced, and never refuted.  */
   void lt_membership_leave (lt_membership_t *membership, int64_t now_us);
 
@@ -173,6 +178,18 @@
       were written.  */
   size_t lt_membership_owners (const lt_membership_t *membership, str_t key,
                                str_t region, str_t *ids, size_t count);
+  /** The PER_DOMAIN highest live VMs of each failure domain of REGION, with
+      their failure domains; at most CAP.  Returns how many were written.  */
+  size_t lt_membership_watchers (const lt_membership_t *membership,
+                                 str_t region, size_t per_domain, str_t *ids,
+                                 str_t *domains, size_t cap);
+  /** Returns whether more than half of the VMs of REGION that are remembered
+      (dead ones included) are live.  */
+  bool lt_membership_sees_most (const lt_membership_t *membership,
+                                str_t region);
+  /** Grows with each change of the set of live VMs, for callers that keep
+      results of lt_membership_owner.  */
+  uint64_t lt_membership_generation (const lt_membership_t *membership);
   /** Up to COUNT different random live VMs, this one excluded.  */
   size_t lt_membership_random (lt_membership_t *membership, str_t *ids,
                                size_t count);
