Add the health policy: sequential test, local and fleet evidence

Cause: upstreams that pass health checks and serve badly must leave service without crossing the floor. Change: CUSUM of log-likelihood ratios for four alternative shares with a threshold from a stated false alarm rate; local avoidance within the floor; an aggregator that wants support from two failure domains; an ejection record checked by slots, with first-sight times so that no synchronized clock is needed. Found while testing: a fault of the whole service ejected an upstream, because the score kept evidence from before the baseline had followed, and a failure seen by two of six domains ejected, because a small alternative is hardly contradicted by domains without failures. The score is now checked against the peers since the onset, and domains judge the estimated share.

--- a/packages/policy/include/lt/policy/health_fleet.h
+++ b/packages/policy/include/lt/policy/health_fleet.h
@@ -4,9 +4,9 @@
     no authority: a proposal takes effect only through the ejection record.
 
     An ejection needs a score above the threshold of the stated false alarm
-    rate, support from at least two failure domains of reporters, and no
-    contradiction by reporters that carry a quarter or more of the upstream's
-    requests: what only some VMs see is a path failure.  */
+    rate, support from at least two failure domains of reporters that carry at
+    least half of the upstream's requests, and no contradiction by domains that
+    carry more than a quarter: what only some VMs see is a path failure.  */
 #ifndef LT_POLICY_HEALTH_FLEET_H
 #define LT_POLICY_HEALTH_FLEET_H
 
@@ -24,7 +24,6 @@
   {
     double alarms_per_hour; /**< False ejections an hour of the service. */
     int64_t step_us;        /**< Time between two evaluations. */
-    int64_t cold_us;        /**< As in lt_health_local_options_t. */
     int64_t probe_interval_us;
     uint32_t probes_to_return; /**< Successes in a row. */
   } lt_health_fleet_options_t;
@@ -32,7 +31,6 @@
 #define LT_HEALTH_FLEET_OPTIONS_DEFAULT                                       \
   ((lt_health_fleet_options_t){ .alarms_per_hour = 0.001,                     \
                                 .step_us = 1000000,                           \
-                                .cold_us = 10000000,                          \
                                 .probe_interval_us = 1000000,                 \
                                 .probes_to_return = 3 })
 
@@ -40,8 +38,7 @@
   {
     LT_HEALTH_EJECT,  /**< lt_ejection_add and conditional write. */
     LT_HEALTH_RETURN, /**< lt_ejection_return and conditional write. */
-    LT_HEALTH_PROBE,  /**< Send one probe, then lt_health_fleet_probed. */
-    LT_HEALTH_DECAY   /**< lt_ejection_decay and conditional write. */
+    LT_HEALTH_PROBE   /**< Send one probe, then lt_health_fleet_probed. */
   } lt_health_action_kind_t;
 
   typedef struct lt_health_action
@@ -73,9 +70,6 @@
   /** Reports the result of a probe.  */
   void lt_health_fleet_probed (lt_health_fleet_t *fleet, uint32_t upstream,
                                bool ok, int64_t now_us);
-  /** Starts the cold time of an upstream.  */
-  void lt_health_fleet_mark_cold (lt_health_fleet_t *fleet, uint32_t upstream,
-                                  int64_t now_us);
   /** Returns the requests in flight to UPSTREAM over all VMs that reported in
       the last step.  */
   double lt_health_fleet_load (const lt_health_fleet_t *fleet,
--- a/packages/policy/include/lt/policy/health_record.h
+++ b/packages/policy/include/lt/policy/health_record.h
@@ -86,9 +86,9 @@
                                   uint32_t upstream, int64_t now_us);
 
   /** Makes in NEXT the record to write on condition of the version of VIEW,
-      with UPSTREAM ejected.  Returns 0, -LT_EEXISTS (ejected already, or
-      returned within the propagation bound) or -LT_EUNAVAILABLE (the floor
-      would be crossed).  */
+      with UPSTREAM ejected.  Returns 0, -LT_EEXISTS (ejected already)
+      or -LT_EUNAVAILABLE (the floor would be crossed).  Drops returned entries
+      whose repeats are all forgotten.  */
   int lt_ejection_add (const lt_ejection_view_t *view,
                        const lt_health_pool_t *pool, uint32_t upstream,
                        const lt_health_evidence_t *evidence, int64_t now_us,
@@ -96,11 +96,6 @@
   /** The same with UPSTREAM returned.  Returns 0 or -LT_ENOTFOUND.  */
   int lt_ejection_return (const lt_ejection_view_t *view, uint32_t upstream,
                           int64_t wall_us, lt_ejection_record_t *next);
-  /** The same with one repeat of every entry forgotten that has been returned
-      for the decay time; returned entries without repeats go away.  Returns 0
-      or -LT_ENOTFOUND when there is nothing to forget.  */
-  int lt_ejection_decay (const lt_ejection_view_t *view, int64_t now_us,
-                         lt_ejection_record_t *next);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/include/lt/policy/health_test.h
+++ b/packages/policy/include/lt/policy/health_test.h
@@ -24,23 +24,39 @@
 #define LT_HEALTH_ALTERNATIVES 4
   extern const double lt_health_alternatives[LT_HEALTH_ALTERNATIVES];
 
-  /** One test.  Zero-initialized means no evidence.  */
+  /** One step of one test.  Peers are the other upstreams of the service, in
+      the same step.  */
+  typedef struct lt_health_step
+  {
+    double baseline; /**< Expected bad share, in (0, 1). */
+    double trials;
+    double bad;
+    double peer_trials;
+    double peer_bad;
+  } lt_health_step_t;
+
+  /** One test: sums since the onset that each alternative estimates.
+      Zero-initialized means no evidence.  */
   typedef struct lt_health_test
   {
     double score[LT_HEALTH_ALTERNATIVES];
-    double trials[LT_HEALTH_ALTERNATIVES]; /**< Since the score was 0. */
-    double bad[LT_HEALTH_ALTERNATIVES];
+    lt_health_step_t since[LT_HEALTH_ALTERNATIVES];
   } lt_health_test_t;
 
   /** Returns the log-likelihood ratio of BAD bad ones in TRIALS trials,
-      alternative K against baseline share BASELINE (0 < BASELINE < 1).  */
+      alternative K against BASELINE.  */
   double lt_health_llr (uint32_t k, double baseline, double trials,
                         double bad);
-  /** Adds one step.  */
-  void lt_health_test_add (lt_health_test_t *test, double baseline,
-                           double trials, double bad);
-  /** Returns the alternative with the highest score.  */
-  uint32_t lt_health_test_best (const lt_health_test_t *test);
+  /** Adds one step; scores may become negative.  */
+  void lt_health_test_add (lt_health_test_t *test,
+                           const lt_health_step_t *step);
+  /** Forgets the evidence of alternative K: a new onset.  */
+  void lt_health_test_clear (lt_health_test_t *test, uint32_t k);
+  /** Returns the score of alternative K against the worse of the latest
+      baseline and the peers' own bad share since the onset.  A fault that all
+     upstreams share raises the score before the baseline has followed; here it
+      cancels.  */
+  double lt_health_test_confirmed (const lt_health_test_t *test, uint32_t k);
   /** Returns the threshold that keeps all TESTS tests, each evaluated
       STEPS_PER_S times a second, below ALARMS_PER_HOUR false alarms an hour
       together.  */
--- /dev/null
+++ b/packages/policy/src/health_local.c
@@ -0,0 +1,458 @@
+#include "lt/policy/health_local.h"
+
+#include "health_window.h"
+#include "lt/base/str.h"
+#include "lt/policy/health_record.h"
+#include "lt/policy/health_test.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* lt_health_update runs from the controllers' tick, every 100 ms.  */
+#define UPDATES_PER_S 10.0
+#define PROBE_INTERVAL_US 1000000LL
+#define PROBES_TO_RETURN 2
+#define MOST_REPEATS 10
+
+typedef struct item
+{
+  lt_health_state_t state;
+  int64_t cold_until_us;
+  lt_health_test_t tests[LT_HEALTH_STREAMS];
+  bool avoided;
+  lt_health_evidence_t evidence; /**< Of the current avoidance. */
+  int64_t avoided_until_us;
+  int64_t next_probe_us;
+  uint32_t probes_ok;
+  uint32_t repeats;
+  int64_t returned_us;
+  bool dirty; /**< Listed in dirty. */
+} item_t;
+
+struct lt_health_local
+{
+  lt_health_local_options_t options;
+  const lt_health_pool_t *pool;
+  double threshold;
+  item_t *items;
+  lt_health_counts_t *step;   /**< Since the last update. */
+  lt_health_counts_t *report; /**< Since the last digest. */
+  uint32_t *dirty;            /**< Upstreams with counts in step. */
+  uint32_t dirty_count;
+  lt_health_shares_t shares;
+  lt_health_sketches_t sketches;
+};
+
+lt_health_local_t *
+lt_health_local_create (const lt_health_local_options_t *options,
+                        const lt_health_pool_t *pool)
+{
+  lt_health_local_t *local = lt_alloc (sizeof *local);
+  uint32_t count = pool->count;
+  local->options = *options;
+  local->pool = pool;
+  double tests = (double)LT_HEALTH_STREAMS * (count > 0 ? count : 1);
+  local->threshold
+      = lt_health_threshold (options->alarms_per_hour, tests, UPDATES_PER_S);
+  local->items = lt_alloc ((count + 1) * sizeof *local->items);
+  local->step = lt_alloc ((count + 1) * sizeof *local->step);
+  local->report = lt_alloc ((count + 1) * sizeof *local->report);
+  local->dirty = lt_alloc ((count + 1) * sizeof *local->dirty);
+  for (uint32_t i = 0; i < count; i++)
+    if (pool->upstreams[i].out)
+      local->items[i].state = LT_HEALTH_OUT;
+  lt_health_shares_init (&local->shares, count);
+  lt_health_sketches_init (&local->sketches, count);
+  return local;
+}
+
+void
+lt_health_local_destroy (lt_health_local_t *local)
+{
+  if (!local)
+    return;
+  lt_health_shares_clear (&local->shares);
+  lt_health_sketches_clear (&local->sketches);
+  free (local->items);
+  free (local->step);
+  free (local->report);
+  free (local->dirty);
+  free (local);
+}
+
+static void
+count_response (lt_health_counts_t *counts,
+                const lt_health_observation_t *observation)
+{
+  counts->requests++;
+  if (observation->outcome != LT_HEALTH_OK)
+    {
+      counts->failed++;
+      return;
+    }
+  uint32_t bucket = lt_health_bucket (observation->latency_us);
+  if (counts->latency[bucket] < UINT16_MAX)
+    counts->latency[bucket]++;
+}
+
+void
+lt_health_observe (lt_health_local_t *local,
+                   const lt_health_observation_t *observation, int64_t now_us)
+{
+  uint32_t u = observation->upstream;
+  if (u >= local->pool->count || observation->outcome == LT_HEALTH_SHED)
+    return;
+  if (observation->outcome == LT_HEALTH_RESET && observation->suspect)
+    return;
+  /* A refused connection is not an answer of a cold process.  */
+  item_t *item = &local->items[u];
+  bool cold = now_us < item->cold_until_us;
+  if (cold && observation->outcome != LT_HEALTH_REFUSED)
+    return;
+  count_response (&local->step[u], observation);
+  count_response (&local->report[u], observation);
+  if (!item->dirty)
+    {
+      item->dirty = true;
+      local->dirty[local->dirty_count++] = u;
+    }
+}
+
+void
+lt_health_mark_cold (lt_health_local_t *local, uint32_t upstream,
+                     int64_t now_us)
+{
+  if (upstream >= local->pool->count)
+    return;
+  item_t *item = &local->items[upstream];
+  item->cold_until_us = now_us + local->options.cold_us;
+  memset (item->tests, 0, sizeof item->tests);
+}
+
+static lt_health_share_t
+step_share (const lt_health_local_t *local, uint32_t u)
+{
+  const lt_health_counts_t *step = &local->step[u];
+  uint32_t remote = local->pool->upstreams[u].remote;
+  uint32_t slow = lt_health_sketches_slow (&local->sketches, u, remote);
+  lt_health_share_t share = { { 0 }, { 0 } };
+  share.trials[LT_HEALTH_STREAM_FAILED] = step->requests;
+  share.bad[LT_HEALTH_STREAM_FAILED] = step->failed;
+  if (slow >= LT_HEALTH_BUCKETS)
+    return share;
+  share.trials[LT_HEALTH_STREAM_SLOW] = step->requests - step->failed;
+  for (uint32_t b = slow; b < LT_HEALTH_BUCKETS; b++)
+    share.bad[LT_HEALTH_STREAM_SLOW] += step->latency[b];
+  return share;
+}
+
+static void
+test_step (lt_health_local_t *local, uint32_t u,
+           const lt_health_share_t *share, const lt_health_share_t *total)
+{
+  for (int s = 0; s < LT_HEALTH_STREAMS; s++)
+    {
+      lt_health_test_t *test = &local->items[u].tests[s];
+      lt_health_step_t step
+          = { .baseline = lt_health_shares_baseline (&local->shares, u, s,
+                                                     lt_health_prior (s)),
+              .trials = share->trials[s],
+              .bad = share->bad[s],
+              .peer_trials = total->trials[s] - share->trials[s],
+              .peer_bad = total->bad[s] - share->bad[s] };
+      lt_health_test_add (test, &step);
+      for (uint32_t k = 0; k < LT_HEALTH_ALTERNATIVES; k++)
+        if (test->score[k] <= 0)
+          lt_health_test_clear (test, k);
+    }
+}
+
+static void
+add_sketch (lt_health_local_t *local, uint32_t u)
+{
+  uint32_t remote = local->pool->upstreams[u].remote;
+  for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
+    if (local->step[u].latency[b] > 0)
+      lt_health_sketches_add (&local->sketches, u, remote, b,
+                              local->step[u].latency[b]);
+}
+
+/* Returns whether the tests of U are over the threshold, with the evidence. */
+static bool
+is_alarmed (const lt_health_local_t *local, uint32_t u,
+            lt_health_evidence_t *evidence)
+{
+  bool alarmed = false;
+  evidence->score = 0;
+  for (int s = 0; s < LT_HEALTH_STREAMS; s++)
+    for (uint32_t k = 0; k < LT_HEALTH_ALTERNATIVES; k++)
+      {
+        const lt_health_test_t *test = &local->items[u].tests[s];
+        double score = lt_health_test_confirmed (test, k);
+        if (score < local->threshold || score <= evidence->score)
+          continue;
+        alarmed = true;
+        *evidence
+            = (lt_health_evidence_t){ .stream = s,
+                                      .score = score,
+                                      .threshold = local->threshold,
+                                      .share = test->since[k].bad
+                                               / test->since[k].trials,
+                                      .baseline = test->since[k].baseline,
+                                      .trials = test->since[k].trials,
+                                      .domains = 1 };
+      }
+  return alarmed;
+}
+
+static void
+avoid (lt_health_local_t *local, uint32_t u,
+       const lt_health_evidence_t *evidence, int64_t now_us)
+{
+  item_t *item = &local->items[u];
+  int64_t healthy = now_us - item->returned_us;
+  int64_t forgotten = healthy / local->options.decay_us;
+  if (forgotten >= (int64_t)item->repeats)
+    item->repeats = 0;
+  else
+    item->repeats -= (uint32_t)forgotten;
+  int64_t hold = local->options.avoid_first_us << item->repeats;
+  if (hold > local->options.avoid_longest_us)
+    hold = local->options.avoid_longest_us;
+  if (item->repeats < MOST_REPEATS)
+    item->repeats++;
+  item->avoided = true;
+  item->evidence = *evidence;
+  item->avoided_until_us = now_us + hold;
+  item->next_probe_us = item->avoided_until_us;
+  item->probes_ok = 0;
+}
+
+static lt_health_state_t
+wanted_state (const lt_health_local_t *local, const lt_ejection_view_t *view,
+              uint32_t u)
+{
+  if (local->pool->upstreams[u].out)
+    return LT_HEALTH_OUT;
+  if (view && lt_ejection_is_ejected (view, u))
+    return LT_HEALTH_EJECTED;
+  return local->items[u].avoided ? LT_HEALTH_AVOIDED : LT_HEALTH_USABLE;
+}
+
+/* Runs the tests over the counts since the last update, and puts them into
+   the windows.  */
+static void
+run_tests (lt_health_local_t *local, int64_t now_us)
+{
+  lt_health_share_t total = { { 0 }, { 0 } };
+  lt_health_shares_advance (&local->shares, now_us);
+  lt_health_sketches_advance (&local->sketches, now_us);
+  for (uint32_t i = 0; i < local->dirty_count; i++)
+    {
+      lt_health_share_t share = step_share (local, local->dirty[i]);
+      for (int s = 0; s < LT_HEALTH_STREAMS; s++)
+        {
+          total.trials[s] += share.trials[s];
+          total.bad[s] += share.bad[s];
+        }
+    }
+  for (uint32_t i = 0; i < local->dirty_count; i++)
+    {
+      uint32_t u = local->dirty[i];
+      lt_health_share_t share = step_share (local, u);
+      test_step (local, u, &share, &total);
+    }
+  for (uint32_t i = 0; i < local->dirty_count; i++)
+    {
+      uint32_t u = local->dirty[i];
+      lt_health_share_t share = step_share (local, u);
+      lt_health_shares_add (&local->shares, u, &share);
+    }
+  for (uint32_t i = 0; i < local->dirty_count; i++)
+    {
+      uint32_t u = local->dirty[i];
+      add_sketch (local, u);
+      memset (&local->step[u], 0, sizeof local->step[u]);
+      local->items[u].dirty = false;
+    }
+  local->dirty_count = 0;
+}
+
+/* Returns the upstream in STATE with the weakest evidence, or UINT32_MAX.  */
+static uint32_t
+weakest (const lt_health_local_t *local, const lt_ejection_view_t *view,
+         const lt_health_state_t *states, lt_health_state_t state)
+{
+  uint32_t found = UINT32_MAX;
+  double least = 0;
+  for (uint32_t u = 0; u < local->pool->count; u++)
+    {
+      if (states[u] != state)
+        continue;
+      const lt_health_evidence_t *evidence = &local->items[u].evidence;
+      if (state == LT_HEALTH_EJECTED)
+        evidence = &lt_ejection_find (view, u)->evidence;
+      double strength = evidence->score / evidence->threshold;
+      if (found != UINT32_MAX && strength >= least)
+        continue;
+      found = u;
+      least = strength;
+    }
+  return found;
+}
+
+/* Makes upstreams usable again until the floor holds.  */
+static int64_t
+keep_floor (lt_health_local_t *local, const lt_ejection_view_t *view,
+            lt_health_state_t *states)
+{
+  static const lt_health_state_t order[]
+      = { LT_HEALTH_AVOIDED, LT_HEALTH_EJECTED };
+  int64_t left = 0;
+  for (uint32_t u = 0; u < local->pool->count; u++)
+    if (states[u] == LT_HEALTH_USABLE)
+      left += local->pool->upstreams[u].slots;
+  int64_t floor = lt_health_pool_floor (local->pool);
+  for (int i = 0; i < 2; i++)
+    while (left < floor)
+      {
+        uint32_t u = weakest (local, view, states, order[i]);
+        if (u == UINT32_MAX)
+          break;
+        states[u] = LT_HEALTH_USABLE;
+        local->items[u].avoided = false;
+        left += local->pool->upstreams[u].slots;
+      }
+  return left - floor;
+}
+
+/* Avoids alarmed upstreams while SPARE slots above the floor last.  */
+static void
+add_avoidances (lt_health_local_t *local, lt_health_state_t *states,
+                int64_t spare, int64_t now_us)
+{
+  for (uint32_t u = 0; u < local->pool->count; u++)
+    {
+      lt_health_evidence_t evidence;
+      int32_t slots = local->pool->upstreams[u].slots;
+      if (states[u] != LT_HEALTH_USABLE || slots > spare)
+        continue;
+      if (!is_alarmed (local, u, &evidence))
+        continue;
+      avoid (local, u, &evidence, now_us);
+      states[u] = LT_HEALTH_AVOIDED;
+      spare -= slots;
+    }
+}
+
+static void
+enter_state (lt_health_local_t *local, uint32_t u, lt_health_state_t state,
+             int64_t now_us)
+{
+  item_t *item = &local->items[u];
+  item->state = state;
+  if (state == LT_HEALTH_USABLE)
+    {
+      item->returned_us = now_us;
+      lt_health_mark_cold (local, u, now_us);
+      return;
+    }
+  if (state != LT_HEALTH_AVOIDED)
+    item->avoided = false;
+  memset (item->tests, 0, sizeof item->tests);
+  lt_health_shares_forget (&local->shares, u);
+  lt_health_sketches_forget (&local->sketches, u);
+}
+
+uint32_t
+lt_health_update (lt_health_local_t *local, const lt_ejection_view_t *view,
+                  int64_t now_us)
+{
+  uint32_t count = local->pool->count;
+  uint32_t changed = 0;
+  lt_health_state_t *states = lt_alloc ((count + 1) * sizeof *states);
+  run_tests (local, now_us);
+  for (uint32_t u = 0; u < count; u++)
+    states[u] = wanted_state (local, view, u);
+  int64_t spare = keep_floor (local, view, states);
+  add_avoidances (local, states, spare, now_us);
+  for (uint32_t u = 0; u < count; u++)
+    {
+      if (states[u] == local->items[u].state)
+        continue;
+      enter_state (local, u, states[u], now_us);
+      changed++;
+    }
+  free (states);
+  return changed;
+}
+
+lt_health_state_t
+lt_health_state (const lt_health_local_t *local, uint32_t upstream)
+{
+  return local->items[upstream].state;
+}
+
+const lt_health_evidence_t *
+lt_health_local_evidence (const lt_health_local_t *local, uint32_t upstream)
+{
+  const item_t *item = &local->items[upstream];
+  return item->state == LT_HEALTH_AVOIDED ? &item->evidence : NULL;
+}
+
+double
+lt_health_usable_share (const lt_health_local_t *local)
+{
+  int64_t all = lt_health_pool_slots (local->pool);
+  int64_t usable = 0;
+  for (uint32_t u = 0; u < local->pool->count; u++)
+    if (local->items[u].state == LT_HEALTH_USABLE)
+      usable += local->pool->upstreams[u].slots;
+  return all > 0 ? (double)usable / (double)all : 0;
+}
+
+uint32_t
+lt_health_local_probe_due (lt_health_local_t *local, int64_t now_us)
+{
+  for (uint32_t u = 0; u < local->pool->count; u++)
+    {
+      item_t *item = &local->items[u];
+      if (item->state != LT_HEALTH_AVOIDED || now_us < item->next_probe_us)
+        continue;
+      item->next_probe_us = now_us + PROBE_INTERVAL_US;
+      return u;
+    }
+  return UINT32_MAX;
+}
+
+void
+lt_health_local_probed (lt_health_local_t *local, uint32_t upstream, bool ok,
+                        int64_t now_us)
+{
+  if (upstream >= local->pool->count)
+    return;
+  item_t *item = &local->items[upstream];
+  if (!item->avoided || now_us < item->avoided_until_us)
+    return;
+  item->probes_ok = ok ? item->probes_ok + 1 : 0;
+  if (item->probes_ok >= PROBES_TO_RETURN)
+    item->avoided = false;
+}
+
+uint32_t
+lt_health_take_counts (lt_health_local_t *local, lt_health_counts_t *out)
+{
+  uint32_t taken = 0;
+  for (uint32_t u = 0; u < local->pool->count; u++)
+    {
+      lt_health_counts_t *counts = &local->report[u];
+      if (counts->requests == 0)
+        continue;
+      out[taken] = *counts;
+      out[taken].upstream = u;
+      out[taken].remote = local->pool->upstreams[u].remote;
+      taken++;
+      memset (counts, 0, sizeof *counts);
+    }
+  return taken;
+}
--- /dev/null
+++ b/packages/policy/src/health_window.c
@@ -0,0 +1,195 @@
+#include "health_window.h"
+
+#include "lt/base/str.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Weights are scaled back before doubles lose the small counts.  */
+#define MOST_WEIGHT 1048576.0
+#define PRIOR_TRIALS 50.0
+#define MOST_BASELINE 0.99
+/* Slow means above twice (two buckets) the others' 90% quantile.  Without the
+   factor an upstream on hardware that is a third slower than its peers was
+   ejected; a threefold latency still crosses it often enough.  */
+#define SLOW_QUANTILE 0.9
+#define SLOW_MARGIN_BUCKETS 2
+#define LEAST_RESPONSES 50.0
+
+/* Shares below these are normal operation: an upstream that fails one request
+   in 200 is not worth an ejection even when its peers never fail.  */
+static const double least_baseline[LT_HEALTH_STREAMS] = { 0.005, 0.01 };
+static const double priors[LT_HEALTH_STREAMS] = { 0.01, 0.02 };
+
+double
+lt_health_prior (lt_health_stream_t stream)
+{
+  return priors[stream];
+}
+
+void
+lt_health_shares_init (lt_health_shares_t *shares, uint32_t count)
+{
+  memset (shares, 0, sizeof *shares);
+  shares->count = count;
+  shares->weight = 1;
+  shares->rows = lt_alloc ((count + 1) * sizeof *shares->rows);
+}
+
+void
+lt_health_shares_clear (lt_health_shares_t *shares)
+{
+  free (shares->rows);
+  shares->rows = NULL;
+}
+
+/* Returns the weight at NOW_US; moves *ORIGIN_US and sets *SCALE when the
+   weight has become too large.  */
+static double
+forward_weight (int64_t *origin_us, int64_t now_us, double *scale)
+{
+  double age = (double)(now_us - *origin_us);
+  double weight = exp2 (age / (double)LT_HEALTH_HALF_LIFE_US);
+  *scale = 1;
+  if (weight < MOST_WEIGHT)
+    return weight;
+  *scale = 1 / weight;
+  *origin_us = now_us;
+  return 1;
+}
+
+static void
+scale_share (lt_health_share_t *share, double scale)
+{
+  for (int s = 0; s < LT_HEALTH_STREAMS; s++)
+    {
+      share->trials[s] *= scale;
+      share->bad[s] *= scale;
+    }
+}
+
+void
+lt_health_shares_advance (lt_health_shares_t *shares, int64_t now_us)
+{
+  double scale;
+  shares->weight = forward_weight (&shares->origin_us, now_us, &scale);
+  if (scale == 1)
+    return;
+  for (uint32_t i = 0; i < shares->count; i++)
+    scale_share (&shares->rows[i], scale);
+  scale_share (&shares->total, scale);
+}
+
+void
+lt_health_shares_add (lt_health_shares_t *shares, uint32_t upstream,
+                      const lt_health_share_t *step)
+{
+  lt_health_share_t *row = &shares->rows[upstream];
+  for (int s = 0; s < LT_HEALTH_STREAMS; s++)
+    {
+      double trials = step->trials[s] * shares->weight;
+      double bad = step->bad[s] * shares->weight;
+      row->trials[s] += trials;
+      row->bad[s] += bad;
+      shares->total.trials[s] += trials;
+      shares->total.bad[s] += bad;
+    }
+}
+
+void
+lt_health_shares_forget (lt_health_shares_t *shares, uint32_t upstream)
+{
+  lt_health_share_t *row = &shares->rows[upstream];
+  for (int s = 0; s < LT_HEALTH_STREAMS; s++)
+    {
+      shares->total.trials[s] -= row->trials[s];
+      shares->total.bad[s] -= row->bad[s];
+    }
+  memset (row, 0, sizeof *row);
+}
+
+double
+lt_health_shares_baseline (const lt_health_shares_t *shares, uint32_t upstream,
+                           lt_health_stream_t stream, double prior)
+{
+  const lt_health_share_t *row = &shares->rows[upstream];
+  double trials = shares->total.trials[stream] - row->trials[stream];
+  double bad = shares->total.bad[stream] - row->bad[stream];
+  double weight = shares->weight * PRIOR_TRIALS;
+  double share
+      = (fmax (bad, 0) + weight * prior) / (fmax (trials, 0) + weight);
+  return fmin (fmax (share, least_baseline[stream]), MOST_BASELINE);
+}
+
+void
+lt_health_sketches_init (lt_health_sketches_t *sketches, uint32_t count)
+{
+  memset (sketches, 0, sizeof *sketches);
+  sketches->count = count;
+  sketches->weight = 1;
+  sketches->rows = lt_alloc ((count + 1) * sizeof *sketches->rows);
+}
+
+void
+lt_health_sketches_clear (lt_health_sketches_t *sketches)
+{
+  free (sketches->rows);
+  sketches->rows = NULL;
+}
+
+void
+lt_health_sketches_advance (lt_health_sketches_t *sketches, int64_t now_us)
+{
+  double scale;
+  sketches->weight = forward_weight (&sketches->origin_us, now_us, &scale);
+  if (scale == 1)
+    return;
+  float *cell = &sketches->rows[0][0][0];
+  size_t cells = (size_t)sketches->count * 2 * LT_HEALTH_BUCKETS;
+  for (size_t i = 0; i < cells; i++)
+    cell[i] *= (float)scale;
+  for (uint32_t i = 0; i < 2 * LT_HEALTH_BUCKETS; i++)
+    sketches->total[i / LT_HEALTH_BUCKETS][i % LT_HEALTH_BUCKETS] *= scale;
+}
+
+void
+lt_health_sketches_add (lt_health_sketches_t *sketches, uint32_t upstream,
+                        uint32_t remote, uint32_t bucket, double responses)
+{
+  double weighted = responses * sketches->weight;
+  sketches->rows[upstream][remote][bucket] += (float)weighted;
+  sketches->total[remote][bucket] += weighted;
+}
+
+void
+lt_health_sketches_forget (lt_health_sketches_t *sketches, uint32_t upstream)
+{
+  for (uint32_t r = 0; r < 2; r++)
+    for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
+      {
+        sketches->total[r][b] -= sketches->rows[upstream][r][b];
+        sketches->rows[upstream][r][b] = 0;
+      }
+}
+
+uint32_t
+lt_health_sketches_slow (const lt_health_sketches_t *sketches,
+                         uint32_t upstream, uint32_t remote)
+{
+  double others[LT_HEALTH_BUCKETS];
+  double sum = 0;
+  for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
+    {
+      double own = sketches->rows[upstream][remote][b];
+      others[b] = fmax (sketches->total[remote][b] - own, 0);
+      sum += others[b];
+    }
+  if (sum < LEAST_RESPONSES * sketches->weight)
+    return LT_HEALTH_BUCKETS;
+  double above = sum;
+  uint32_t bucket = 0;
+  while (bucket < LT_HEALTH_BUCKETS && above > (1 - SLOW_QUANTILE) * sum)
+    above -= others[bucket++];
+  return bucket + SLOW_MARGIN_BUCKETS;
+}
--- /dev/null
+++ b/packages/policy/src/health_window.h
@@ -0,0 +1,70 @@
+/** @file
+    Recent shares and latency sketches of a service's upstreams, with
+    exponential forgetting (forward decay, Cormode et al. 2009), and what is
+    normal for one upstream: the same figure of all the others.  */
+#ifndef LT_POLICY_HEALTH_WINDOW_H
+#define LT_POLICY_HEALTH_WINDOW_H
+
+#include "lt/policy/health.h"
+
+/** Upstream and peers have this half-life; longer ones hold on to a baseline
+    that a past fault of the whole service has raised.  */
+#define LT_HEALTH_HALF_LIFE_US 10000000LL
+
+typedef struct lt_health_share
+{
+  double trials[LT_HEALTH_STREAMS];
+  double bad[LT_HEALTH_STREAMS];
+} lt_health_share_t;
+
+/** Decayed counts of each upstream and their sum.  */
+typedef struct lt_health_shares
+{
+  uint32_t count;
+  int64_t origin_us;
+  double weight; /**< Of counts added now. */
+  lt_health_share_t *rows;
+  lt_health_share_t total;
+} lt_health_shares_t;
+
+void lt_health_shares_init (lt_health_shares_t *shares, uint32_t count);
+void lt_health_shares_clear (lt_health_shares_t *shares);
+/** Brings the weight up to date; call before adding or reading.  */
+void lt_health_shares_advance (lt_health_shares_t *shares, int64_t now_us);
+void lt_health_shares_add (lt_health_shares_t *shares, uint32_t upstream,
+                           const lt_health_share_t *step);
+/** Drops UPSTREAM's part, so that it is no longer a peer of the others.  */
+void lt_health_shares_forget (lt_health_shares_t *shares, uint32_t upstream);
+/** Returns the bad share of the others, drawn towards PRIOR as if by 50
+    trials, within the stream's bounds.  */
+double lt_health_shares_baseline (const lt_health_shares_t *shares,
+                                  uint32_t upstream, lt_health_stream_t stream,
+                                  double prior);
+/** Returns the share assumed without any observation.  */
+double lt_health_prior (lt_health_stream_t stream);
+
+/** Decayed latency sketches; class 0 is near, 1 is remote.  */
+typedef struct lt_health_sketches
+{
+  uint32_t count;
+  int64_t origin_us;
+  double weight;
+  float (*rows)[2][LT_HEALTH_BUCKETS];
+  double total[2][LT_HEALTH_BUCKETS];
+} lt_health_sketches_t;
+
+void lt_health_sketches_init (lt_health_sketches_t *sketches, uint32_t count);
+void lt_health_sketches_clear (lt_health_sketches_t *sketches);
+void lt_health_sketches_advance (lt_health_sketches_t *sketches,
+                                 int64_t now_us);
+void lt_health_sketches_add (lt_health_sketches_t *sketches, uint32_t upstream,
+                             uint32_t remote, uint32_t bucket,
+                             double responses);
+void lt_health_sketches_forget (lt_health_sketches_t *sketches,
+                                uint32_t upstream);
+/** Returns the first bucket that counts as slow for UPSTREAM, or
+    LT_HEALTH_BUCKETS when the others have too few responses to tell.  */
+uint32_t lt_health_sketches_slow (const lt_health_sketches_t *sketches,
+                                  uint32_t upstream, uint32_t remote);
+
+#endif
