Add the choice of an upstream

Cause: the dispatcher needs an upstream per attempt. Change: two choices by load over slots, own failure domain, region, then other regions when the region is short of capacity; slow start, growing shed back-off, exclusion of tried upstreams and their domains, and a rendezvous subset that bounds connections. Conclusion: policy_test_balance passes.

--- a/packages/policy/include/lt/policy/balance.h
+++ b/packages/policy/include/lt/policy/balance.h
@@ -40,7 +40,10 @@
   } lt_balance_options_t;
 
 #define LT_BALANCE_OPTIONS_DEFAULT                                            \
-  ((lt_balance_options_t){ .vms = 1,                                          \
+  ((lt_balance_options_t){ .vm_id = { NULL, 0 },                              \
+                           .region = { NULL, 0 },                             \
+                           .failure_domain = { NULL, 0 },                     \
+                           .vms = 1,                                          \
                            .region_vms = 1,                                   \
                            .domain_vms = 1,                                   \
                            .pool_connections = 4,                             \
@@ -78,7 +81,7 @@
                               bool usable, int64_t now_us);
   /** Sets what the other VMs have in flight to UPSTREAM, as last heard.  */
   void lt_balance_set_shared_load (lt_balance_pool_t *pool, uint32_t upstream,
-                                   double in_flight);
+                                   double in_flight, int64_t now_us);
   /** Backs off after a 503 with Retry-After (0: none given).  The time
       doubles with each shed response in a row, up to RETRY_AFTER_US; a
       response that is not shed ends the row (lt_balance_accepted).  */
@@ -88,6 +91,10 @@
   /** Updates the numbers of VMs, which bound the subset.  */
   void lt_balance_set_vms (lt_balance_pool_t *pool, uint32_t vms,
                            uint32_t region_vms, uint32_t domain_vms);
+  /** Returns how many connections this VM may have to one upstream: at most
+      the option, less when the VMs would together exceed what the upstreams
+      accept.  At least 1.  */
+  int32_t lt_balance_connection_limit (const lt_balance_pool_t *pool);
   /** Returns whether UPSTREAM is in this VM's rendezvous subset.  */
   bool lt_balance_in_subset (const lt_balance_pool_t *pool, uint32_t upstream);
 
