Add the node: caller server, filter chain, dispatch, upstream client, admin

Cause: the whole path from caller to upstream was missing. Change: tasks on one libev loop for callers (libmicrohttpd), upstreams (libcurl multi) and operators; filters for request id, route, size, key, deadline and dispatch; settings by flags and environment; drain on SIGTERM.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -94,6 +94,7 @@
     lt_filter_t *filters[16];
     int filter_count;
     struct lt_upstream_client *upstreams;
+    struct lt_pools *pools;
     lt_counter_t *refused[LT_REFUSAL_COUNT];
     uint64_t next_sequence;
     int64_t in_flight; /**< Requests of callers. */
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -5,6 +5,7 @@
 
 #include "lt/base/str.h"
 #include "lt/config/snapshot.h"
+#include "lt/node/filter.h"
 #include "lt/node/refusal.h"
 
 #ifdef __cplusplus
@@ -82,6 +83,7 @@
     lt_digest_t body_digest;
     uint64_t fingerprint;
     void *filter_state[LT_FILTER_MAX];
+    struct lt_dispatch *dispatch; /**< While attempts may be open. */
     int next_filter; /**< Next to run; filters below it were called. */
     bool in_answer;  /**< Answer hooks are running. */
     int answer_filter;
@@ -104,8 +106,11 @@
   /** As lt_request_refuse, with a Retry-After of its own.  */
   int lt_request_refuse_after (lt_request_t *request, lt_refusal_t refusal,
                                int64_t retry_after_ms);
+  /** The answer's last byte is at hand, or it failed: calls the done hooks and
+    wakes the caller's side.  */
+  void lt_request_finish (lt_request_t *request);
   /** Shows a complete answer that did not come from an upstream in this call;
-      the answer must be filled in.  */
+        the answer must be filled in.  */
   void lt_request_answer_ready (lt_request_t *request);
   /** Milliseconds until the deadline, at least 0.  */
   int64_t lt_request_remaining_ms (const lt_request_t *request,
--- /dev/null
+++ b/packages/node/src/bus.h
@@ -0,0 +1,21 @@
+/** @file
+    Message bus of the node: typed messages, queued by any task and delivered
+    to the controllers from the loop, in order.  */
+#ifndef LT_NODE_BUS_H
+#define LT_NODE_BUS_H
+
+#include "lt/node/node.h"
+
+typedef struct lt_bus lt_bus_t;
+
+lt_bus_t *lt_bus_create (lt_node_t *node);
+void lt_bus_destroy (lt_bus_t *bus);
+/** Both references are taken over; OLD may be NULL.  */
+void lt_bus_post_config (lt_bus_t *bus, lt_snapshot_ref_t *old,
+                         lt_snapshot_ref_t *current);
+void lt_bus_post_frame (lt_bus_t *bus, const lt_peer_message_t *message);
+void lt_bus_post_observation (lt_bus_t *bus,
+                              const lt_observation_event_t *event,
+                              lt_snapshot_ref_t *config);
+
+#endif
--- /dev/null
+++ b/packages/node/src/caller_server.c
@@ -0,0 +1,392 @@
+#include "caller_server.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "dispatch.h"
+#include "http_loop.h"
+#include "lt/base/error.h"
+#include "lt/base/log.h"
+#include "lt/node/request.h"
+#include "request_parse.h"
+
+enum
+{
+  CONNECTION_MEMORY_BYTES = 32 * 1024, /* Bounds the request's header. */
+  IDLE_TIMEOUT_S = 75,
+  ANSWER_BLOCK_BYTES = 16 * 1024
+};
+
+struct lt_caller_server
+{
+  lt_node_t *node;
+  lt_http_loop_t http;
+  int listen_fd;
+  bool quiesced;
+};
+
+/* One request on a caller's connection.  */
+typedef struct call
+{
+  lt_caller_server_t *server;
+  struct MHD_Connection *connection;
+  lt_request_t *request;
+  char *target;
+  ev_io hangup;
+  bool hangup_watched;
+  bool suspended;
+  bool body_started;
+  bool chain_started;
+  bool responded;
+  bool caller_gone;
+} call_t;
+
+static void
+detached_wake (void *sink, lt_request_t *request)
+{
+  (void)sink;
+  if (request->answer.complete || request->answer.failed)
+    lt_request_destroy (request);
+  else if (request->answer.header_ready)
+    {
+      lt_buf_clear (&request->answer.body);
+      lt_dispatch_consumed (request);
+    }
+}
+
+/* Receives the answer of a request whose caller went away.  */
+static const lt_request_sink_t detached_sink = { detached_wake };
+
+static void
+stop_hangup_watch (call_t *call)
+{
+  if (!call->hangup_watched)
+    return;
+  ev_io_stop (call->server->node->loop, &call->hangup);
+  call->hangup_watched = false;
+}
+
+/* Gives up the request.  A never-repeat action that may have reached an
+   upstream goes on without its caller, so that its outcome is recorded.  */
+static void
+release_request (call_t *call)
+{
+  lt_request_t *request = call->request;
+  call->request = NULL;
+  if (request == NULL)
+    return;
+  bool keep = call->chain_started && !request->ended && request->byte_sent
+              && request->route != NULL
+              && request->route->action == LT_ACTION_NEVER_REPEAT;
+  if (!keep)
+    {
+      lt_request_destroy (request);
+      return;
+    }
+  request->sink = &detached_sink;
+  request->sink_data = NULL;
+}
+
+static void
+resume_connection (call_t *call)
+{
+  if (!call->suspended)
+    return;
+  call->suspended = false;
+  stop_hangup_watch (call);
+  MHD_resume_connection (call->connection);
+  lt_http_loop_wake (&call->server->http);
+}
+
+static void
+on_hangup (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)events;
+  call_t *call = watcher->data;
+  char byte;
+  ssize_t got = recv (watcher->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  ev_io_stop (loop, watcher);
+  call->hangup_watched = false;
+  bool again = got < 0 && (errno == EAGAIN || errno == EINTR);
+  if (got > 0 || again)
+    return;
+  call->caller_gone = true;
+  release_request (call);
+  resume_connection (call);
+}
+
+static void
+suspend_connection (call_t *call)
+{
+  call->suspended = true;
+  MHD_suspend_connection (call->connection);
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      call->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == NULL)
+    return;
+  ev_io_init (&call->hangup, on_hangup, info->connect_fd, EV_READ);
+  call->hangup.data = call;
+  ev_io_start (call->server->node->loop, &call->hangup);
+  call->hangup_watched = true;
+}
+
+static void
+on_wake (void *sink, lt_request_t *request)
+{
+  (void)request;
+  resume_connection (sink);
+}
+
+static const lt_request_sink_t caller_sink = { on_wake };
+
+/* Gives libmicrohttpd the next bytes of a streamed answer.  */
+static ssize_t
+read_answer (void *cls, uint64_t pos, char *out, size_t max)
+{
+  (void)pos;
+  call_t *call = cls;
+  if (call->request == NULL)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  lt_answer_t *answer = &call->request->answer;
+  if (answer->body.len > 0)
+    {
+      size_t len = answer->body.len < max ? answer->body.len : max;
+      memcpy (out, answer->body.data, len);
+      lt_buf_consume (&answer->body, len);
+      lt_dispatch_consumed (call->request);
+      return (ssize_t)len;
+    }
+  if (answer->failed)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (answer->complete)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  suspend_connection (call);
+  return 0;
+}
+
+static struct MHD_Response *
+make_response (call_t *call)
+{
+  lt_answer_t *answer = &call->request->answer;
+  if (answer->complete)
+    return MHD_create_response_from_buffer (
+        answer->body.len, answer->body.data, MHD_RESPMEM_MUST_COPY);
+  uint64_t size
+      = answer->length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)answer->length;
+  return MHD_create_response_from_callback (size, ANSWER_BLOCK_BYTES,
+                                            read_answer, call, NULL);
+}
+
+static void
+add_header (struct MHD_Response *response, str_t name, str_t value)
+{
+  char *name_text = str_dup (name);
+  char *value_text = str_dup (value);
+  MHD_add_response_header (response, name_text, value_text);
+  free (name_text);
+  free (value_text);
+}
+
+static enum MHD_Result
+queue_answer (call_t *call)
+{
+  lt_request_t *request = call->request;
+  lt_answer_t *answer = &request->answer;
+  call->responded = true;
+  if (answer->failed && !answer->complete && answer->body.len == 0)
+    return MHD_NO;
+  struct MHD_Response *response = make_response (call);
+  if (response == NULL)
+    return MHD_NO;
+  for (size_t i = 0; i < answer->headers.count; i++)
+    add_header (response, answer->headers.items[i].name,
+                answer->headers.items[i].value);
+  add_header (response, STR_LIT ("X-Request-Id"),
+              str_from (request->request_id));
+  if (call->server->node->leaving)
+    add_header (response, STR_LIT ("Connection"), STR_LIT ("close"));
+  answer->started = true;
+  enum MHD_Result result = MHD_queue_response (
+      call->connection, (unsigned int)answer->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer_or_wait (call_t *call)
+{
+  if (call->request == NULL)
+    return MHD_NO;
+  if (call->request->answer.header_ready)
+    return queue_answer (call);
+  suspend_connection (call);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+start_request (call_t *call, const char *method)
+{
+  lt_request_t *request = lt_request_create (call->server->node);
+  call->request = request;
+  request->sink = &caller_sink;
+  request->sink_data = call;
+  lt_request_parse_head (request, call->connection, str_from (method),
+                         str_from (call->target));
+  if (request->body_too_large)
+    {
+      /* Refused before the body is read; the connection closes after it.  */
+      call->chain_started = true;
+      lt_request_start (request);
+      return answer_or_wait (call);
+    }
+  return MHD_YES;
+}
+
+static void
+append_body (lt_request_t *request, const char *data, size_t len)
+{
+  if (request->body_too_large)
+    return;
+  if ((int64_t)(request->body.len + len) > request->body_limit_bytes)
+    {
+      request->body_too_large = true;
+      lt_buf_clear (&request->body);
+      return;
+    }
+  lt_buf_append (&request->body, data, len);
+}
+
+static enum MHD_Result
+on_access (void *cls, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *upload_data,
+           size_t *upload_data_size, void **con_cls)
+{
+  (void)cls;
+  (void)url;
+  (void)version;
+  call_t *call = *con_cls;
+  call->connection = connection;
+  if (call->caller_gone)
+    return MHD_NO;
+  if (call->request == NULL)
+    return start_request (call, method);
+  if (*upload_data_size > 0)
+    {
+      append_body (call->request, upload_data, *upload_data_size);
+      *upload_data_size = 0;
+      return MHD_YES;
+    }
+  if (!call->chain_started)
+    {
+      call->chain_started = true;
+      lt_request_start (call->request);
+    }
+  return call->responded ? MHD_YES : answer_or_wait (call);
+}
+
+static void *
+on_target (void *cls, const char *uri, struct MHD_Connection *connection)
+{
+  call_t *call = lt_alloc (sizeof (*call));
+  call->server = cls;
+  call->connection = connection;
+  call->target = str_dup (str_from (uri));
+  return call;
+}
+
+static void
+on_completed (void *cls, struct MHD_Connection *connection, void **con_cls,
+              enum MHD_RequestTerminationCode code)
+{
+  (void)cls;
+  (void)connection;
+  (void)code;
+  call_t *call = *con_cls;
+  *con_cls = NULL;
+  if (call == NULL)
+    return;
+  stop_hangup_watch (call);
+  release_request (call);
+  if (call->target != NULL)
+    memset (call->target, 0, strlen (call->target));
+  free (call->target);
+  free (call);
+}
+
+static struct MHD_Daemon *
+start_daemon (lt_caller_server_t *server, const struct sockaddr_in *address)
+{
+  return MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
+      server, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
+      MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned int)server->node->settings->max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+      MHD_OPTION_END);
+}
+
+int
+lt_caller_server_create (lt_node_t *node, lt_caller_server_t **result)
+{
+  struct sockaddr_in address;
+  if (lt_parse_address (node->settings->listen, &address) != 0)
+    return -LT_EINVAL;
+  lt_caller_server_t *server = lt_alloc (sizeof (*server));
+  server->node = node;
+  struct MHD_Daemon *daemon = start_daemon (server, &address);
+  if (daemon == NULL
+      || lt_http_loop_start (&server->http, node->loop, daemon) != 0)
+    {
+      lt_log (LT_LOG_ERROR, "caller-server",
+              "msg=\"cannot listen\" address=%.*s error=\"%s\"",
+              STR_ARG (node->settings->listen), strerror (errno));
+      free (server);
+      return -LT_EIO;
+    }
+  *result = server;
+  return 0;
+}
+
+uint16_t
+lt_caller_server_port (const lt_caller_server_t *server)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (server->http.daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info == NULL ? 0 : info->port;
+}
+
+void
+lt_caller_server_quiesce (lt_caller_server_t *server)
+{
+  if (server->quiesced)
+    return;
+  server->quiesced = true;
+  server->listen_fd = MHD_quiesce_daemon (server->http.daemon);
+  if (server->listen_fd >= 0)
+    close (server->listen_fd);
+}
+
+int
+lt_caller_server_connections (const lt_caller_server_t *server)
+{
+  const union MHD_DaemonInfo *info = MHD_get_daemon_info (
+      server->http.daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+  return info == NULL ? 0 : (int)info->num_connections;
+}
+
+void
+lt_caller_server_destroy (lt_caller_server_t *server)
+{
+  if (server == NULL)
+    return;
+  lt_http_loop_stop (&server->http);
+  free (server);
+}
--- /dev/null
+++ b/packages/node/src/daemon.c
@@ -0,0 +1,214 @@
+#include "daemon.h"
+
+#include <ev.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bus.h"
+#include "caller_server.h"
+#include "filters.h"
+#include "lt/base/error.h"
+#include "lt/base/log.h"
+#include "lt/config/sheet.h"
+#include "lt/node/admin.h"
+#include "pools.h"
+#include "upstream_client.h"
+
+#define TICK_S 0.1
+
+struct lt_daemon
+{
+  lt_node_t node;
+  lt_admin_t *admin;
+  lt_caller_server_t *callers;
+  ev_timer tick;
+  int64_t drain_started_us;
+};
+
+lt_node_t *
+lt_daemon_node (lt_daemon_t *daemon)
+{
+  return &daemon->node;
+}
+
+static bool
+controllers_stopped (lt_node_t *node, int64_t now_us)
+{
+  bool stopped = true;
+  for (int i = 0; i < node->controller_count; i++)
+    {
+      lt_controller_t *controller = node->controllers[i];
+      if (controller->vtable->stop != NULL
+          && !controller->vtable->stop (controller, now_us))
+        stopped = false;
+    }
+  return stopped;
+}
+
+/* The VM goes on serving until the balancer has had its grace time; then it
+   stops accepting, and ends when nothing is in flight.  */
+static void
+continue_drain (lt_daemon_t *daemon, int64_t now_us)
+{
+  lt_node_t *node = &daemon->node;
+  int64_t grace_us = node->settings->drain_grace_ms * LT_US_PER_MS;
+  if (now_us - daemon->drain_started_us < grace_us)
+    return;
+  lt_caller_server_quiesce (daemon->callers);
+  if (node->in_flight > 0)
+    return;
+  if (controllers_stopped (node, now_us))
+    ev_break (node->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  lt_daemon_t *daemon = watcher->data;
+  lt_node_t *node = &daemon->node;
+  int64_t now_us = lt_node_now_us (node);
+  for (int i = 0; i < node->controller_count; i++)
+    if (node->controllers[i]->vtable->tick != NULL)
+      node->controllers[i]->vtable->tick (node->controllers[i], now_us);
+  if (node->leaving)
+    continue_drain (daemon, now_us);
+}
+
+static void
+create_counters (lt_node_t *node)
+{
+  for (int i = 0; i < LT_REFUSAL_COUNT; i++)
+    {
+      char labels[96];
+      snprintf (labels, sizeof (labels), "reason=\"%s\"",
+                lt_refusal_info ((lt_refusal_t)i)->reason);
+      node->refused[i]
+          = lt_metrics_counter (node->metrics, "lavendertrack_refused_total",
+                                "Requests refused, by reason.", labels);
+    }
+}
+
+static void
+add_filters (lt_node_t *node)
+{
+  lt_node_add_filter (node, lt_filter_request_id_create ());
+  lt_node_add_filter (node, lt_filter_route_create ());
+  lt_node_add_filter (node, lt_filter_size_create ());
+  lt_node_add_filter (node, lt_filter_authenticate_create ());
+  lt_node_add_filter (node, lt_filter_deadline_create ());
+  lt_node_add_filter (node, lt_filter_dispatch_create ());
+}
+
+static int
+create_platform (lt_node_t *node)
+{
+  const lt_settings_t *s = node->settings;
+  if (s->platform == LT_PLATFORM_MEMORY)
+    return lt_platform_memory_create (node->loop, node->clock,
+                                      &node->platform);
+  lt_platform_http_options_t options = LT_PLATFORM_HTTP_OPTIONS_DEFAULT;
+  options.table_url = s->table_url;
+  options.object_url = s->object_url;
+  options.access_key = s->access_key;
+  options.secret_key = s->secret_key;
+  return lt_platform_http_create (node->loop, &options, &node->platform);
+}
+
+static int
+start_controllers (lt_node_t *node)
+{
+  for (int i = 0; i < node->controller_count; i++)
+    {
+      lt_controller_t *controller = node->controllers[i];
+      int result = controller->vtable->start == NULL
+                       ? 0
+                       : controller->vtable->start (controller);
+      if (result != 0)
+        return result;
+    }
+  return 0;
+}
+
+static void
+create_node (lt_daemon_t *daemon, struct ev_loop *loop, lt_clock_t *clock,
+             const lt_settings_t *settings)
+{
+  lt_node_t *node = &daemon->node;
+  uint64_t seed = (uint64_t)settings->seed;
+  if (seed == 0)
+    randombytes_buf (&seed, sizeof (seed));
+  node->loop = loop;
+  node->clock = clock;
+  node->settings = settings;
+  node->metrics = lt_metrics_create ();
+  node->incarnation = (uint64_t)lt_clock_wall_us (clock);
+  lt_rng_init (&node->rng, seed);
+  node->bus = lt_bus_create (node);
+  node->pools = lt_pools_round_robin_create (node);
+  create_counters (node);
+  add_filters (node);
+}
+
+int
+lt_daemon_create (struct ev_loop *loop, lt_clock_t *clock,
+                  const lt_settings_t *settings, lt_daemon_t **result)
+{
+  lt_daemon_t *daemon = lt_alloc (sizeof (*daemon));
+  lt_node_t *node = &daemon->node;
+  create_node (daemon, loop, clock, settings);
+  int error = create_platform (node);
+  if (error == 0)
+    error = lt_upstream_client_create (loop, settings->upstream_connections,
+                                       &node->upstreams);
+  if (error == 0)
+    error = start_controllers (node);
+  if (error == 0)
+    error = lt_admin_create (node, &daemon->admin);
+  if (error == 0)
+    error = lt_caller_server_create (node, &daemon->callers);
+  ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
+  daemon->tick.data = daemon;
+  if (error != 0)
+    {
+      lt_daemon_destroy (daemon);
+      return error;
+    }
+  ev_timer_start (loop, &daemon->tick);
+  *result = daemon;
+  return 0;
+}
+
+void
+lt_daemon_drain (lt_daemon_t *daemon)
+{
+  lt_node_t *node = &daemon->node;
+  if (node->leaving)
+    return;
+  node->leaving = true;
+  daemon->drain_started_us = lt_node_now_us (node);
+  lt_log (LT_LOG_INFO, "daemon", "msg=\"drain started\" grace_ms=%lld",
+          (long long)node->settings->drain_grace_ms);
+}
+
+void
+lt_daemon_destroy (lt_daemon_t *daemon)
+{
+  lt_node_t *node = &daemon->node;
+  ev_timer_stop (node->loop, &daemon->tick);
+  lt_caller_server_destroy (daemon->callers);
+  lt_admin_destroy (daemon->admin);
+  for (int i = node->controller_count - 1; i >= 0; i--)
+    node->controllers[i]->vtable->destroy (node->controllers[i]);
+  for (int i = node->filter_count - 1; i >= 0; i--)
+    node->filters[i]->vtable->destroy (node->filters[i]);
+  lt_upstream_client_destroy (node->upstreams);
+  lt_pools_round_robin_destroy (node->pools);
+  lt_platform_destroy (&node->platform);
+  lt_bus_destroy (node->bus);
+  lt_snapshot_ref_release (node->config);
+  lt_metrics_destroy (node->metrics);
+  free (daemon);
+}
--- /dev/null
+++ b/packages/node/src/filter_dispatch.c
@@ -0,0 +1,396 @@
+#include <ev.h>
+#include <stdlib.h>
+
+#include "dispatch.h"
+#include "filters.h"
+#include "lt/base/error.h"
+#include "lt/node/node.h"
+#include "outgoing.h"
+#include "pools.h"
+#include "upstream_client.h"
+
+enum
+{
+  ATTEMPTS_MAX = 4,
+  ANSWER_BUFFER_BYTES = 64 * 1024,
+  /* Answers of never-repeat actions are held back whole up to this size, so
+     that the outcome is recorded before the caller sees it.  */
+  ANSWER_HELD_BYTES = 1024 * 1024
+};
+
+typedef struct attempt
+{
+  lt_dispatch_t *dispatch;
+  lt_transfer_t *transfer; /* NULL when the attempt is not open. */
+  uint32_t upstream;
+  int64_t started_us;
+  int64_t header_us;
+  int status;
+  int64_t retry_after_ms;
+  bool byte_sent;
+  bool paused;
+} attempt_t;
+
+struct lt_dispatch
+{
+  lt_request_t *request;
+  lt_snapshot_ref_t *config; /* What the upstream indexes refer to. */
+  uint32_t service;
+  attempt_t attempts[ATTEMPTS_MAX];
+  uint32_t tried[ATTEMPTS_MAX];
+  uint32_t attempt_count;
+  attempt_t *winner; /* The attempt whose answer is used. */
+  lt_buf_t target;
+};
+
+static bool start_attempt (lt_dispatch_t *dispatch);
+
+static lt_pools_t *
+dispatch_pools (lt_dispatch_t *dispatch)
+{
+  return dispatch->request->node->pools;
+}
+
+static bool
+has_open_attempt (const lt_dispatch_t *dispatch)
+{
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    if (dispatch->attempts[i].transfer != NULL)
+      return true;
+  return false;
+}
+
+static void
+close_attempt (attempt_t *attempt, lt_attempt_outcome_t outcome)
+{
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  lt_request_t *request = dispatch->request;
+  lt_pools_t *pools = dispatch_pools (dispatch);
+  int64_t end_us = attempt->header_us != 0 ? attempt->header_us
+                                           : lt_node_now_us (request->node);
+  attempt->transfer = NULL;
+  pools->vtable->end (pools, dispatch->config->snapshot, attempt->upstream);
+  lt_observation_event_t event = {
+    .upstream = attempt->upstream,
+    .snapshot = dispatch->config->snapshot,
+    .outcome = outcome,
+    .status = attempt->status,
+    .latency_us = end_us - attempt->started_us,
+    .retry_after_ms = attempt->retry_after_ms,
+    .fingerprint = request->fingerprint,
+    .workspace = request->workspace,
+    .byte_sent = attempt->byte_sent,
+  };
+  lt_node_observe (request->node, &event);
+}
+
+static void
+cancel_attempt (attempt_t *attempt)
+{
+  if (attempt->transfer == NULL)
+    return;
+  lt_transfer_cancel (attempt->transfer);
+  close_attempt (attempt, LT_ATTEMPT_CANCELED);
+}
+
+static void
+cancel_others (lt_dispatch_t *dispatch, const attempt_t *keep)
+{
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    if (&dispatch->attempts[i] != keep)
+      cancel_attempt (&dispatch->attempts[i]);
+}
+
+static bool
+is_never_repeat (const lt_dispatch_t *dispatch)
+{
+  return dispatch->request->route->action == LT_ACTION_NEVER_REPEAT;
+}
+
+/* Returns whether the request may be sent again after ATTEMPT.  */
+static bool
+may_retry (const lt_dispatch_t *dispatch, const attempt_t *attempt)
+{
+  const lt_request_t *request = dispatch->request;
+  int64_t now_us = lt_node_now_us (request->node);
+  if (dispatch->attempt_count == ATTEMPTS_MAX
+      || now_us >= request->deadline_us)
+    return false;
+  return !attempt->byte_sent || request->route->action == LT_ACTION_IDEMPOTENT;
+}
+
+static bool
+is_failure_status (int status)
+{
+  return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+static void
+use_answer (attempt_t *attempt, int status, lt_header_list_t *headers)
+{
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  lt_request_t *request = dispatch->request;
+  lt_answer_t *answer = &request->answer;
+  dispatch->winner = attempt;
+  cancel_others (dispatch, attempt);
+  answer->status = status;
+  lt_outgoing_answer_headers (headers, &answer->headers, &answer->length);
+  if (is_never_repeat (dispatch))
+    return;
+  answer->header_ready = true;
+}
+
+static bool
+on_header (void *owner, int status, lt_header_list_t *headers)
+{
+  attempt_t *attempt = owner;
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  attempt->status = status;
+  attempt->header_us = lt_node_now_us (dispatch->request->node);
+  int64_t retry_after_s = 0;
+  str_t retry_after = lt_header_list_get (headers, STR_LIT ("Retry-After"));
+  if (retry_after.data != NULL
+      && str_to_i64 (str_trim (retry_after), &retry_after_s) == 0)
+    attempt->retry_after_ms = retry_after_s * 1000;
+  if (is_failure_status (status) && may_retry (dispatch, attempt))
+    return false;
+  use_answer (attempt, status, headers);
+  return true;
+}
+
+static bool
+on_body (void *owner, str_t data)
+{
+  attempt_t *attempt = owner;
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  lt_request_t *request = dispatch->request;
+  lt_answer_t *answer = &request->answer;
+  bool held = !answer->header_ready;
+  size_t limit = held ? ANSWER_HELD_BYTES : ANSWER_BUFFER_BYTES;
+  if (answer->body.len > 0 && answer->body.len + data.len > limit)
+    {
+      attempt->paused = true;
+      answer->header_ready = true;
+      request->sink->wake (request->sink_data, request);
+      return false;
+    }
+  lt_buf_append_str (&answer->body, data);
+  if (answer->header_ready)
+    request->sink->wake (request->sink_data, request);
+  return true;
+}
+
+static void
+on_send (void *owner)
+{
+  attempt_t *attempt = owner;
+  attempt->byte_sent = true;
+  attempt->dispatch->request->byte_sent = true;
+}
+
+static lt_attempt_outcome_t
+attempt_outcome (const attempt_t *attempt, const lt_transfer_result_t *result)
+{
+  switch (result->end)
+    {
+    case LT_TRANSFER_REFUSED:
+      return LT_ATTEMPT_REFUSED;
+    case LT_TRANSFER_RESET:
+      return LT_ATTEMPT_RESET;
+    case LT_TRANSFER_TRUNCATED:
+      return LT_ATTEMPT_TRUNCATED;
+    case LT_TRANSFER_TIMEOUT:
+      return LT_ATTEMPT_TIMEOUT;
+    case LT_TRANSFER_COMPLETE:
+    case LT_TRANSFER_ABORTED:
+      break;
+    }
+  if (attempt->status == 503 && attempt->retry_after_ms > 0)
+    return LT_ATTEMPT_SHED;
+  return attempt->status >= 500 ? LT_ATTEMPT_FAILED : LT_ATTEMPT_OK;
+}
+
+/* The answer in use ended.  */
+static void
+finish_answer (lt_dispatch_t *dispatch, const lt_transfer_result_t *result)
+{
+  lt_request_t *request = dispatch->request;
+  lt_answer_t *answer = &request->answer;
+  if (result->end == LT_TRANSFER_COMPLETE)
+    {
+      bool held = !answer->header_ready;
+      answer->complete = true;
+      if (held)
+        lt_request_answer_ready (request);
+      else
+        lt_request_finish (request);
+      return;
+    }
+  if (!answer->started
+      && (answer->length < 0 || (int64_t)answer->body.len < answer->length))
+    {
+      /* Nothing was shown yet, so the caller gets a clear refusal in place of
+         a broken connection.  */
+      lt_request_refuse (request, LT_REFUSE_UPSTREAM_FAILED);
+      return;
+    }
+  answer->failed = true;
+  lt_request_finish (request);
+}
+
+/* No answer is in use and no attempt is open.  */
+static void
+refuse_after_attempts (lt_dispatch_t *dispatch)
+{
+  lt_request_t *request = dispatch->request;
+  if (lt_node_now_us (request->node) >= request->deadline_us)
+    lt_request_refuse (request, LT_REFUSE_DEADLINE);
+  else if (!request->byte_sent)
+    lt_request_refuse (request, LT_REFUSE_NO_UPSTREAM);
+  else
+    lt_request_refuse (request, LT_REFUSE_UPSTREAM_FAILED);
+}
+
+static void
+on_done (void *owner, const lt_transfer_result_t *result)
+{
+  attempt_t *attempt = owner;
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  close_attempt (attempt, attempt_outcome (attempt, result));
+  if (dispatch->winner == attempt)
+    {
+      finish_answer (dispatch, result);
+      return;
+    }
+  if (may_retry (dispatch, attempt) && start_attempt (dispatch))
+    return;
+  if (!has_open_attempt (dispatch))
+    refuse_after_attempts (dispatch);
+}
+
+static const lt_transfer_vtable_t transfer_vtable = { .on_header = on_header,
+                                                      .on_body = on_body,
+                                                      .on_done = on_done,
+                                                      .on_send = on_send };
+
+static lt_transfer_t *
+send_attempt (lt_dispatch_t *dispatch, attempt_t *attempt)
+{
+  lt_request_t *request = dispatch->request;
+  lt_header_list_t headers = { 0 };
+  lt_outgoing_headers (request, attempt->started_us, &headers);
+  int64_t remaining_ms
+      = lt_request_remaining_ms (request, attempt->started_us);
+  lt_transfer_options_t options = {
+    .address
+    = dispatch->config->snapshot->upstreams[attempt->upstream].address,
+    .method = str_from (request->method),
+    .target = lt_buf_str (&dispatch->target),
+    .headers = &headers,
+    .body = lt_buf_str (&request->body),
+    .timeout_ms = remaining_ms > 0 ? remaining_ms : 1,
+    .fresh_connection = is_never_repeat (dispatch),
+  };
+  lt_transfer_t *transfer = lt_upstream_client_send (
+      request->node->upstreams, &options, &transfer_vtable, attempt);
+  lt_header_list_destroy (&headers);
+  return transfer;
+}
+
+/* Returns false when no upstream can take the request.  */
+static bool
+start_attempt (lt_dispatch_t *dispatch)
+{
+  lt_pools_t *pools = dispatch_pools (dispatch);
+  int64_t now_us = lt_node_now_us (dispatch->request->node);
+  int64_t picked
+      = pools->vtable->pick (pools, dispatch->service, dispatch->tried,
+                             dispatch->attempt_count, now_us);
+  if (picked < 0)
+    return false;
+  uint32_t index = dispatch->attempt_count;
+  attempt_t *attempt = &dispatch->attempts[index];
+  *attempt = (attempt_t){ .dispatch = dispatch,
+                          .upstream = (uint32_t)picked,
+                          .started_us = now_us };
+  attempt->transfer = send_attempt (dispatch, attempt);
+  if (attempt->transfer == NULL)
+    return false;
+  dispatch->tried[index] = attempt->upstream;
+  dispatch->attempt_count++;
+  pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
+  return true;
+}
+
+/* The pools may stand on a newer snapshot than the request; the service is
+   then found by its name.  */
+static int
+find_service (lt_dispatch_t *dispatch)
+{
+  const lt_request_t *request = dispatch->request;
+  const lt_snapshot_t *snapshot = dispatch->config->snapshot;
+  dispatch->service = request->route->service;
+  if (snapshot == request->snapshot)
+    return 0;
+  str_t name = request->snapshot->services[request->route->service].name;
+  dispatch->service = lt_snapshot_find_service (snapshot, name);
+  return dispatch->service == LT_NO_INDEX ? -LT_ENOTFOUND : 0;
+}
+
+static lt_filter_result_t
+filter_request (lt_filter_t *filter, lt_request_t *request)
+{
+  lt_pools_t *pools = filter->node->pools;
+  lt_snapshot_ref_t *config = pools->vtable->config (pools);
+  if (config == NULL)
+    return lt_request_refuse (request, LT_REFUSE_NO_CONFIG);
+  if (lt_node_now_us (filter->node) >= request->deadline_us)
+    return lt_request_refuse (request, LT_REFUSE_DEADLINE);
+  lt_dispatch_t *dispatch = lt_alloc (sizeof (*dispatch));
+  request->dispatch = dispatch;
+  dispatch->request = request;
+  dispatch->config = lt_snapshot_ref_acquire (config);
+  lt_outgoing_target (request, &dispatch->target);
+  if (find_service (dispatch) != 0 || !start_attempt (dispatch))
+    return lt_request_refuse (request, LT_REFUSE_NO_UPSTREAM);
+  return LT_FILTER_WAIT;
+}
+
+static void
+filter_done (lt_filter_t *filter, lt_request_t *request)
+{
+  (void)filter;
+  lt_dispatch_t *dispatch = request->dispatch;
+  if (dispatch == NULL)
+    return;
+  cancel_others (dispatch, NULL);
+  request->dispatch = NULL;
+  lt_snapshot_ref_release (dispatch->config);
+  lt_buf_destroy (&dispatch->target);
+  free (dispatch);
+}
+
+void
+lt_dispatch_consumed (lt_request_t *request)
+{
+  lt_dispatch_t *dispatch = request->dispatch;
+  if (dispatch == NULL || dispatch->winner == NULL)
+    return;
+  attempt_t *winner = dispatch->winner;
+  if (!winner->paused || winner->transfer == NULL
+      || request->answer.body.len > ANSWER_BUFFER_BYTES / 2)
+    return;
+  winner->paused = false;
+  lt_transfer_unpause (winner->transfer);
+}
+
+static const lt_filter_vtable_t vtable = { .name = "dispatch",
+                                           .request = filter_request,
+                                           .done = filter_done,
+                                           .destroy = lt_filter_free };
+
+lt_filter_t *
+lt_filter_dispatch_create (void)
+{
+  return lt_filter_plain_create (&vtable);
+}
--- /dev/null
+++ b/packages/node/src/main.c
@@ -0,0 +1,88 @@
+#include <argp.h>
+#include <ev.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "daemon.h"
+#include "lt/base/error.h"
+#include "lt/base/log.h"
+
+const char *argp_program_version = "lavendertrackd " LT_VERSION;
+
+enum
+{
+  EXIT_FINDINGS = 2
+};
+
+static void
+on_terminate (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)events;
+  lt_daemon_t *daemon = watcher->data;
+  if (lt_daemon_node (daemon)->leaving)
+    ev_break (loop, EVBREAK_ALL);
+  else
+    lt_daemon_drain (daemon);
+}
+
+static int
+print_findings (lt_findings_t *findings)
+{
+  lt_buf_t text = { 0 };
+  lt_findings_print (findings, &text);
+  fprintf (stderr, "%.*s", STR_ARG (lt_buf_str (&text)));
+  lt_buf_destroy (&text);
+  lt_findings_destroy (findings);
+  return EXIT_FINDINGS;
+}
+
+static int
+run (const lt_settings_t *settings)
+{
+  struct ev_loop *loop = ev_default_loop (EVFLAG_AUTO);
+  lt_daemon_t *daemon = NULL;
+  int error = lt_daemon_create (loop, lt_clock_system (), settings, &daemon);
+  if (error != 0)
+    {
+      lt_log (LT_LOG_ERROR, "daemon", "msg=\"cannot start\" error=\"%s\"",
+              lt_error_text (error));
+      return EXIT_FAILURE;
+    }
+  ev_signal terminate;
+  ev_signal interrupt;
+  ev_signal_init (&terminate, on_terminate, SIGTERM);
+  ev_signal_init (&interrupt, on_terminate, SIGINT);
+  terminate.data = daemon;
+  interrupt.data = daemon;
+  ev_signal_start (loop, &terminate);
+  ev_signal_start (loop, &interrupt);
+  lt_log (LT_LOG_INFO, "daemon",
+          "msg=\"started\" vm=%.*s listen=%.*s admin=%.*s",
+          STR_ARG (settings->vm_id), STR_ARG (settings->listen),
+          STR_ARG (settings->admin_listen));
+  ev_run (loop, 0);
+  lt_daemon_destroy (daemon);
+  ev_loop_destroy (loop);
+  lt_log (LT_LOG_INFO, "daemon", "msg=\"stopped\"");
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  lt_settings_t settings;
+  lt_findings_t findings = { 0 };
+  signal (SIGPIPE, SIG_IGN);
+  if (sodium_init () < 0)
+    return EXIT_FAILURE;
+  lt_settings_init (&settings);
+  if (lt_settings_load (&settings, argc, argv, &findings) != 0)
+    return print_findings (&findings);
+  lt_findings_destroy (&findings);
+  lt_log_set_level (settings.log_level);
+  if (settings.check_only)
+    return EXIT_SUCCESS;
+  return run (&settings);
+}
--- /dev/null
+++ b/packages/node/src/outgoing.c
@@ -0,0 +1,132 @@
+#include "outgoing.h"
+
+#include "lt/node/node.h"
+
+/* RFC 9110, section 7.6.1, and RFC 9112.  */
+static const char *const hop_by_hop[]
+    = { "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+        "Trailer",    "Transfer-Encoding", "Upgrade" };
+
+/* Set by the proxy or by libcurl, or carrying credentials.  */
+static const char *const replaced[]
+    = { "Authorization",  "Proxy-Authorization",
+        "X-Workspace",    "X-Request-Id",
+        "X-Deadline-Ms",  "Host",
+        "Content-Length", "Expect" };
+
+static const char *const replaced_in_answer[]
+    = { "Content-Length", "X-Request-Id", "X-Request-Ran",
+        "Proxy-Authenticate" };
+
+static bool
+listed (str_t name, const char *const *names, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (str_equal_nocase (name, str_from (names[i])))
+      return true;
+  return false;
+}
+
+#define LISTED(name, names)                                                   \
+  listed (name, names, sizeof (names) / sizeof ((names)[0]))
+
+/* Returns whether a Connection header names NAME.  */
+static bool
+named_by_connection (const lt_header_list_t *headers, str_t name)
+{
+  for (size_t i = 0; i < headers->count; i++)
+    {
+      if (!str_equal_nocase (headers->items[i].name, STR_LIT ("Connection")))
+        continue;
+      str_t rest = headers->items[i].value;
+      while (rest.data != NULL)
+        {
+          str_t option = str_trim (str_split (rest, ',', &rest));
+          if (str_equal_nocase (option, name))
+            return true;
+        }
+    }
+  return false;
+}
+
+/* Treats '_' as '-': some upstreams fold both into one name, so a caller
+   could otherwise forge X_Workspace.  */
+static bool
+is_replaced (str_t name)
+{
+  char folded[64];
+  if (name.len > sizeof (folded))
+    return false;
+  for (size_t i = 0; i < name.len; i++)
+    folded[i] = name.data[i] == '_' ? '-' : name.data[i];
+  return LISTED (str_make (folded, name.len), replaced);
+}
+
+static bool
+holds_key (const lt_header_t *header, str_t key)
+{
+  if (key.len == 0)
+    return false;
+  return str_find (header->value, key) >= 0
+         || str_find (header->name, key) >= 0;
+}
+
+static void
+add_number (lt_header_list_t *out, str_t name, int64_t value)
+{
+  lt_buf_t text = { 0 };
+  lt_buf_printf (&text, "%lld", (long long)value);
+  lt_header_list_add (out, name, lt_buf_str (&text));
+  lt_buf_destroy (&text);
+}
+
+void
+lt_outgoing_headers (const lt_request_t *request, int64_t now_us,
+                     lt_header_list_t *out)
+{
+  str_t key = str_from (request->key);
+  const lt_header_list_t *in = &request->headers;
+  for (size_t i = 0; i < in->count; i++)
+    {
+      const lt_header_t *header = &in->items[i];
+      if (LISTED (header->name, hop_by_hop) || is_replaced (header->name)
+          || named_by_connection (in, header->name) || holds_key (header, key))
+        continue;
+      lt_header_list_add (out, header->name, header->value);
+    }
+  if (request->workspace != LT_NO_INDEX)
+    lt_header_list_add (
+        out, STR_LIT ("X-Workspace"),
+        request->snapshot->workspaces[request->workspace].name);
+  lt_header_list_add (out, STR_LIT ("X-Request-Id"),
+                      str_from (request->request_id));
+  add_number (out, STR_LIT ("X-Deadline-Ms"),
+              lt_request_remaining_ms (request, now_us));
+}
+
+void
+lt_outgoing_target (const lt_request_t *request, lt_buf_t *out)
+{
+  lt_buf_append_str (out, str_from (request->path));
+  if (request->query != NULL)
+    lt_buf_printf (out, "?%s", request->query);
+}
+
+void
+lt_outgoing_answer_headers (const lt_header_list_t *headers,
+                            lt_header_list_t *out, int64_t *length)
+{
+  *length = -1;
+  str_t text = lt_header_list_get (headers, STR_LIT ("Content-Length"));
+  if (text.data != NULL && str_to_i64 (str_trim (text), length) != 0)
+    *length = -1;
+  for (size_t i = 0; i < headers->count; i++)
+    {
+      const lt_header_t *header = &headers->items[i];
+      if (LISTED (header->name, hop_by_hop)
+          || LISTED (header->name, replaced_in_answer)
+          || named_by_connection (headers, header->name))
+        continue;
+      lt_header_list_add (out, header->name, header->value);
+    }
+}
--- /dev/null
+++ b/packages/node/src/request.c
@@ -0,0 +1,205 @@
+#include "lt/node/request.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lt/base/error.h"
+#include "lt/node/node.h"
+
+lt_request_t *
+lt_request_create (lt_node_t *node)
+{
+  lt_request_t *request = lt_alloc (sizeof (*request));
+  request->node = node;
+  request->sequence = ++node->next_sequence;
+  request->workspace = LT_NO_INDEX;
+  request->started_us = lt_node_now_us (node);
+  request->config = lt_snapshot_ref_acquire (node->config);
+  if (request->config != NULL)
+    request->snapshot = request->config->snapshot;
+  request->answer.length = -1;
+  node->in_flight++;
+  return request;
+}
+
+/* Calls the done hooks once, last filter first.  */
+static void
+request_end (lt_request_t *request)
+{
+  if (request->ended)
+    return;
+  request->ended = true;
+  lt_node_t *node = request->node;
+  for (int i = request->next_filter - 1; i >= 0; i--)
+    if (node->filters[i]->vtable->done != NULL)
+      node->filters[i]->vtable->done (node->filters[i], request);
+}
+
+void
+lt_request_finish (lt_request_t *request)
+{
+  request_end (request);
+  request->sink->wake (request->sink_data, request);
+}
+
+static void
+wipe_text (char *text)
+{
+  if (text == NULL)
+    return;
+  sodium_memzero (text, strlen (text));
+  free (text);
+}
+
+void
+lt_request_destroy (lt_request_t *request)
+{
+  if (request == NULL)
+    return;
+  request_end (request);
+  request->node->in_flight--;
+  lt_header_list_destroy (&request->headers);
+  lt_header_list_destroy (&request->answer.headers);
+  lt_buf_destroy (&request->body);
+  lt_buf_destroy (&request->answer.body);
+  wipe_text (request->key);
+  free (request->method);
+  wipe_text (request->target);
+  free (request->path);
+  free (request->query);
+  lt_snapshot_ref_release (request->config);
+  free (request);
+}
+
+/* Goes through the answer hooks, last filter first, until one waits.  */
+static void
+run_answer_hooks (lt_request_t *request)
+{
+  lt_node_t *node = request->node;
+  while (request->answer_filter > 0)
+    {
+      lt_filter_t *filter = node->filters[--request->answer_filter];
+      if (filter->vtable->answer == NULL)
+        continue;
+      if (filter->vtable->answer (filter, request) == LT_FILTER_WAIT)
+        return;
+    }
+  request->in_answer = false;
+  lt_request_finish (request);
+}
+
+static void
+run_filters (lt_request_t *request)
+{
+  lt_node_t *node = request->node;
+  while (request->next_filter < node->filter_count)
+    {
+      lt_filter_t *filter = node->filters[request->next_filter++];
+      lt_filter_result_t result = filter->vtable->request (filter, request);
+      if (result != LT_FILTER_CONTINUE)
+        return;
+    }
+}
+
+void
+lt_request_start (lt_request_t *request)
+{
+  run_filters (request);
+}
+
+void
+lt_request_resume (lt_request_t *request)
+{
+  if (request->in_answer)
+    run_answer_hooks (request);
+  else
+    run_filters (request);
+}
+
+void
+lt_request_answer_ready (lt_request_t *request)
+{
+  request->answer.header_ready = true;
+  request->answer.complete = true;
+  request->answer.length = (int64_t)request->answer.body.len;
+  request->in_answer = true;
+  request->answer_filter = request->next_filter;
+  run_answer_hooks (request);
+}
+
+static void
+fill_problem (lt_request_t *request, const lt_refusal_info_t *info,
+              lt_ran_t ran, int64_t retry_after_ms)
+{
+  lt_answer_t *answer = &request->answer;
+  lt_header_list_destroy (&answer->headers);
+  lt_buf_clear (&answer->body);
+  answer->status = info->status;
+  json_t *problem
+      = json_pack ("{s:s, s:s, s:i, s:s, s:s}", "type", "about:blank", "title",
+                   info->title, "status", info->status, "reason", info->reason,
+                   "request_id", request->request_id);
+  char *text = json_dumps (problem, JSON_COMPACT);
+  lt_buf_append_str (&answer->body, str_from (text));
+  free (text);
+  json_decref (problem);
+  lt_header_list_add (&answer->headers, STR_LIT ("Content-Type"),
+                      STR_LIT ("application/problem+json"));
+  lt_header_list_add (&answer->headers, STR_LIT ("X-Request-Ran"),
+                      str_from (lt_ran_text (ran)));
+  if (retry_after_ms > 0)
+    {
+      lt_buf_t seconds = { 0 };
+      lt_buf_printf (&seconds, "%lld",
+                     (long long)((retry_after_ms + 999) / 1000));
+      lt_header_list_add (&answer->headers, STR_LIT ("Retry-After"),
+                          lt_buf_str (&seconds));
+      lt_buf_destroy (&seconds);
+    }
+  answer->length = (int64_t)answer->body.len;
+  answer->header_ready = true;
+  answer->complete = true;
+}
+
+/* The table's certainty holds only while no byte has left; a dispatch refusal
+   is certain exactly when no byte has left.  */
+static lt_ran_t
+refusal_ran (const lt_request_t *request, lt_refusal_t refusal,
+             const lt_refusal_info_t *info)
+{
+  if (request->byte_sent)
+    return LT_RAN_UNKNOWN;
+  if (refusal == LT_REFUSE_UPSTREAM_FAILED || refusal == LT_REFUSE_DEADLINE)
+    return LT_RAN_NOT_RUN;
+  return info->ran;
+}
+
+lt_filter_result_t
+lt_request_refuse_after (lt_request_t *request, lt_refusal_t refusal,
+                         int64_t retry_after_ms)
+{
+  const lt_refusal_info_t *info = lt_refusal_info (refusal);
+  request->refused = true;
+  request->refusal = refusal;
+  request->node->refused[refusal]->value++;
+  fill_problem (request, info, refusal_ran (request, refusal, info),
+                retry_after_ms);
+  lt_request_finish (request);
+  return LT_FILTER_REFUSED;
+}
+
+lt_filter_result_t
+lt_request_refuse (lt_request_t *request, lt_refusal_t refusal)
+{
+  return lt_request_refuse_after (
+      request, refusal, lt_refusal_info (refusal)->retry_after_s * 1000LL);
+}
+
+int64_t
+lt_request_remaining_ms (const lt_request_t *request, int64_t now_us)
+{
+  int64_t left_ms = (request->deadline_us - now_us) / LT_US_PER_MS;
+  return left_ms > 0 ? left_ms : 0;
+}
