--- a/packages/platform/include/lt/platform/platform.h
+++ b/packages/platform/include/lt/platform/platform.h
@@ -16,7 +16,9 @@
   {
     LT_OUTCOME_DONE,    /**< Took effect, or was read. */
     LT_OUTCOME_REFUSED, /**< A condition failed; nothing changed. */
-    LT_OUTCOME_UNKNOWN  /**< May or may not have taken effect; read back. */
+    LT_OUTCOME_UNKNOWN  /**< May or may not have taken effect, also later;
+                           read back.  With -LT_EUNAVAILABLE the request was
+                           not accepted and takes no effect. */
   } lt_outcome_t;
 
 /** Expected version of an item that must not exist.  */
@@ -27,8 +29,8 @@
   typedef enum lt_table_op_kind
   {
     LT_TABLE_GET,
-    LT_TABLE_PUT, /**< The new version is expected_version + 1; with
-                     LT_VERSION_ANY it is new_version. */
+    LT_TABLE_PUT, /**< The new version is new_version if that is positive,
+                     else expected_version + 1. */
     LT_TABLE_DELETE
   } lt_table_op_kind_t;
 
@@ -37,7 +39,9 @@
     lt_table_op_kind_t kind;
     str_t key;
     int64_t expected_version; /**< Condition of put and delete. */
-    int64_t new_version;      /**< Only for put with LT_VERSION_ANY. */
+    int64_t new_version;      /**< Required with LT_VERSION_ANY; a unique one
+                                 fences a writer whose item was deleted and
+                                 created again. */
     str_t value;              /**< Bytes, at most 300 KiB. */
     int64_t expires_wall_s; /**< 0: kept; else the table may drop it after. */
   } lt_table_op_t;
