Add the stand-in upstream

Tests of the fleet need an upstream whose latency, failures, resets, truncations, crashes and shedding can be changed while it serves, and which counts how often each idempotency key ran.

--- a/packages/platform/src/memory.c
+++ b/packages/platform/src/memory.c
@@ -16,9 +16,9 @@
   UT_hash_handle hh;
   int64_t version;
   int64_t expires_wall_s;
-  str_t key;
-  str_t value;
-  char bytes[];
+  lt_buf_t value;
+  size_t key_len;
+  char key[];
 } entry_t;
 
 typedef struct call call_t;
@@ -85,28 +85,29 @@
 }
 
 static void
-entry_remove (entry_t **head, str_t key)
+entry_delete (entry_t **head, entry_t *entry)
 {
-  entry_t *found = entry_find (*head, key);
-  if (found == NULL)
-    return;
-  HASH_DELETE (hh, *head, found);
-  free (found);
+  /* The analyzer does not see that uthash keeps hh.tbl set.  */
+  HASH_DELETE (hh, *head, entry); /* NOLINT(clang-analyzer-*) */
+  lt_buf_destroy (&entry->value);
+  free (entry);
 }
 
 static void
 entry_set (entry_t **head, const lt_table_op_t *op)
 {
-  entry_t *entry = lt_alloc (sizeof (*entry) + op->key.len + op->value.len);
-  memcpy (entry->bytes, op->key.data, op->key.len);
-  if (op->value.len > 0)
-    memcpy (entry->bytes + op->key.len, op->value.data, op->value.len);
-  entry->key = str_make (entry->bytes, op->key.len);
-  entry->value = str_make (entry->bytes + op->key.len, op->value.len);
+  entry_t *entry = entry_find (*head, op->key);
+  if (entry == NULL)
+    {
+      entry = lt_alloc (sizeof (*entry) + op->key.len);
+      memcpy (entry->key, op->key.data, op->key.len);
+      entry->key_len = op->key.len;
+      HASH_ADD_KEYPTR (hh, *head, entry->key, entry->key_len, entry);
+    }
+  lt_buf_clear (&entry->value);
+  lt_buf_append_str (&entry->value, op->value);
   entry->version = lt_table_op_version (op);
   entry->expires_wall_s = op->expires_wall_s;
-  entry_remove (head, op->key);
-  HASH_ADD_KEYPTR (hh, *head, entry->key.data, entry->key.len, entry);
 }
 
 static void
@@ -114,11 +115,7 @@
 {
   entry_t *entry;
   entry_t *next;
-  HASH_ITER (hh, *head, entry, next)
-  {
-    HASH_DELETE (hh, *head, entry);
-    free (entry);
-  }
+  HASH_ITER (hh, *head, entry, next) { entry_delete (head, entry); }
 }
 
 /** Returns the live item of KEY, dropping an expired one.  */
@@ -131,10 +128,18 @@
   int64_t now_s = lt_clock_wall_us (memory->clock) / LT_US_PER_S;
   if (entry->expires_wall_s > now_s)
     return entry;
-  entry_remove (&memory->items, key);
+  entry_delete (&memory->items, entry);
   return NULL;
 }
 
+static void
+item_remove (memory_t *memory, str_t key)
+{
+  entry_t *entry = entry_find (memory->items, key);
+  if (entry != NULL)
+    entry_delete (&memory->items, entry);
+}
+
 static void
 call_free (call_t *call)
 {
@@ -158,10 +163,9 @@
   if (table_done != NULL)
     table_done (call->user, result);
   if (object_done != NULL)
-    object_done (call->user, &(lt_object_result_t){
-                                 .outcome = result->outcome,
-                                 .error = result->error,
-                                 .body = body });
+    object_done (call->user, &(lt_object_result_t){ .outcome = result->outcome,
+                                                    .error = result->error,
+                                                    .body = body });
   if (vms_done == NULL)
     return;
   lt_vm_list_result_t list
@@ -192,11 +196,10 @@
       if (entry == NULL)
         continue;
       items[i].version = entry->version;
-      items[i].value = entry->value;
+      items[i].value = lt_buf_str (&entry->value);
     }
-  lt_table_result_t result = { .outcome = LT_OUTCOME_DONE,
-                               .items = items,
-                               .count = call->count };
+  lt_table_result_t result
+      = { .outcome = LT_OUTCOME_DONE, .items = items, .count = call->count };
   if (call->lose_answer)
     call_report_unknown (call, -LT_EIO);
   else
@@ -227,7 +230,7 @@
       if (ops[i].kind == LT_TABLE_PUT)
         entry_set (&memory->items, &ops[i]);
       else
-        entry_remove (&memory->items, ops[i].key);
+        item_remove (memory, ops[i].key);
     }
   return (lt_table_result_t){ .outcome = LT_OUTCOME_DONE };
 }
@@ -235,8 +238,7 @@
 static void
 object_read (call_t *call)
 {
-  const entry_t *entry
-      = entry_find (call->memory->objects, call->ops[0].key);
+  const entry_t *entry = entry_find (call->memory->objects, call->ops[0].key);
   lt_table_result_t result = { .outcome = LT_OUTCOME_DONE };
   if (entry == NULL)
     result = (lt_table_result_t){ .outcome = LT_OUTCOME_REFUSED,
@@ -244,7 +246,8 @@
   if (call->lose_answer)
     call_report_unknown (call, -LT_EIO);
   else
-    call_report (call, &result, entry == NULL ? (str_t){ 0 } : entry->value);
+    call_report (call, &result,
+                 entry == NULL ? (str_t){ 0 } : lt_buf_str (&entry->value));
 }
 
 static lt_table_result_t
@@ -391,8 +394,8 @@
   int rc = lt_table_ops_check (ops, count);
   if (rc != 0)
     return rc;
-  lt_platform_call_t kind = ops[0].kind == LT_TABLE_GET ? LT_CALL_TABLE_READ
-                                                        : LT_CALL_TABLE_WRITE;
+  lt_platform_call_t kind
+      = ops[0].kind == LT_TABLE_GET ? LT_CALL_TABLE_READ : LT_CALL_TABLE_WRITE;
   call_t *call = call_start (self->memory, self, kind, timeout_ms);
   call->ops = lt_table_ops_copy (ops, count);
   call->count = count;
--- /dev/null
+++ b/packages/standin/src/httpd.h
@@ -0,0 +1,68 @@
+/** @file
+    A libmicrohttpd daemon on a libev loop whose replies can be delayed, cut
+    or replaced by a reset.  Shared by the stand-ins.  */
+#ifndef LT_STANDIN_HTTPD_H
+#define LT_STANDIN_HTTPD_H
+
+#include <ev.h>
+#include <microhttpd.h>
+
+#include "lt/base/str.h"
+
+typedef struct standin_httpd standin_httpd_t;
+
+/** One request whose body has been received.  */
+typedef struct standin_request
+{
+  struct standin_request *prev;
+  struct standin_request *next;
+  standin_httpd_t *httpd;
+  struct MHD_Connection *connection;
+  char *method;
+  char *path;
+  lt_buf_t body;
+  struct MHD_Response *response;
+  unsigned status;
+  bool reset;
+  bool handled;
+  bool suspended;
+  ev_timer timer;
+} standin_request_t;
+
+/** Handles REQUEST: calls exactly one of the reply functions.  */
+typedef void (*standin_handler_t) (void *user, standin_request_t *request);
+
+enum
+{
+  STANDIN_NEVER = -1 /**< Delay of a reply that never comes. */
+};
+
+/** Listens on LISTEN ("ip:port", port 0 for any).  Returns 0, -LT_EINVAL or
+    -LT_EIO.  */
+int standin_httpd_create (struct ev_loop *loop, str_t listen,
+                          standin_handler_t handler, void *user,
+                          standin_httpd_t **httpd);
+void standin_httpd_destroy (standin_httpd_t *httpd);
+int standin_httpd_port (const standin_httpd_t *httpd);
+/** Closes the listening socket and all connections; start opens the same port
+    again.  Neither may be called by a handler.  */
+void standin_httpd_stop (standin_httpd_t *httpd);
+int standin_httpd_start (standin_httpd_t *httpd);
+
+/** Replies after DELAY_MS; takes over RESPONSE.  */
+void standin_reply (standin_request_t *request, unsigned status,
+                    struct MHD_Response *response, int64_t delay_ms);
+/** Replies with a copy of BODY.  */
+void standin_reply_text (standin_request_t *request, unsigned status,
+                         const char *content_type, str_t body,
+                         int64_t delay_ms);
+/** Sends a TCP reset in place of a response.  */
+void standin_reply_reset (standin_request_t *request, int64_t delay_ms);
+/** Returns a header value, or NULL.  */
+const char *standin_request_header (const standin_request_t *request,
+                                    const char *name);
+/** Returns a response that announces LENGTH bytes of DATA and closes the
+    connection after SENT of them.  */
+struct MHD_Response *standin_response_cut (str_t data, size_t sent);
+
+#endif
