Dispatch retries and hedges through the retry policy

Cause: the dispatcher decided retries by itself, without a budget. Change: a failed attempt and the hedge timer ask lt_retry_decide and lt_retry_hedge; the back-off runs on the loop. Conclusion: compiles; links once the policy is merged.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -69,8 +69,8 @@
     lt_attempt_outcome_t outcome;
     int status;
     int64_t latency_us;
-    int64_t retry_after_ms; /**< Of a shed answer; 0: none. */
-    uint64_t fingerprint;   /**< Of the request. */
+    int64_t retry_after_ms;  /**< Of a shed answer; 0: none. */
+    lt_digest_t fingerprint; /**< Of the request. */
     uint32_t workspace;
     bool byte_sent;
   } lt_observation_event_t;
@@ -95,6 +95,7 @@
     int filter_count;
     struct lt_upstream_client *upstreams;
     struct lt_pools *pools;
+    struct lt_retry *retry;
     lt_counter_t *refused[LT_REFUSAL_COUNT];
     uint64_t next_sequence;
     int64_t in_flight; /**< Requests of callers. */
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -81,7 +81,8 @@
     int64_t started_us;
     int64_t deadline_us; /**< Monotonic. */
     lt_digest_t body_digest;
-    uint64_t fingerprint;
+    lt_digest_t
+        fingerprint; /**< For the quarantine; zero before it is known. */
     void *filter_state[LT_FILTER_MAX];
     struct lt_dispatch *dispatch; /**< While attempts may be open. */
     int next_filter; /**< Next to run; filters below it were called. */
@@ -102,10 +103,12 @@
   /** Goes on after LT_FILTER_WAIT.  */
   void lt_request_resume (lt_request_t *request);
   /** Answers with a problem document; returns LT_FILTER_REFUSED.  */
-  int lt_request_refuse (lt_request_t *request, lt_refusal_t refusal);
+  lt_filter_result_t lt_request_refuse (lt_request_t *request,
+                                        lt_refusal_t refusal);
   /** As lt_request_refuse, with a Retry-After of its own.  */
-  int lt_request_refuse_after (lt_request_t *request, lt_refusal_t refusal,
-                               int64_t retry_after_ms);
+  lt_filter_result_t lt_request_refuse_after (lt_request_t *request,
+                                              lt_refusal_t refusal,
+                                              int64_t retry_after_ms);
   /** The answer's last byte is at hand, or it failed: calls the done hooks and
     wakes the caller's side.  */
   void lt_request_finish (lt_request_t *request);
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -12,6 +12,7 @@
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/policy/retry.h"
 #include "pools.h"
 #include "upstream_client.h"
 
@@ -148,6 +149,8 @@
   lt_rng_init (&node->rng, seed);
   node->bus = lt_bus_create (node);
   node->pools = lt_pools_round_robin_create (node);
+  lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
+  node->retry = lt_retry_create (&retry_options, &node->rng);
   create_counters (node);
   add_filters (node);
 }
@@ -206,6 +209,7 @@
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
   lt_pools_round_robin_destroy (node->pools);
+  lt_retry_destroy (node->retry);
   lt_platform_destroy (&node->platform);
   lt_bus_destroy (node->bus);
   lt_snapshot_ref_release (node->config);
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -5,6 +5,7 @@
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/node/node.h"
+#include "lt/policy/retry.h"
 #include "outgoing.h"
 #include "pools.h"
 #include "upstream_client.h"
@@ -29,6 +30,8 @@
   int64_t retry_after_ms;
   bool byte_sent;
   bool paused;
+  bool decided; /* DECISION was taken when the header came. */
+  lt_retry_decision_t decision;
 } attempt_t;
 
 struct lt_dispatch
@@ -41,6 +44,10 @@
   uint32_t attempt_count;
   attempt_t *winner; /* The attempt whose answer is used. */
   lt_buf_t target;
+  uint64_t service_hash;
+  uint64_t workspace_hash;
+  ev_timer retry_timer;
+  ev_timer hedge_timer;
 };
 
 static bool start_attempt (lt_dispatch_t *dispatch);
@@ -107,16 +114,48 @@
   return dispatch->request->route->action == LT_ACTION_NEVER_REPEAT;
 }
 
-/* Returns whether the request may be sent again after ATTEMPT.  */
 static bool
-may_retry (const lt_dispatch_t *dispatch, const attempt_t *attempt)
+is_idempotent (const lt_dispatch_t *dispatch)
 {
-  const lt_request_t *request = dispatch->request;
-  int64_t now_us = lt_node_now_us (request->node);
-  if (dispatch->attempt_count == ATTEMPTS_MAX
-      || now_us >= request->deadline_us)
-    return false;
-  return !attempt->byte_sent || request->route->action == LT_ACTION_IDEMPOTENT;
+  return dispatch->request->route->action == LT_ACTION_IDEMPOTENT;
+}
+
+static bool
+other_upstream_exists (lt_dispatch_t *dispatch)
+{
+  lt_pools_t *pools = dispatch_pools (dispatch);
+  int64_t now_us = lt_node_now_us (dispatch->request->node);
+  return pools->vtable->pick (pools, dispatch->service, dispatch->tried,
+                              dispatch->attempt_count, now_us)
+         >= 0;
+}
+
+static lt_retry_attempt_t
+describe_attempt (lt_dispatch_t *dispatch, const attempt_t *attempt,
+                  lt_retry_failure_t failure)
+{
+  return (lt_retry_attempt_t){
+    .service = dispatch->service_hash,
+    .workspace = dispatch->workspace_hash,
+    .failure = failure,
+    .idempotent = is_idempotent (dispatch),
+    .byte_sent = attempt->byte_sent,
+    .response_started = dispatch->winner != NULL,
+    .other_upstream = dispatch->attempt_count < ATTEMPTS_MAX
+                      && other_upstream_exists (dispatch),
+    .attempts = (int)dispatch->attempt_count,
+    .deadline_us = dispatch->request->deadline_us,
+  };
+}
+
+static lt_retry_decision_t
+decide_retry (lt_dispatch_t *dispatch, const attempt_t *attempt,
+              lt_retry_failure_t failure)
+{
+  lt_node_t *node = dispatch->request->node;
+  lt_retry_attempt_t description
+      = describe_attempt (dispatch, attempt, failure);
+  return lt_retry_decide (node->retry, &description, lt_node_now_us (node));
 }
 
 static bool
@@ -131,7 +170,10 @@
   lt_dispatch_t *dispatch = attempt->dispatch;
   lt_request_t *request = dispatch->request;
   lt_answer_t *answer = &request->answer;
+  struct ev_loop *loop = request->node->loop;
   dispatch->winner = attempt;
+  ev_timer_stop (loop, &dispatch->retry_timer);
+  ev_timer_stop (loop, &dispatch->hedge_timer);
   cancel_others (dispatch, attempt);
   answer->status = status;
   lt_outgoing_answer_headers (headers, &answer->headers, &answer->length);
@@ -152,8 +194,19 @@
   if (retry_after.data != NULL
       && str_to_i64 (str_trim (retry_after), &retry_after_s) == 0)
     attempt->retry_after_ms = retry_after_s * 1000;
-  if (is_failure_status (status) && may_retry (dispatch, attempt))
-    return false;
+  if (attempt == &dispatch->attempts[0])
+    lt_retry_on_latency (dispatch->request->node->retry,
+                         dispatch->service_hash,
+                         attempt->header_us - attempt->started_us);
+  if (is_failure_status (status))
+    {
+      bool shed = status == 503 && attempt->retry_after_ms > 0;
+      attempt->decision = decide_retry (
+          dispatch, attempt, shed ? LT_RETRY_SHED : LT_RETRY_STATUS_FAILED);
+      attempt->decided = true;
+      if (attempt->decision.retry)
+        return false;
+    }
   use_answer (attempt, status, headers);
   return true;
 }
@@ -251,20 +304,76 @@
     lt_request_refuse (request, LT_REFUSE_UPSTREAM_FAILED);
 }
 
+static lt_retry_failure_t
+retry_failure (lt_transfer_end_t end)
+{
+  switch (end)
+    {
+    case LT_TRANSFER_REFUSED:
+      return LT_RETRY_CONNECT_FAILED;
+    case LT_TRANSFER_TIMEOUT:
+      return LT_RETRY_TIMEOUT;
+    case LT_TRANSFER_TRUNCATED:
+      return LT_RETRY_TRUNCATED;
+    case LT_TRANSFER_RESET:
+    case LT_TRANSFER_ABORTED:
+    case LT_TRANSFER_COMPLETE:
+      break;
+    }
+  return LT_RETRY_RESET;
+}
+
+static void
+on_retry_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  lt_dispatch_t *dispatch = watcher->data;
+  if (!start_attempt (dispatch) && !has_open_attempt (dispatch))
+    refuse_after_attempts (dispatch);
+}
+
+static void
+on_hedge_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  lt_dispatch_t *dispatch = watcher->data;
+  lt_node_t *node = dispatch->request->node;
+  if (dispatch->winner != NULL || dispatch->attempt_count != 1
+      || dispatch->attempts[0].transfer == NULL)
+    return;
+  lt_retry_attempt_t open
+      = describe_attempt (dispatch, &dispatch->attempts[0], LT_RETRY_TIMEOUT);
+  if (lt_retry_hedge (node->retry, &open, lt_node_now_us (node)).retry)
+    start_attempt (dispatch);
+}
+
 static void
 on_done (void *owner, const lt_transfer_result_t *result)
 {
   attempt_t *attempt = owner;
   lt_dispatch_t *dispatch = attempt->dispatch;
+  struct ev_loop *loop = dispatch->request->node->loop;
   close_attempt (attempt, attempt_outcome (attempt, result));
   if (dispatch->winner == attempt)
     {
       finish_answer (dispatch, result);
       return;
     }
-  if (may_retry (dispatch, attempt) && start_attempt (dispatch))
-    return;
-  if (!has_open_attempt (dispatch))
+  lt_retry_decision_t decision
+      = attempt->decided
+            ? attempt->decision
+            : decide_retry (dispatch, attempt, retry_failure (result->end));
+  if (decision.retry)
+    {
+      ev_timer_stop (loop, &dispatch->retry_timer);
+      ev_timer_set (&dispatch->retry_timer,
+                    (double)decision.delay_us / LT_US_PER_S, 0.0);
+      ev_timer_start (loop, &dispatch->retry_timer);
+      return;
+    }
+  if (!has_open_attempt (dispatch) && !ev_is_active (&dispatch->retry_timer))
     refuse_after_attempts (dispatch);
 }
 
@@ -337,6 +446,39 @@
   return dispatch->service == LT_NO_INDEX ? -LT_ENOTFOUND : 0;
 }
 
+static void
+init_retry (lt_dispatch_t *dispatch)
+{
+  const lt_request_t *request = dispatch->request;
+  const lt_snapshot_t *snapshot = request->snapshot;
+  lt_node_t *node = request->node;
+  dispatch->service_hash
+      = lt_hash64 (snapshot->services[request->route->service].name);
+  if (request->workspace != LT_NO_INDEX)
+    dispatch->workspace_hash
+        = lt_hash64 (snapshot->workspaces[request->workspace].name);
+  lt_retry_on_request (node->retry, dispatch->service_hash,
+                       dispatch->workspace_hash, lt_node_now_us (node));
+  ev_timer_init (&dispatch->retry_timer, on_retry_timer, 0.0, 0.0);
+  ev_timer_init (&dispatch->hedge_timer, on_hedge_timer, 0.0, 0.0);
+  dispatch->retry_timer.data = dispatch;
+  dispatch->hedge_timer.data = dispatch;
+}
+
+static void
+start_hedge_timer (lt_dispatch_t *dispatch)
+{
+  lt_node_t *node = dispatch->request->node;
+  if (!dispatch->request->route->hedge || !is_idempotent (dispatch))
+    return;
+  int64_t delay_us
+      = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
+  if (delay_us < 0)
+    return;
+  ev_timer_set (&dispatch->hedge_timer, (double)delay_us / LT_US_PER_S, 0.0);
+  ev_timer_start (node->loop, &dispatch->hedge_timer);
+}
+
 static lt_filter_result_t
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
@@ -351,8 +493,10 @@
   dispatch->request = request;
   dispatch->config = lt_snapshot_ref_acquire (config);
   lt_outgoing_target (request, &dispatch->target);
+  init_retry (dispatch);
   if (find_service (dispatch) != 0 || !start_attempt (dispatch))
     return lt_request_refuse (request, LT_REFUSE_NO_UPSTREAM);
+  start_hedge_timer (dispatch);
   return LT_FILTER_WAIT;
 }
 
@@ -363,6 +507,8 @@
   lt_dispatch_t *dispatch = request->dispatch;
   if (dispatch == NULL)
     return;
+  ev_timer_stop (request->node->loop, &dispatch->retry_timer);
+  ev_timer_stop (request->node->loop, &dispatch->hedge_timer);
   cancel_others (dispatch, NULL);
   request->dispatch = NULL;
   lt_snapshot_ref_release (dispatch->config);
