--- a/packages/node/include/lt/node/admin.h
+++ b/packages/node/include/lt/node/admin.h
@@ -52,6 +52,8 @@
      negative error number.  */
   int lt_admin_create (struct lt_node *node, lt_admin_t **admin);
   void lt_admin_destroy (lt_admin_t *admin);
+  /** The bound port, for a listen port of 0.  */
+  uint16_t lt_admin_port (const lt_admin_t *admin);
   /** Adds COUNT handlers from a static table.  */
   void lt_admin_add_handlers (lt_admin_t *admin,
                               const lt_admin_handler_t *handlers,
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -341,6 +341,12 @@
   return 0;
 }
 
+uint16_t
+lt_admin_port (const lt_admin_t *admin)
+{
+  return lt_http_loop_port (&admin->http);
+}
+
 void
 lt_admin_destroy (lt_admin_t *admin)
 {
--- a/packages/node/src/bus.h
+++ b/packages/node/src/bus.h
@@ -6,16 +6,25 @@
 
 #include "lt/node/node.h"
 
-typedef struct lt_bus lt_bus_t;
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  typedef struct lt_bus lt_bus_t;
 
-lt_bus_t *lt_bus_create (lt_node_t *node);
-void lt_bus_destroy (lt_bus_t *bus);
-/** Both references are taken over; OLD may be NULL.  */
-void lt_bus_post_config (lt_bus_t *bus, lt_snapshot_ref_t *old,
-                         lt_snapshot_ref_t *current);
-void lt_bus_post_frame (lt_bus_t *bus, const lt_peer_message_t *message);
-void lt_bus_post_observation (lt_bus_t *bus,
-                              const lt_observation_event_t *event,
-                              lt_snapshot_ref_t *config);
+  lt_bus_t *lt_bus_create (lt_node_t *node);
+  void lt_bus_destroy (lt_bus_t *bus);
+  /** Both references are taken over; OLD may be NULL.  */
+  void lt_bus_post_config (lt_bus_t *bus, lt_snapshot_ref_t *old,
+                           lt_snapshot_ref_t *current);
+  void lt_bus_post_frame (lt_bus_t *bus, const lt_peer_message_t *message);
+  void lt_bus_post_observation (lt_bus_t *bus,
+                                const lt_observation_event_t *event,
+                                lt_snapshot_ref_t *config);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -358,9 +358,7 @@
 uint16_t
 lt_caller_server_port (const lt_caller_server_t *server)
 {
-  const union MHD_DaemonInfo *info
-      = MHD_get_daemon_info (server->http.daemon, MHD_DAEMON_INFO_BIND_PORT);
-  return info == NULL ? 0 : info->port;
+  return lt_http_loop_port (&server->http);
 }
 
 void
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -33,6 +33,18 @@
   return &daemon->node;
 }
 
+uint16_t
+lt_daemon_port (lt_daemon_t *daemon)
+{
+  return lt_caller_server_port (daemon->callers);
+}
+
+uint16_t
+lt_daemon_admin_port (lt_daemon_t *daemon)
+{
+  return lt_admin_port (daemon->admin);
+}
+
 static bool
 controllers_stopped (lt_node_t *node, int64_t now_us)
 {
--- a/packages/node/src/dispatch.h
+++ b/packages/node/src/dispatch.h
@@ -5,9 +5,18 @@
 
 #include "lt/node/request.h"
 
-typedef struct lt_dispatch lt_dispatch_t;
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  typedef struct lt_dispatch lt_dispatch_t;
 
-/** The caller took bytes of the answer: a paused transfer may go on.  */
-void lt_dispatch_consumed (lt_request_t *request);
+  /** The caller took bytes of the answer: a paused transfer may go on.  */
+  void lt_dispatch_consumed (lt_request_t *request);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/node/src/http_loop.c
+++ b/packages/node/src/http_loop.c
@@ -82,3 +82,11 @@
   MHD_stop_daemon (http->daemon);
   http->daemon = NULL;
 }
+
+uint16_t
+lt_http_loop_port (const lt_http_loop_t *http)
+{
+  const union MHD_DaemonInfo *info
+      = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_BIND_PORT);
+  return info == NULL ? 0 : info->port;
+}
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -8,23 +8,34 @@
 
 #include "lt/base/str.h"
 
-typedef struct lt_http_loop
+#ifdef __cplusplus
+extern "C"
 {
-  struct ev_loop *loop;
-  struct MHD_Daemon *daemon;
-  ev_io readable;
-  ev_timer timeout;
-  ev_prepare prepare;
-  bool run_needed;
-} lt_http_loop_t;
+#endif
+
+  typedef struct lt_http_loop
+  {
+    struct ev_loop *loop;
+    struct MHD_Daemon *daemon;
+    ev_io readable;
+    ev_timer timeout;
+    ev_prepare prepare;
+    bool run_needed;
+  } lt_http_loop_t;
 
-/** Watches DAEMON (started with MHD_USE_EPOLL).  Returns 0 or -LT_EIO.  */
-int lt_http_loop_start (lt_http_loop_t *http, struct ev_loop *loop,
-                        struct MHD_Daemon *daemon);
-/** Has the daemon run before the loop blocks again; call after resuming a
-    connection.  */
-void lt_http_loop_wake (lt_http_loop_t *http);
-/** Stops the watchers and the daemon.  */
-void lt_http_loop_stop (lt_http_loop_t *http);
+  /** Watches DAEMON (started with MHD_USE_EPOLL).  Returns 0 or -LT_EIO.  */
+  int lt_http_loop_start (lt_http_loop_t *http, struct ev_loop *loop,
+                          struct MHD_Daemon *daemon);
+  /** Has the daemon run before the loop blocks again; call after resuming a
+      connection.  */
+  void lt_http_loop_wake (lt_http_loop_t *http);
+  /** The bound port; 0 when it is not known.  */
+  uint16_t lt_http_loop_port (const lt_http_loop_t *http);
+  /** Stops the watchers and the daemon.  */
+  void lt_http_loop_stop (lt_http_loop_t *http);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/node/src/outgoing.h
+++ b/packages/node/src/outgoing.h
@@ -6,16 +6,25 @@
 
 #include "lt/node/request.h"
 
-/** Makes the header list for an upstream: the caller's headers without
-    hop-by-hop headers, credentials, and anything that contains the key; with
-    X-Workspace, X-Request-Id and X-Deadline-Ms.  */
-void lt_outgoing_headers (const lt_request_t *request, int64_t now_us,
-                          lt_header_list_t *out);
-/** Makes the request target: normalized path and query without key.  */
-void lt_outgoing_target (const lt_request_t *request, lt_buf_t *out);
-/** Copies an upstream's headers without hop-by-hop headers and those that the
-    proxy sets itself; sets *LENGTH to Content-Length or -1.  */
-void lt_outgoing_answer_headers (const lt_header_list_t *headers,
-                                 lt_header_list_t *out, int64_t *length);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  /** Makes the header list for an upstream: the caller's headers without
+      hop-by-hop headers, credentials, and anything that contains the key; with
+      X-Workspace, X-Request-Id and X-Deadline-Ms.  */
+  void lt_outgoing_headers (const lt_request_t *request, int64_t now_us,
+                            lt_header_list_t *out);
+  /** Makes the request target: normalized path and query without key.  */
+  void lt_outgoing_target (const lt_request_t *request, lt_buf_t *out);
+  /** Copies an upstream's headers without hop-by-hop headers and those that
+     the proxy sets itself; sets *LENGTH to Content-Length or -1.  */
+  void lt_outgoing_answer_headers (const lt_header_list_t *headers,
+                                   lt_header_list_t *out, int64_t *length);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -6,32 +6,42 @@
 
 #include "lt/node/node.h"
 
-typedef struct lt_pools lt_pools_t;
-
-typedef struct lt_pools_vtable
+#ifdef __cplusplus
+extern "C"
 {
-  /** Returns the snapshot that the pools stand on, or NULL before the first;
-      upstream indexes refer to it.  The pools keep the reference.  */
-  lt_snapshot_ref_t *(*config) (lt_pools_t *pools);
-  /** Returns the index of an upstream of SERVICE that is not among TRIED, or
-      -LT_EUNAVAILABLE.  */
-  int64_t (*pick) (lt_pools_t *pools, uint32_t service, const uint32_t *tried,
-                   uint32_t tried_count, int64_t now_us);
-  /** An attempt at UPSTREAM begins or ends; SNAPSHOT is the one that the
-      index refers to.  */
-  void (*begin) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+#endif
+
+  typedef struct lt_pools lt_pools_t;
+
+  typedef struct lt_pools_vtable
+  {
+    /** Returns the snapshot that the pools stand on, or NULL before the first;
+        upstream indexes refer to it.  The pools keep the reference.  */
+    lt_snapshot_ref_t *(*config) (lt_pools_t *pools);
+    /** Returns the index of an upstream of SERVICE that is not among TRIED, or
+        -LT_EUNAVAILABLE.  */
+    int64_t (*pick) (lt_pools_t *pools, uint32_t service,
+                     const uint32_t *tried, uint32_t tried_count,
+                     int64_t now_us);
+    /** An attempt at UPSTREAM begins or ends; SNAPSHOT is the one that the
+        index refers to.  */
+    void (*begin) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                   uint32_t upstream);
+    void (*end) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
                  uint32_t upstream);
-  void (*end) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
-               uint32_t upstream);
-} lt_pools_vtable_t;
+  } lt_pools_vtable_t;
 
-struct lt_pools
-{
-  const lt_pools_vtable_t *vtable;
-};
+  struct lt_pools
+  {
+    const lt_pools_vtable_t *vtable;
+  };
+
+  /** Round robin over all upstreams that are not drained.  */
+  lt_pools_t *lt_pools_round_robin_create (lt_node_t *node);
+  void lt_pools_round_robin_destroy (lt_pools_t *pools);
 
-/** Round robin over all upstreams that are not drained.  */
-lt_pools_t *lt_pools_round_robin_create (lt_node_t *node);
-void lt_pools_round_robin_destroy (lt_pools_t *pools);
+#ifdef __cplusplus
+}
+#endif
 
 #endif
