--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -35,9 +35,18 @@
     int64_t burst;            /**< Requests, fleet-wide. */
   } lt_workspace_t;
 
+  /** Where a key comes from and whether it may be used.  */
+  typedef enum lt_key_state
+  {
+    LT_KEY_SHEET,  /**< Listed in the sheet. */
+    LT_KEY_ISSUED, /**< Added by an operator; kept when a sheet is applied. */
+    LT_KEY_WITHDRAWN /**< Unusable; kept so that no old sheet restores it. */
+  } lt_key_state_t;
+
   typedef struct lt_key
   {
-    str_t name;         /**< Key id for operators; not secret. */
+    str_t name; /**< Key id for operators; not secret. */
+    lt_key_state_t state;
     uint32_t workspace; /**< Index into workspaces. */
     lt_digest_t hash;   /**< Keyed hash of the secret. */
   } lt_key_t;
@@ -118,12 +127,15 @@
   } lt_route_match_t;
 
   void lt_snapshot_destroy (lt_snapshot_t *snapshot);
-  /** Returns the key whose hash is HASH, or NULL.  */
+  /** Returns the usable key whose hash is HASH, or NULL.  */
   const lt_key_t *lt_snapshot_find_key (const lt_snapshot_t *snapshot,
                                         const lt_digest_t *hash);
   /** Finds the route with the longest path prefix of PATH that ends on a
-      segment boundary and allows METHOD.  PATH has no query.  Sets *ALLOW to
-     the methods of the longest prefix on LT_ROUTE_METHOD_NOT_ALLOWED.  */
+      segment boundary and allows METHOD.  PATH has no query.  A PATH that an
+      upstream may read as another one (empty or dot segments, path
+      parameters, encoded separators or unreserved characters) has no route.
+     Sets *ALLOW to the methods of the longest prefix, as the value of an Allow
+     header field, on LT_ROUTE_METHOD_NOT_ALLOWED.  */
   lt_route_match_t lt_snapshot_match_route (const lt_snapshot_t *snapshot,
                                             str_t method, str_t path,
                                             const lt_route_t **route,
@@ -137,6 +149,11 @@
                                      str_t name);
   uint32_t lt_snapshot_find_upstream (const lt_snapshot_t *snapshot,
                                       str_t name);
+  /** Returns the key with NAME, withdrawn ones included, or NULL.  */
+  const lt_key_t *lt_snapshot_find_key_name (const lt_snapshot_t *snapshot,
+                                             str_t name);
+  /** Returns how many bytes the snapshot holds, lookup tables included.  */
+  size_t lt_snapshot_memory_bytes (const lt_snapshot_t *snapshot);
   /** Encodes SNAPSHOT as msgpack, in a canonical order: equal snapshots give
       equal bytes.  */
   void lt_snapshot_encode (const lt_snapshot_t *snapshot, lt_buf_t *out);
--- /dev/null
+++ b/packages/config/src/sheet_build.h
@@ -0,0 +1,36 @@
+/** @file
+    Checks the rows of a sheet and turns them into a patch.  */
+#ifndef LT_CONFIG_SHEET_BUILD_H
+#define LT_CONFIG_SHEET_BUILD_H
+
+#include "patch.h"
+#include "sheet_names.h"
+
+typedef struct lt_sheet_build
+{
+  lt_sheet_t *sheet;
+  lt_patch_t *patch;
+  lt_sheet_names_t workspaces;
+  lt_sheet_names_t services;
+  lt_sheet_names_t upstreams;
+} lt_sheet_build_t;
+
+void lt_sheet_build_head (lt_sheet_build_t *b);
+void lt_sheet_build_workspaces (lt_sheet_build_t *b);
+void lt_sheet_build_keys (lt_sheet_build_t *b);
+void lt_sheet_build_services (lt_sheet_build_t *b);
+void lt_sheet_build_upstreams (lt_sheet_build_t *b);
+void lt_sheet_build_routes (lt_sheet_build_t *b);
+void lt_sheet_build_stops (lt_sheet_build_t *b);
+/** Returns a number scaled by 10^DECIMALS from LOW to HIGH; a fault gives
+    LOW.  */
+int64_t lt_sheet_number (lt_sheet_t *sheet, lt_sheet_kind_t kind,
+                         const lt_sheet_row_t *row, lt_column_t column,
+                         int decimals, int64_t low, int64_t high);
+/** Returns the value of COLUMN, which must be in NAMES.  */
+str_t lt_sheet_reference (lt_sheet_t *sheet, lt_sheet_kind_t kind,
+                          const lt_sheet_row_t *row, lt_column_t column,
+                          const lt_sheet_names_t *names,
+                          lt_sheet_kind_t target);
+
+#endif
