Test the callers' HTTP interface and refuse ambiguous framing

Cause: libmicrohttpd 0.9.75 accepts two Content-Length headers and a length beside Transfer-Encoding; the contract test showed such a request passed on to an upstream. Change: both are refused with 400 header-invalid and the connection closes; a 405 lists the allowed methods; a timed-out attempt is reported as deadline-exceeded.

--- a/packages/node/include/lt/node/refusal.h
+++ b/packages/node/include/lt/node/refusal.h
@@ -88,7 +88,7 @@
     const char *title;
   } lt_refusal_info_t;
 
-  const lt_refusal_info_t *lt_refusal_info (lt_refusal_t refusal);
+  const lt_refusal_info_t *lt_refusal_get (lt_refusal_t refusal);
   /** Returns the X-Request-Ran value: "not-run", "unknown" or "ran".  */
   const char *lt_ran_text (lt_ran_t ran);
 
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -73,6 +73,7 @@
     lt_buf_t body;
     int64_t body_limit_bytes;
     bool body_too_large;
+    bool head_invalid; /**< Framing headers contradict each other. */
     struct lt_snapshot_ref *config; /**< Snapshot used for this request. */
     const lt_snapshot_t *snapshot;
     const lt_route_t *route;
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -207,7 +207,7 @@
                 answer->headers.items[i].value);
   add_header (response, STR_LIT ("X-Request-Id"),
               str_from (request->request_id));
-  if (call->server->node->leaving)
+  if (call->server->node->leaving || request->head_invalid)
     add_header (response, STR_LIT ("Connection"), STR_LIT ("close"));
   answer->started = true;
   enum MHD_Result result = MHD_queue_response (
@@ -236,7 +236,7 @@
   request->sink_data = call;
   lt_request_parse_head (request, call->connection, str_from (method),
                          str_from (call->target));
-  if (request->body_too_large)
+  if (request->body_too_large || request->head_invalid)
     {
       /* Refused before the body is read; the connection closes after it.  */
       call->chain_started = true;
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -97,7 +97,7 @@
     {
       char labels[96];
       snprintf (labels, sizeof (labels), "reason=\"%s\"",
-                lt_refusal_info ((lt_refusal_t)i)->reason);
+                lt_refusal_get ((lt_refusal_t)i)->reason);
       node->refused[i]
           = lt_metrics_counter (node->metrics, "lavendertrack_refused_total",
                                 "Requests refused, by reason.", labels);
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -46,6 +46,7 @@
   lt_buf_t target;
   uint64_t service_hash;
   uint64_t workspace_hash;
+  bool timed_out; /* The last attempt ran into the deadline. */
   ev_timer retry_timer;
   ev_timer hedge_timer;
 };
@@ -296,7 +297,8 @@
 refuse_after_attempts (lt_dispatch_t *dispatch)
 {
   lt_request_t *request = dispatch->request;
-  if (lt_node_now_us (request->node) >= request->deadline_us)
+  if (dispatch->timed_out
+      || lt_node_now_us (request->node) >= request->deadline_us)
     lt_request_refuse (request, LT_REFUSE_DEADLINE);
   else if (!request->byte_sent)
     lt_request_refuse (request, LT_REFUSE_NO_UPSTREAM);
@@ -356,6 +358,7 @@
   lt_dispatch_t *dispatch = attempt->dispatch;
   struct ev_loop *loop = dispatch->request->node->loop;
   close_attempt (attempt, attempt_outcome (attempt, result));
+  dispatch->timed_out = result->end == LT_TRANSFER_TIMEOUT;
   if (dispatch->winner == attempt)
     {
       finish_answer (dispatch, result);
--- a/packages/node/src/filter_route.c
+++ b/packages/node/src/filter_route.c
@@ -1,10 +1,31 @@
 #include "filters.h"
 #include "lt/node/request.h"
 
+/* RFC 9110, section 15.5.6: a 405 answer lists the allowed methods.  */
+static lt_filter_result_t
+refuse_method (lt_request_t *request, str_t allow)
+{
+  lt_buf_t list = { 0 };
+  str_t rest = allow;
+  while (rest.data != NULL)
+    {
+      str_t method = str_split (rest, '|', &rest);
+      lt_buf_printf (&list, "%s%.*s", list.len > 0 ? ", " : "",
+                     STR_ARG (method));
+    }
+  lt_filter_result_t result = lt_request_refuse (request, LT_REFUSE_METHOD);
+  lt_header_list_add (&request->answer.headers, STR_LIT ("Allow"),
+                      lt_buf_str (&list));
+  lt_buf_destroy (&list);
+  return result;
+}
+
 static lt_filter_result_t
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
   (void)filter;
+  if (request->head_invalid)
+    return lt_request_refuse (request, LT_REFUSE_HEADER_INVALID);
   if (request->path == NULL)
     return lt_request_refuse (request, LT_REFUSE_PATH_INVALID);
   if (request->snapshot == NULL)
@@ -17,7 +38,7 @@
     case LT_ROUTE_FOUND:
       return LT_FILTER_CONTINUE;
     case LT_ROUTE_METHOD_NOT_ALLOWED:
-      return lt_request_refuse (request, LT_REFUSE_METHOD);
+      return refuse_method (request, allow);
     case LT_ROUTE_NONE:
       break;
     }
--- a/packages/node/src/refusal.c
+++ b/packages/node/src/refusal.c
@@ -6,7 +6,7 @@
     = { LT_REFUSAL_TABLE (REFUSAL_INFO) };
 
 const lt_refusal_info_t *
-lt_refusal_info (lt_refusal_t refusal)
+lt_refusal_get (lt_refusal_t refusal)
 {
   return &refusals[refusal];
 }
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -180,7 +180,7 @@
 lt_request_refuse_after (lt_request_t *request, lt_refusal_t refusal,
                          int64_t retry_after_ms)
 {
-  const lt_refusal_info_t *info = lt_refusal_info (refusal);
+  const lt_refusal_info_t *info = lt_refusal_get (refusal);
   request->refused = true;
   request->refusal = refusal;
   request->node->refused[refusal]->value++;
@@ -194,7 +194,7 @@
 lt_request_refuse (lt_request_t *request, lt_refusal_t refusal)
 {
   return lt_request_refuse_after (
-      request, refusal, lt_refusal_info (refusal)->retry_after_s * 1000LL);
+      request, refusal, lt_refusal_get (refusal)->retry_after_s * 1000LL);
 }
 
 int64_t
--- a/packages/node/src/request_parse.c
+++ b/packages/node/src/request_parse.c
@@ -166,6 +166,18 @@
     request->body_limit_bytes = route->max_body_bytes;
 }
 
+/* RFC 9112, section 6.3: several lengths, or a length beside a transfer
+   coding, can make two parsers see different requests.  libmicrohttpd accepts
+   them.  */
+static bool
+framing_is_ambiguous (const lt_header_list_t *headers)
+{
+  size_t lengths = lt_header_list_count (headers, STR_LIT ("Content-Length"));
+  size_t codings
+      = lt_header_list_count (headers, STR_LIT ("Transfer-Encoding"));
+  return lengths > 1 || codings > 1 || (lengths > 0 && codings > 0);
+}
+
 void
 lt_request_parse_head (lt_request_t *request,
                        struct MHD_Connection *connection, str_t method,
@@ -184,6 +196,7 @@
   MHD_get_connection_values_n (connection, MHD_HEADER_KIND, collect_header,
                                &request->headers);
   find_body_limit (request);
+  request->head_invalid = framing_is_ambiguous (&request->headers);
   int64_t length = 0;
   str_t text
       = lt_header_list_get (&request->headers, STR_LIT ("Content-Length"));
--- a/packages/node/test/session.h
+++ b/packages/node/test/session.h
@@ -262,9 +262,10 @@
     return reply;
   }
 
-  // Sends raw bytes and returns everything until the connection closes.
+  // Sends raw bytes and returns everything until the connection closes; with
+  // HANG_UP closes it at once instead.
   std::string
-  raw (const std::string &bytes)
+  raw (const std::string &bytes, bool hang_up = false)
   {
     std::string received;
     uint16_t port = lt_daemon_port (daemon);
@@ -279,10 +280,9 @@
       if (connect (fd, reinterpret_cast<sockaddr *> (&to), sizeof (to)) == 0)
         {
           (void)!write (fd, bytes.data (), bytes.size ());
-          shutdown (fd, SHUT_WR);
           char buffer[4096];
           ssize_t got;
-          while ((got = read (fd, buffer, sizeof (buffer))) > 0)
+          while (!hang_up && (got = read (fd, buffer, sizeof (buffer))) > 0)
             received.append (buffer, static_cast<size_t> (got));
         }
       close (fd);
