--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -47,7 +47,8 @@
   {
     str_t name; /**< Key id for operators; not secret. */
     lt_key_state_t state;
-    uint32_t workspace; /**< Index into workspaces. */
+    uint32_t workspace; /**< Index into workspaces; LT_NO_INDEX only for a
+                           withdrawn key whose workspace is gone. */
     lt_digest_t hash;   /**< Keyed hash of the secret. */
   } lt_key_t;
 
@@ -149,6 +150,7 @@
                                      str_t name);
   uint32_t lt_snapshot_find_upstream (const lt_snapshot_t *snapshot,
                                       str_t name);
+  uint32_t lt_snapshot_find_route (const lt_snapshot_t *snapshot, str_t name);
   /** Returns the key with NAME, withdrawn ones included, or NULL.  */
   const lt_key_t *lt_snapshot_find_key_name (const lt_snapshot_t *snapshot,
                                              str_t name);
--- a/packages/config/src/codec.c
+++ b/packages/config/src/codec.c
@@ -2,18 +2,16 @@
 #include "lt/config/snapshot.h"
 #include "patch.h"
 #include "patch_codec.h"
+#include "rows.h"
 
 void
 lt_snapshot_encode (const lt_snapshot_t *snapshot, lt_buf_t *out)
 {
-  const uint32_t counts[LT_ROW_KINDS]
-      = { snapshot->workspace_count, snapshot->key_count,
-          snapshot->service_count,   snapshot->upstream_count,
-          snapshot->route_count,     snapshot->stop_count };
   lt_patch_t *patch = lt_patch_create ();
   lt_patch_set_head (patch, snapshot);
   for (int kind = 0; kind < LT_ROW_KINDS; kind++)
-    for (uint32_t i = 0; i < counts[kind]; i++)
+    for (uint32_t i = 0; i < lt_rows_count (snapshot, (lt_row_kind_t)kind);
+         i++)
       lt_patch_add_row (patch, snapshot, (lt_row_kind_t)kind, i);
   lt_patch_encode (patch, out);
   lt_patch_destroy (patch);
--- a/packages/config/src/patch.c
+++ b/packages/config/src/patch.c
@@ -5,6 +5,7 @@
 
 #include "index.h"
 #include "lt/base/error.h"
+#include "rows.h"
 
 lt_patch_t *
 lt_patch_create (void)
@@ -257,7 +258,8 @@
       {
         lt_key_t *row = &now->keys[now->key_count++];
         *row = a->old->keys[i];
-        row->workspace = a->workspace_map[row->workspace];
+        if (row->workspace != LT_NO_INDEX)
+          row->workspace = a->workspace_map[row->workspace];
       }
   for (uint32_t i = 0; i < a->patch->keys.count; i++)
     {
@@ -270,7 +272,7 @@
   for (uint32_t i = 0; i < now->key_count; i++)
     {
       lt_key_t *row = &now->keys[i];
-      if (row->workspace == LT_NO_INDEX || row->state > LT_KEY_WITHDRAWN)
+      if (row->workspace == LT_NO_INDEX && row->state != LT_KEY_WITHDRAWN)
         return -LT_EINVAL;
       row->name = lt_arena_copy (now->arena, row->name);
     }
--- a/packages/config/src/snapshot.c
+++ b/packages/config/src/snapshot.c
@@ -54,6 +54,13 @@
                     sizeof (lt_service_t), name);
 }
 
+uint32_t
+lt_snapshot_find_route (const lt_snapshot_t *snapshot, str_t name)
+{
+  return find_name (snapshot->routes, snapshot->route_count,
+                    sizeof (lt_route_t), name);
+}
+
 const lt_key_t *
 lt_snapshot_find_key_name (const lt_snapshot_t *snapshot, str_t name)
 {
