--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -322,8 +322,9 @@
   lt_admin_add_handlers (admin, basic_handlers,
                          sizeof (basic_handlers) / sizeof (basic_handlers[0]));
   struct MHD_Daemon *daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
-      admin, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&address,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
+      NULL, on_access, admin, MHD_OPTION_EXTERNAL_LOGGER, lt_http_loop_log,
+      NULL, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&address,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, admin,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned int)ADMIN_CONNECTIONS_MAX,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)ADMIN_IDLE_TIMEOUT_S,
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -321,8 +321,9 @@
 start_daemon (lt_caller_server_t *server, const struct sockaddr_in *address)
 {
   return MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
-      server, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
+      NULL, on_access, server, MHD_OPTION_EXTERNAL_LOGGER, lt_http_loop_log,
+      NULL, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
       MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -14,6 +14,7 @@
 #include "lt/node/admin.h"
 #include "lt/policy/retry.h"
 #include "pools.h"
+#include "sheet_file.h"
 #include "upstream_client.h"
 
 #define TICK_S 0.1
@@ -180,6 +181,8 @@
                                        &node->upstreams);
   if (error == 0)
     error = start_controllers (node);
+  if (error == 0 && settings->sheet.len > 0)
+    error = lt_sheet_file_apply (node, settings->sheet);
   if (error == 0)
     error = lt_admin_create (node, &daemon->admin);
   if (error == 0)
--- a/packages/node/src/http_loop.c
+++ b/packages/node/src/http_loop.c
@@ -1,6 +1,9 @@
 #include "http_loop.h"
 
+#include <stdio.h>
+
 #include "lt/base/error.h"
+#include "lt/base/log.h"
 
 static void
 run_daemon (lt_http_loop_t *http)
@@ -90,3 +93,15 @@
       = MHD_get_daemon_info (http->daemon, MHD_DAEMON_INFO_BIND_PORT);
   return info == NULL ? 0 : info->port;
 }
+
+void
+lt_http_loop_log (void *cls, const char *format, va_list args)
+{
+  (void)cls;
+  char text[256];
+  int len = vsnprintf (text, sizeof (text), format, args);
+  if (len <= 0)
+    return;
+  str_t line = str_trim (str_from (text));
+  lt_log (LT_LOG_DEBUG, "http", "msg=\"%.*s\"", STR_ARG (line));
+}
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -4,6 +4,7 @@
 #define LT_NODE_HTTP_LOOP_H
 
 #include <ev.h>
+#include <stdarg.h>
 #include <microhttpd.h>
 
 #include "lt/base/str.h"
@@ -29,6 +30,9 @@
   /** Has the daemon run before the loop blocks again; call after resuming a
       connection.  */
   void lt_http_loop_wake (lt_http_loop_t *http);
+  /** Logger for MHD_OPTION_EXTERNAL_LOGGER: what libmicrohttpd says about a
+    connection goes to the debug level.  */
+  void lt_http_loop_log (void *cls, const char *format, va_list args);
   /** The bound port; 0 when it is not known.  */
   uint16_t lt_http_loop_port (const lt_http_loop_t *http);
   /** Stops the watchers and the daemon.  */
