Add the HTTP platform adapters and the stand-in store

Table (DynamoDB JSON subset), objects (S3 REST subset) and the VM list go through one libcurl multi handle with CURLOPT_AWS_SIGV4; the stand-in verifies the signatures. One contract test runs against both adapters.

libcurl repeats a request by itself when a kept connection turns out dead. A repeated conditional write is refused by its own first copy, so writes use a read callback that cannot be rewound. With a seek callback added as a trial, Http.WriteIsNotRepeatedOnDeadConnection and two contract tests fail.

--- a/packages/platform/include/lt/platform/platform.h
+++ b/packages/platform/include/lt/platform/platform.h
@@ -171,10 +171,14 @@
   } lt_platform_http_options_t;
 
 #define LT_PLATFORM_HTTP_OPTIONS_DEFAULT                                      \
-  ((lt_platform_http_options_t){ .table_name = STR_LIT ("lavendertrack"),     \
+  ((lt_platform_http_options_t){ .table_url = STR_LIT (""),                   \
+                                 .table_name = STR_LIT ("lavendertrack"),     \
+                                 .object_url = STR_LIT (""),                  \
                                  .vm_list_object                              \
                                  = STR_LIT ("platform/vms.json"),             \
-                                 .region = STR_LIT ("local") })
+                                 .region = STR_LIT ("local"),                 \
+                                 .access_key = STR_LIT (""),                  \
+                                 .secret_key = STR_LIT ("") })
 
   int lt_platform_http_create (struct ev_loop *loop,
                                const lt_platform_http_options_t *options,
--- /dev/null
+++ b/packages/platform/src/http_client.c
@@ -0,0 +1,331 @@
+#include "http_client.h"
+
+#include <curl/curl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <utlist.h>
+
+#include "lt/base/error.h"
+
+enum
+{
+  CONNECTIONS_MAX = 32,
+  RESPONSE_MAX_BYTES = 64 * 1024 * 1024
+};
+
+typedef struct transfer transfer_t;
+
+struct http_client
+{
+  struct ev_loop *loop;
+  CURLM *multi;
+  char *region;
+  char *credentials;
+  ev_timer timer;
+  transfer_t *transfers;
+};
+
+struct transfer
+{
+  transfer_t *prev;
+  transfer_t *next;
+  http_client_t *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  lt_buf_t body;
+  size_t body_read;
+  lt_buf_t response;
+  http_done_t done;
+  void *user;
+};
+
+/** A socket that libcurl watches.  */
+typedef struct watch
+{
+  http_client_t *client;
+  ev_io io;
+} watch_t;
+
+static void
+transfer_free (transfer_t *transfer)
+{
+  DL_DELETE (transfer->client->transfers, transfer);
+  curl_multi_remove_handle (transfer->client->multi, transfer->easy);
+  curl_easy_cleanup (transfer->easy);
+  curl_slist_free_all (transfer->headers);
+  lt_buf_destroy (&transfer->body);
+  lt_buf_destroy (&transfer->response);
+  free (transfer);
+}
+
+static int
+error_of (CURLcode code)
+{
+  switch (code)
+    {
+    case CURLE_OK:
+      return 0;
+    case CURLE_COULDNT_CONNECT:
+      return -LT_EUNAVAILABLE;
+    case CURLE_OPERATION_TIMEDOUT:
+      return -LT_ETIMEOUT;
+    default:
+      return -LT_EIO;
+    }
+}
+
+static void
+transfer_end (transfer_t *transfer, int error)
+{
+  http_response_t response = { .error = error };
+  if (error == 0)
+    {
+      curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE,
+                         &response.status);
+      response.body = lt_buf_str (&transfer->response);
+    }
+  http_done_t done = transfer->done;
+  transfer->done = NULL;
+  if (done != NULL)
+    done (transfer->user, &response);
+}
+
+static void
+reap (http_client_t *client)
+{
+  int left = 0;
+  CURLMsg *message;
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      transfer_t *transfer = NULL;
+      CURLcode code = message->data.result;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      transfer_end (transfer, error_of (code));
+      transfer_free (transfer);
+    }
+}
+
+static void
+on_io (struct ev_loop *loop, ev_io *io, int events)
+{
+  (void)loop;
+  watch_t *watch = io->data;
+  http_client_t *client = watch->client;
+  int flags = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
+              | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
+  int running = 0;
+  curl_multi_socket_action (client->multi, io->fd, flags, &running);
+  reap (client);
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  http_client_t *client = timer->data;
+  int running = 0;
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (client);
+}
+
+static int
+set_timer (CURLM *multi, long timeout_ms, void *user)
+{
+  (void)multi;
+  http_client_t *client = user;
+  ev_timer_stop (client->loop, &client->timer);
+  if (timeout_ms < 0)
+    return 0;
+  ev_timer_set (&client->timer, (double)timeout_ms / 1e3, 0.);
+  ev_timer_start (client->loop, &client->timer);
+  return 0;
+}
+
+static int
+set_socket (CURL *easy, curl_socket_t fd, int what, void *user, void *socket)
+{
+  (void)easy;
+  http_client_t *client = user;
+  watch_t *watch = socket;
+  if (watch != NULL)
+    ev_io_stop (client->loop, &watch->io);
+  if (what == CURL_POLL_REMOVE)
+    {
+      free (watch);
+      curl_multi_assign (client->multi, fd, NULL);
+      return 0;
+    }
+  if (watch == NULL)
+    {
+      watch = lt_alloc (sizeof (*watch));
+      watch->client = client;
+      ev_io_init (&watch->io, on_io, fd, 0);
+      watch->io.data = watch;
+      curl_multi_assign (client->multi, fd, watch);
+    }
+  int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0)
+               | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
+  ev_io_set (&watch->io, fd, events);
+  ev_io_start (client->loop, &watch->io);
+  return 0;
+}
+
+static size_t
+read_body (char *buffer, size_t size, size_t count, void *user)
+{
+  transfer_t *transfer = user;
+  size_t len = transfer->body.len - transfer->body_read;
+  if (len > size * count)
+    len = size * count;
+  memcpy (buffer, transfer->body.data + transfer->body_read, len);
+  transfer->body_read += len;
+  return len;
+}
+
+static size_t
+write_response (char *data, size_t size, size_t count, void *user)
+{
+  transfer_t *transfer = user;
+  if (transfer->response.len + size * count > RESPONSE_MAX_BYTES)
+    return 0;
+  lt_buf_append (&transfer->response, data, size * count);
+  return size * count;
+}
+
+/** Adds the header with the SHA-256 of the body.  libcurl can compute it only
+    for CURLOPT_POSTFIELDS, which it would also send again by itself.  */
+static void
+add_body_hash (transfer_t *transfer)
+{
+  unsigned char hash[crypto_hash_sha256_BYTES];
+  char hex[2 * sizeof (hash) + 1];
+  char header[128];
+  crypto_hash_sha256 (hash, (const unsigned char *)transfer->body.data,
+                      transfer->body.len);
+  sodium_bin2hex (hex, sizeof (hex), hash, sizeof (hash));
+  snprintf (header, sizeof (header), "x-amz-content-sha256: %s", hex);
+  transfer->headers = curl_slist_append (transfer->headers, header);
+}
+
+static void
+set_body (transfer_t *transfer, const char *method)
+{
+  CURL *easy = transfer->easy;
+  if (strcmp (method, "GET") == 0)
+    return;
+  bool post = strcmp (method, "POST") == 0;
+  /* A read callback without a seek callback: libcurl cannot rewind, so it
+     cannot repeat a request of which body bytes have left.  Without a body
+     only a new connection prevents the repeat.  */
+  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
+                    transfer->body.len == 0 ? 1L : 0L);
+  curl_easy_setopt (easy, CURLOPT_READFUNCTION, read_body);
+  curl_easy_setopt (easy, CURLOPT_READDATA, transfer);
+  curl_easy_setopt (easy, post ? CURLOPT_POST : CURLOPT_UPLOAD, 1L);
+  curl_easy_setopt (
+      easy, post ? CURLOPT_POSTFIELDSIZE_LARGE : CURLOPT_INFILESIZE_LARGE,
+      (curl_off_t)transfer->body.len);
+}
+
+static void
+set_headers (transfer_t *transfer, const http_request_t *request)
+{
+  size_t max = sizeof (request->headers) / sizeof (request->headers[0]);
+  for (size_t i = 0; i < max && request->headers[i] != NULL; i++)
+    transfer->headers
+        = curl_slist_append (transfer->headers, request->headers[i]);
+  transfer->headers = curl_slist_append (transfer->headers, "Expect:");
+  add_body_hash (transfer);
+  curl_easy_setopt (transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
+}
+
+static void
+set_signature (transfer_t *transfer, const char *service)
+{
+  char provider[128];
+  snprintf (provider, sizeof (provider), "aws:amz:%s:%s",
+            transfer->client->region, service);
+  curl_easy_setopt (transfer->easy, CURLOPT_AWS_SIGV4, provider);
+  curl_easy_setopt (transfer->easy, CURLOPT_USERPWD,
+                    transfer->client->credentials);
+}
+
+int
+http_client_submit (http_client_t *client, const http_request_t *request,
+                    http_done_t done, void *user)
+{
+  transfer_t *transfer = lt_alloc (sizeof (*transfer));
+  transfer->client = client;
+  transfer->easy = curl_easy_init ();
+  transfer->done = done;
+  transfer->user = user;
+  lt_buf_append_str (&transfer->body, request->body);
+  CURL *easy = transfer->easy;
+  curl_easy_setopt (easy, CURLOPT_URL, request->url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, write_response);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  set_body (transfer, request->method);
+  set_headers (transfer, request);
+  set_signature (transfer, request->service);
+  DL_APPEND (client->transfers, transfer);
+  ev_now_update (client->loop);
+  curl_multi_add_handle (client->multi, easy);
+  return 0;
+}
+
+int
+http_client_create (const http_client_options_t *options,
+                    http_client_t **client)
+{
+  if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
+    return -LT_EIO;
+  http_client_t *self = lt_alloc (sizeof (*self));
+  lt_buf_t credentials = { 0 };
+  lt_buf_printf (&credentials, "%.*s:%.*s", STR_ARG (options->access_key),
+                 STR_ARG (options->secret_key));
+  self->credentials = str_dup (lt_buf_str (&credentials));
+  lt_buf_destroy (&credentials);
+  self->region = str_dup (options->region);
+  self->loop = options->loop;
+  self->multi = curl_multi_init ();
+  ev_timer_init (&self->timer, on_timer, 0., 0.);
+  self->timer.data = self;
+  curl_multi_setopt (self->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+  curl_multi_setopt (self->multi, CURLMOPT_SOCKETDATA, self);
+  curl_multi_setopt (self->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+  curl_multi_setopt (self->multi, CURLMOPT_TIMERDATA, self);
+  curl_multi_setopt (self->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
+                     (long)CONNECTIONS_MAX);
+  *client = self;
+  return 0;
+}
+
+void
+http_client_destroy (http_client_t *client)
+{
+  if (client == NULL)
+    return;
+  transfer_t *transfer;
+  transfer_t *next;
+  DL_FOREACH_SAFE (client->transfers, transfer, next)
+  {
+    transfer_end (transfer, -LT_ECANCELED);
+    transfer_free (transfer);
+  }
+  ev_timer_stop (client->loop, &client->timer);
+  curl_multi_cleanup (client->multi);
+  free (client->region);
+  free (client->credentials);
+  free (client);
+  curl_global_cleanup ();
+}
--- a/packages/policy/include/lt/policy/claim.h
+++ b/packages/policy/include/lt/policy/claim.h
@@ -139,7 +139,10 @@
     hence the long release; an outcome lost to a longer outage makes repeats
     get 409.  */
 #define LT_CLAIM_OPTIONS_DEFAULT                                              \
-  ((lt_claim_options_t){ .record_retry_us = 600 * 1000000LL,                  \
+  ((lt_claim_options_t){ .attempt = { { 0 }, 0, 0, 0 },                       \
+                         .fingerprint = { { 0 } },                            \
+                         .deadline_us = 0,                                    \
+                         .record_retry_us = 600 * 1000000LL,                  \
                          .release_retry_us = 600 * 1000000LL,                 \
                          .table_retry_first_us = 20 * 1000LL,                 \
                          .table_retry_max_us = 10 * 1000000LL })
--- a/packages/standin/src/httpd.c
+++ b/packages/standin/src/httpd.c
@@ -37,6 +37,7 @@
   lt_buf_destroy (&request->body);
   free (request->method);
   free (request->path);
+  free (request->user);
   free (request);
 }
 
@@ -67,8 +68,15 @@
   (void)loop;
   (void)events;
   standin_request_t *request = timer->data;
-  struct MHD_Daemon *daemon = request->httpd->daemon;
-  request_resume (request);
+  standin_httpd_t *httpd = request->httpd;
+  struct MHD_Daemon *daemon = httpd->daemon;
+  if (request->deferred)
+    {
+      request->deferred = false;
+      httpd->handler (httpd->user, request);
+    }
+  if (!ev_is_active (&request->timer))
+    request_resume (request);
   MHD_run (daemon);
 }
 
@@ -87,16 +95,16 @@
   return request;
 }
 
-/** Makes the close of the connection a TCP reset.  */
+/** Sends a TCP reset.  SO_LINGER would not do: libmicrohttpd shuts the socket
+    down before it closes it.  */
 static enum MHD_Result
 connection_reset (struct MHD_Connection *connection)
 {
   const union MHD_ConnectionInfo *info = MHD_get_connection_info (
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  struct linger linger = { .l_onoff = 1, .l_linger = 0 };
+  struct sockaddr none = { .sa_family = AF_UNSPEC };
   if (info != NULL)
-    setsockopt (info->connect_fd, SOL_SOCKET, SO_LINGER, &linger,
-                sizeof (linger));
+    connect (info->connect_fd, &none, sizeof (none));
   return MHD_NO;
 }
 
@@ -165,8 +173,8 @@
 standin_httpd_start (standin_httpd_t *httpd)
 {
   httpd->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
-      NULL, on_access, httpd, MHD_OPTION_SOCK_ADDR, &httpd->address,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
+      httpd, MHD_OPTION_SOCK_ADDR, &httpd->address,
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_CONNECTION_LIMIT,
       4000U, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)65536,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, httpd, MHD_OPTION_END);
@@ -266,8 +274,9 @@
 {
   if (delay_ms == 0)
     return;
+  if (!request->suspended)
+    MHD_suspend_connection (request->connection);
   request->suspended = true;
-  MHD_suspend_connection (request->connection);
   if (delay_ms < 0)
     return;
   struct ev_loop *loop = request->httpd->loop;
@@ -295,6 +304,13 @@
   standin_reply (request, status, response, delay_ms);
 }
 
+void
+standin_defer (standin_request_t *request, int64_t delay_ms)
+{
+  request->deferred = true;
+  request_delay (request, delay_ms > 0 ? delay_ms : 1);
+}
+
 void
 standin_reply_reset (standin_request_t *request, int64_t delay_ms)
 {
--- a/packages/standin/src/httpd.h
+++ b/packages/standin/src/httpd.h
@@ -21,15 +21,17 @@
   char *method;
   char *path;
   lt_buf_t body;
+  void *user; /**< Of the handler; freed with free(). */
   struct MHD_Response *response;
   unsigned status;
   bool reset;
   bool handled;
   bool suspended;
+  bool deferred; /**< The handler is called again when the timer ends. */
   ev_timer timer;
 } standin_request_t;
 
-/** Handles REQUEST: calls exactly one of the reply functions.  */
+/** Handles REQUEST: calls exactly one of the functions below.  */
 typedef void (*standin_handler_t) (void *user, standin_request_t *request);
 
 enum
@@ -56,6 +58,8 @@
 void standin_reply_text (standin_request_t *request, unsigned status,
                          const char *content_type, str_t body,
                          int64_t delay_ms);
+/** Calls the handler again after DELAY_MS, also when the client is gone.  */
+void standin_defer (standin_request_t *request, int64_t delay_ms);
 /** Sends a TCP reset in place of a response.  */
 void standin_reply_reset (standin_request_t *request, int64_t delay_ms);
 /** Returns a header value, or NULL.  */
