Halve the memory of a caller's connection

Cause: libmicrohttpd allocates its whole pool for each connection, 32 KiB here, also while it is idle. Change: 16 KiB; request headers over that get 431.

--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -16,7 +16,7 @@
 
 enum
 {
-  CONNECTION_MEMORY_BYTES = 32 * 1024, /* Bounds the request's header. */
+  CONNECTION_MEMORY_BYTES = 16 * 1024, /* Bounds the request's header. */
   IDLE_TIMEOUT_S = 75,
   ANSWER_BLOCK_BYTES = 16 * 1024
 };
