Add the rate limit's holder and home with a property test

Rights to spend are parts of a workspace's rate and burst. Every response of the home follows a conditional write of the record.

--- a/packages/policy/include/lt/policy/admission.h
+++ b/packages/policy/include/lt/policy/admission.h
@@ -49,7 +49,7 @@
     LT_ADMISSION_TOO_LATE    /**< 503 deadline-unreachable */
   } lt_admission_verdict_t;
 
-  typedef struct lt_admission_status
+  typedef struct lt_admission_state
   {
     uint32_t in_progress;
     uint32_t queued;
--- a/packages/policy/include/lt/policy/limit.h
+++ b/packages/policy/include/lt/policy/limit.h
@@ -72,7 +72,8 @@
   typedef struct lt_limit_message
   {
     lt_limit_message_type_t type;
-    bool recall; /**< share_ask from the home: return up to PPM. */
+    bool recall; /**< share_ask from the home: return up to ppm. */
+    bool gone;   /**< share_ack: the record has no such entry. */
     uint64_t workspace;
     int64_t incarnation; /**< Of the holder, in both directions. */
     int64_t generation;  /**< Of the holder's entry in the record; 0: none. */
--- a/packages/policy/include/lt/policy/limit_holder.h
+++ b/packages/policy/include/lt/policy/limit_holder.h
@@ -50,7 +50,7 @@
   } lt_limit_home_place_t;
 
   /** State of one workspace, for the status page and tests.  */
-  typedef struct lt_limit_holder_status
+  typedef struct lt_limit_holder_state
   {
     int32_t ppm;
     int64_t tokens;
--- a/packages/policy/include/lt/policy/limit_home.h
+++ b/packages/policy/include/lt/policy/limit_home.h
@@ -18,12 +18,14 @@
     lt_limit_vm_t vm;
     int64_t incarnation;
     uint64_t workspace;
-    int64_t generation; /**< Version of the record that added this entry. */
-    int32_t ppm;        /**< Granted and not returned. */
-    int32_t last_ppm;   /**< Of the last grant, to send it again. */
-    int64_t transfer;   /**< Number of the last grant. */
-    int64_t returned;   /**< Number of the last return. */
-    int64_t acked_ms;   /**< clock_ms of the write that last confirmed it. */
+    int64_t generation;  /**< Version of the record that added this entry. */
+    int32_t ppm;         /**< Granted and not returned. */
+    int32_t last_ppm;    /**< Of the last grant, to send it again. */
+    int64_t transfer;    /**< Number of the last grant. */
+    int64_t returned;    /**< Number of the last return. */
+    int64_t acked_ms;    /**< clock_ms of the write that last confirmed it. */
+    int64_t recalled_us; /**< Not stored: time of the last recall. */
+    int64_t recall_wait_us; /**< Not stored: least time to the next. */
   } lt_limit_grant_t;
 
   /** The table record of one group.  clock_ms advances only by time that a
@@ -64,12 +66,14 @@
   } lt_limit_home_options_t;
 
 #define LT_LIMIT_HOME_OPTIONS_DEFAULT                                         \
-  ((lt_limit_home_options_t){ .incarnation = 1,                               \
+  ((lt_limit_home_options_t){ .group = 0,                                     \
+                              .vm = { { 0 } },                                \
+                              .incarnation = 1,                               \
                               .times = LT_LIMIT_TIMES_DEFAULT,                \
                               .batch_write_us = 200000,                       \
                               .recall_us = 1000000 })
 
-  typedef struct lt_limit_home_status
+  typedef struct lt_limit_home_state
   {
     bool leased;
     int64_t version;
--- /dev/null
+++ b/packages/policy/src/limit_holder.c
@@ -0,0 +1,573 @@
+#include "lt/policy/limit_holder.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "limit_share.h"
+#include "lt/base/clock.h"
+#include "lt/base/error.h"
+#include "lt/base/str.h"
+
+/** Asks aim above the measured demand, recalls leave less headroom.  */
+#define ASK_HEADROOM 1.10
+#define KEEP_HEADROOM 1.05
+/** Grants come in steps of at least this size, so that small changes of
+    demand write no record.  */
+#define STEP_PPM 5000
+#define ASK_WAIT_MAX_US (16 * 1000000LL)
+#define BORROW_TIMEOUT_US 300000
+/** Time that a borrowed batch covers at the measured demand.  */
+#define BORROW_COVER_S 0.3
+#define DENY_WAIT_US 100000
+#define DENY_WAIT_MAX_US 3200000
+#define RETRY_AFTER_MIN_US 1000
+#define RETURN_WAIT_MAX_US (8 * 1000000LL)
+/** A share is renewed after this part of its validity.  */
+#define RENEW_PART 6
+
+typedef struct slot
+{
+  lt_limit_rate_t rate;
+  lt_limit_share_t *share; /**< NULL until the workspace is used. */
+} slot_t;
+
+struct lt_limit_holder
+{
+  lt_limit_holder_options_t options;
+  slot_t *slots; /**< By workspace index. */
+  uint32_t count;
+  uint32_t *by_key;           /**< Slot indexes ordered by workspace. */
+  lt_limit_share_t **removed; /**< Shares being returned. */
+  size_t removed_count;
+  unsigned char home[LT_LIMIT_GROUPS];
+  bool draining;
+};
+
+lt_limit_holder_t *
+lt_limit_holder_create (const lt_limit_holder_options_t *options)
+{
+  lt_limit_holder_t *holder = lt_alloc (sizeof (*holder));
+  holder->options = *options;
+  return holder;
+}
+
+static void
+free_slots (lt_limit_holder_t *holder)
+{
+  for (uint32_t i = 0; i < holder->count; i++)
+    free (holder->slots[i].share);
+  free (holder->slots);
+  free (holder->by_key);
+}
+
+void
+lt_limit_holder_destroy (lt_limit_holder_t *holder)
+{
+  if (holder == NULL)
+    return;
+  free_slots (holder);
+  for (size_t i = 0; i < holder->removed_count; i++)
+    free (holder->removed[i]);
+  free (holder->removed);
+  free (holder);
+}
+
+static int
+compare_keys (const void *a, const void *b, void *user)
+{
+  const slot_t *slots = user;
+  uint64_t x = slots[*(const uint32_t *)a].rate.workspace;
+  uint64_t y = slots[*(const uint32_t *)b].rate.workspace;
+  return x < y ? -1 : x > y;
+}
+
+static slot_t *
+find_slot (const lt_limit_holder_t *holder, uint64_t workspace)
+{
+  uint32_t low = 0;
+  uint32_t high = holder->count;
+  while (low < high)
+    {
+      uint32_t mid = low + (high - low) / 2;
+      slot_t *slot = &holder->slots[holder->by_key[mid]];
+      if (slot->rate.workspace == workspace)
+        return slot;
+      if (slot->rate.workspace < workspace)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  return NULL;
+}
+
+static lt_limit_share_t *
+find_share (const lt_limit_holder_t *holder, uint64_t workspace)
+{
+  slot_t *slot = find_slot (holder, workspace);
+  if (slot != NULL && slot->share != NULL)
+    return slot->share;
+  for (size_t i = 0; i < holder->removed_count; i++)
+    if (holder->removed[i]->rate.workspace == workspace)
+      return holder->removed[i];
+  return NULL;
+}
+
+static lt_limit_share_t *
+use_share (lt_limit_holder_t *holder, slot_t *slot, int64_t now_us)
+{
+  if (slot->share != NULL)
+    return slot->share;
+  lt_limit_share_t *share = lt_alloc (sizeof (*share));
+  share->rate = slot->rate;
+  share->created_us = now_us;
+  share->filled_us = now_us;
+  share->demand_us = now_us;
+  share->used_us = now_us;
+  share->ask_wait_us = holder->options.ask_us;
+  share->deny_wait_us = DENY_WAIT_US;
+  slot->share = share;
+  return share;
+}
+
+static void
+keep_removed (lt_limit_holder_t *holder, lt_limit_share_t *share)
+{
+  holder->removed
+      = lt_realloc (holder->removed,
+                    (holder->removed_count + 1) * sizeof (*holder->removed));
+  holder->removed[holder->removed_count++] = share;
+  share->removed = true;
+}
+
+static lt_limit_share_t *
+take_removed (lt_limit_holder_t *holder, uint64_t workspace)
+{
+  for (size_t i = 0; i < holder->removed_count; i++)
+    {
+      lt_limit_share_t *share = holder->removed[i];
+      if (share->rate.workspace != workspace)
+        continue;
+      holder->removed[i] = holder->removed[--holder->removed_count];
+      share->removed = false;
+      return share;
+    }
+  return NULL;
+}
+
+void
+lt_limit_holder_configure (lt_limit_holder_t *holder,
+                           const lt_limit_rate_t *rates, uint32_t count,
+                           int64_t now_us)
+{
+  slot_t *slots = lt_alloc ((count + 1) * sizeof (*slots));
+  uint32_t *by_key = lt_alloc ((count + 1) * sizeof (*by_key));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      slots[i].rate = rates[i];
+      by_key[i] = i;
+      slot_t *old = find_slot (holder, rates[i].workspace);
+      lt_limit_share_t *share
+          = old != NULL ? old->share
+                        : take_removed (holder, rates[i].workspace);
+      if (old != NULL)
+        old->share = NULL;
+      if (share == NULL)
+        continue;
+      lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+      share->rate = rates[i];
+      lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+      slots[i].share = share;
+    }
+  qsort_r (by_key, count, sizeof (*by_key), compare_keys, slots);
+  for (uint32_t i = 0; i < holder->count; i++)
+    {
+      if (holder->slots[i].share != NULL)
+        keep_removed (holder, holder->slots[i].share);
+      holder->slots[i].share = NULL;
+    }
+  free_slots (holder);
+  holder->slots = slots;
+  holder->by_key = by_key;
+  holder->count = count;
+}
+
+void
+lt_limit_holder_set_home (lt_limit_holder_t *holder, uint32_t group,
+                          lt_limit_home_place_t place)
+{
+  if (group < LT_LIMIT_GROUPS)
+    holder->home[group] = (unsigned char)place;
+}
+
+static lt_limit_home_place_t
+home_of (const lt_limit_holder_t *holder, const lt_limit_share_t *share)
+{
+  return (lt_limit_home_place_t)
+      holder->home[lt_limit_group (share->rate.workspace)];
+}
+
+static lt_limit_message_t
+share_message (const lt_limit_holder_t *holder, const lt_limit_share_t *share,
+               lt_limit_message_type_t type, int64_t now_us)
+{
+  return (lt_limit_message_t){ .type = type,
+                               .workspace = share->rate.workspace,
+                               .incarnation = holder->options.incarnation,
+                               .generation = share->generation,
+                               .transfer = share->transfer,
+                               .returned = share->returned,
+                               .sent_us = now_us };
+}
+
+static void
+send_home (lt_limit_actions_t *actions, const lt_limit_message_t *message)
+{
+  lt_limit_action_t action = { .type = LT_LIMIT_SEND_HOME,
+                               .group = lt_limit_group (message->workspace),
+                               .message = *message };
+  lt_limit_actions_add (actions, &action);
+}
+
+static void
+wake (lt_limit_actions_t *actions, lt_limit_share_t *share)
+{
+  if (share->waiting == 0)
+    return;
+  share->waiting = 0;
+  lt_limit_action_t action = { .type = LT_LIMIT_WAKE };
+  action.message.workspace = share->rate.workspace;
+  lt_limit_actions_add (actions, &action);
+}
+
+static void
+send_return (const lt_limit_holder_t *holder, lt_limit_share_t *share,
+             int64_t now_us, lt_limit_actions_t *actions)
+{
+  lt_limit_message_t message
+      = share_message (holder, share, LT_LIMIT_SHARE_RETURN, now_us);
+  message.ppm = share->pending.ppm;
+  message.tokens = share->pending.tokens;
+  share->pending.sent_us = now_us;
+  send_home (actions, &message);
+}
+
+static void
+deny (lt_limit_share_t *share, int64_t now_us)
+{
+  share->denied_until_us = now_us + share->deny_wait_us;
+  share->deny_wait_us *= 2;
+  if (share->deny_wait_us > DENY_WAIT_MAX_US)
+    share->deny_wait_us = DENY_WAIT_MAX_US;
+}
+
+static int64_t
+retry_after (const lt_limit_share_t *share, int64_t now_us)
+{
+  int64_t wait = share->denied_until_us - now_us;
+  int64_t per_ms = lt_limit_accrued (&share->rate, share->ppm, 1000);
+  if (per_ms > 0 && lt_limit_share_valid (share, now_us))
+    {
+      int64_t own = (LT_LIMIT_TOKEN - share->tokens) / per_ms * 1000;
+      if (wait <= 0 || own < wait)
+        wait = own;
+    }
+  else if (wait <= 0)
+    wait = LT_US_PER_S;
+  return wait > RETRY_AFTER_MIN_US ? wait : RETRY_AFTER_MIN_US;
+}
+
+static void
+send_tokens_ask (const lt_limit_holder_t *holder, lt_limit_share_t *share,
+                 int64_t now_us, lt_limit_actions_t *actions)
+{
+  double own = 0;
+  if (lt_limit_share_valid (share, now_us))
+    own = (double)share->rate.rate_milli_per_s / 1000 * share->ppm
+          / LT_LIMIT_WHOLE_PPM;
+  int64_t batch = (int64_t)((share->demand_per_s - own) * BORROW_COVER_S);
+  if (batch < share->waiting)
+    batch = share->waiting;
+  lt_limit_message_t message
+      = share_message (holder, share, LT_LIMIT_TOKENS_ASK, now_us);
+  message.transfer = ++share->borrow_number;
+  message.tokens = batch * LT_LIMIT_TOKEN;
+  share->borrow_open = true;
+  share->borrow_sent_us = now_us;
+  send_home (actions, &message);
+}
+
+lt_limit_spend_t
+lt_limit_holder_spend (lt_limit_holder_t *holder, uint32_t workspace,
+                       bool repeat, int64_t now_us,
+                       lt_limit_actions_t *actions)
+{
+  if (workspace >= holder->count)
+    return (lt_limit_spend_t){ LT_LIMIT_REFUSED, LT_US_PER_S };
+  lt_limit_share_t *share
+      = use_share (holder, &holder->slots[workspace], now_us);
+  if (!repeat)
+    share->demand_count++;
+  lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+  if (lt_limit_share_take (share, now_us))
+    return (lt_limit_spend_t){ LT_LIMIT_GRANTED, 0 };
+  if (home_of (holder, share) != LT_LIMIT_HOME_OTHER || holder->draining
+      || now_us < share->denied_until_us)
+    return (lt_limit_spend_t){ LT_LIMIT_REFUSED, retry_after (share, now_us) };
+  share->waiting++;
+  if (!share->borrow_open)
+    send_tokens_ask (holder, share, now_us, actions);
+  return (lt_limit_spend_t){ LT_LIMIT_WAIT, 0 };
+}
+
+static void
+on_grant (lt_limit_holder_t *holder, lt_limit_share_t *share,
+          const lt_limit_message_t *message, int64_t now_us,
+          lt_limit_actions_t *actions)
+{
+  lt_limit_share_grant (share, message, holder->options.times.validity_us,
+                        now_us);
+  share->ask_open = false;
+  share->ask_wait_us = holder->options.ask_us;
+  wake (actions, share);
+}
+
+static void
+on_ack (lt_limit_holder_t *holder, lt_limit_share_t *share,
+        const lt_limit_message_t *message, int64_t now_us)
+{
+  lt_limit_share_ack (share, message, holder->options.times.validity_us,
+                      now_us);
+  share->ask_open = false;
+}
+
+static int32_t
+needed_ppm (const lt_limit_holder_t *holder, const lt_limit_share_t *share,
+            double headroom)
+{
+  int32_t need = lt_limit_share_need (share, headroom);
+  bool self = home_of (holder, share) == LT_LIMIT_HOME_SELF;
+  if (self && !share->removed && need < holder->options.reserve_ppm)
+    need = holder->options.reserve_ppm;
+  return need;
+}
+
+static void
+on_recall (lt_limit_holder_t *holder, lt_limit_share_t *share,
+           const lt_limit_message_t *message, int64_t now_us,
+           lt_limit_actions_t *actions)
+{
+  int32_t spare = share->ppm - needed_ppm (holder, share, KEEP_HEADROOM);
+  int32_t give = spare < message->ppm ? spare : message->ppm;
+  if (give < STEP_PPM && give < share->ppm)
+    return;
+  if (lt_limit_share_give (share, give, now_us))
+    send_return (holder, share, now_us, actions);
+}
+
+static void
+on_tokens_ask (lt_limit_holder_t *holder, const lt_limit_vm_t *vm,
+               const lt_limit_message_t *message, int64_t now_us,
+               lt_limit_actions_t *actions)
+{
+  lt_limit_action_t action = { .type = LT_LIMIT_SEND, .vm = *vm };
+  action.message = *message;
+  action.message.type = LT_LIMIT_TOKENS_LEND;
+  action.message.tokens = 0;
+  slot_t *slot = find_slot (holder, message->workspace);
+  if (slot != NULL && !holder->draining && message->tokens > 0)
+    {
+      lt_limit_share_t *share = use_share (holder, slot, now_us);
+      int64_t batch_us = holder->options.times.batch_us;
+      lt_limit_share_fill (share, batch_us, now_us);
+      action.message.tokens
+          = lt_limit_share_lend (share, message->tokens, batch_us, now_us);
+      int64_t lent = action.message.tokens / LT_LIMIT_TOKEN;
+      share->demand_count += lent > 0 ? lent : 1;
+    }
+  lt_limit_actions_add (actions, &action);
+}
+
+static void
+on_tokens_lend (lt_limit_holder_t *holder, lt_limit_share_t *share,
+                const lt_limit_message_t *message, int64_t now_us,
+                lt_limit_actions_t *actions)
+{
+  if (!share->borrow_open || message->transfer != share->borrow_number
+      || message->sent_us != share->borrow_sent_us)
+    return;
+  share->borrow_open = false;
+  if (message->tokens > 0)
+    {
+      lt_limit_share_borrow (
+          share, message->tokens,
+          share->borrow_sent_us + holder->options.times.batch_us, now_us);
+      share->deny_wait_us = DENY_WAIT_US;
+    }
+  else
+    deny (share, now_us);
+  wake (actions, share);
+}
+
+void
+lt_limit_holder_message (lt_limit_holder_t *holder, const lt_limit_vm_t *vm,
+                         const lt_limit_message_t *message, int64_t now_us,
+                         lt_limit_actions_t *actions)
+{
+  if (message->ppm < 0 || message->ppm > LT_LIMIT_WHOLE_PPM
+      || message->tokens < 0)
+    return;
+  if (message->type == LT_LIMIT_TOKENS_ASK)
+    {
+      on_tokens_ask (holder, vm, message, now_us, actions);
+      return;
+    }
+  lt_limit_share_t *share = find_share (holder, message->workspace);
+  if (share == NULL || message->incarnation != holder->options.incarnation)
+    return;
+  lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+  if (message->type == LT_LIMIT_SHARE_GRANT)
+    on_grant (holder, share, message, now_us, actions);
+  else if (message->type == LT_LIMIT_SHARE_ACK)
+    on_ack (holder, share, message, now_us);
+  else if (message->type == LT_LIMIT_SHARE_ASK && message->recall)
+    on_recall (holder, share, message, now_us, actions);
+  else if (message->type == LT_LIMIT_TOKENS_LEND)
+    on_tokens_lend (holder, share, message, now_us, actions);
+}
+
+/* Sends an ask, a renewal, or the repetition of an unanswered one.  */
+static void
+ask_if_due (lt_limit_holder_t *holder, lt_limit_share_t *share, int64_t now_us,
+            lt_limit_actions_t *actions)
+{
+  if (now_us < share->ask_next_us || holder->draining)
+    return;
+  int64_t validity_us = holder->options.times.validity_us;
+  int32_t want = needed_ppm (holder, share, ASK_HEADROOM) - share->ppm;
+  bool wants = want >= STEP_PPM || (want > 0 && share->ppm == 0);
+  bool renew = share->ppm > 0 && !share->removed
+               && share->valid_until_us - now_us
+                      < validity_us - validity_us / RENEW_PART;
+  if (!wants && !renew && !share->ask_open)
+    return;
+  lt_limit_message_t message = share_message (
+      holder, share, wants ? LT_LIMIT_SHARE_ASK : LT_LIMIT_SHARE_RENEW,
+      now_us);
+  if (wants)
+    message.ppm = want < STEP_PPM ? STEP_PPM : want;
+  if (message.ppm > LT_LIMIT_WHOLE_PPM)
+    message.ppm = LT_LIMIT_WHOLE_PPM;
+  share->ask_open = true;
+  share->ask_sent_us = now_us;
+  share->ask_next_us = now_us + share->ask_wait_us;
+  share->ask_wait_us *= 2;
+  if (share->ask_wait_us > ASK_WAIT_MAX_US)
+    share->ask_wait_us = ASK_WAIT_MAX_US;
+  send_home (actions, &message);
+}
+
+static void
+tick_share (lt_limit_holder_t *holder, lt_limit_share_t *share, int64_t now_us,
+            lt_limit_actions_t *actions)
+{
+  lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+  lt_limit_share_measure (share, now_us);
+  if (share->borrow_open && now_us - share->borrow_sent_us > BORROW_TIMEOUT_US)
+    {
+      share->borrow_open = false;
+      deny (share, now_us);
+      wake (actions, share);
+    }
+  if (home_of (holder, share) == LT_LIMIT_HOME_NONE)
+    return;
+  if (share->pending.ppm > 0
+      && now_us - share->pending.sent_us >= share->pending.wait_us)
+    {
+      share->pending.wait_us *= 2;
+      if (share->pending.wait_us > RETURN_WAIT_MAX_US)
+        share->pending.wait_us = RETURN_WAIT_MAX_US;
+      send_return (holder, share, now_us, actions);
+    }
+  if ((holder->draining || share->removed) && share->ppm > 0
+      && lt_limit_share_give (share, share->ppm, now_us))
+    send_return (holder, share, now_us, actions);
+  ask_if_due (holder, share, now_us, actions);
+}
+
+void
+lt_limit_holder_tick (lt_limit_holder_t *holder, int64_t now_us,
+                      lt_limit_actions_t *actions)
+{
+  for (uint32_t i = 0; i < holder->count; i++)
+    {
+      slot_t *slot = &holder->slots[i];
+      lt_limit_home_place_t place
+          = (lt_limit_home_place_t)
+                holder->home[lt_limit_group (slot->rate.workspace)];
+      if (slot->share == NULL && place == LT_LIMIT_HOME_SELF
+          && !holder->draining && holder->options.reserve_ppm > 0)
+        use_share (holder, slot, now_us);
+      if (slot->share == NULL)
+        continue;
+      tick_share (holder, slot->share, now_us, actions);
+      if (lt_limit_share_unused (slot->share, now_us))
+        {
+          free (slot->share);
+          slot->share = NULL;
+        }
+    }
+  for (size_t i = holder->removed_count; i > 0; i--)
+    {
+      lt_limit_share_t *share = holder->removed[i - 1];
+      tick_share (holder, share, now_us, actions);
+      if (!lt_limit_share_unused (share, now_us))
+        continue;
+      free (share);
+      holder->removed[i - 1] = holder->removed[--holder->removed_count];
+    }
+}
+
+void
+lt_limit_holder_drain (lt_limit_holder_t *holder, int64_t now_us,
+                       lt_limit_actions_t *actions)
+{
+  holder->draining = true;
+  lt_limit_holder_tick (holder, now_us, actions);
+}
+
+static bool
+returned_all (const lt_limit_share_t *share)
+{
+  return share == NULL || (share->ppm == 0 && share->pending.ppm == 0);
+}
+
+bool
+lt_limit_holder_drained (const lt_limit_holder_t *holder)
+{
+  for (uint32_t i = 0; i < holder->count; i++)
+    if (!returned_all (holder->slots[i].share))
+      return false;
+  for (size_t i = 0; i < holder->removed_count; i++)
+    if (!returned_all (holder->removed[i]))
+      return false;
+  return holder->draining;
+}
+
+int
+lt_limit_holder_status (const lt_limit_holder_t *holder, uint32_t workspace,
+                        lt_limit_holder_status_t *status)
+{
+  *status = (lt_limit_holder_status_t){ 0 };
+  if (workspace >= holder->count)
+    return -LT_ENOTFOUND;
+  const lt_limit_share_t *share = holder->slots[workspace].share;
+  if (share == NULL)
+    return 0;
+  status->ppm = share->ppm;
+  status->tokens = share->tokens;
+  status->lent = share->lent_total;
+  status->borrowed = share->borrowed;
+  status->valid_until_us = share->valid_until_us;
+  status->demand_per_s = share->demand_per_s;
+  return 0;
+}
--- /dev/null
+++ b/packages/policy/src/limit_share.c
@@ -0,0 +1,238 @@
+#include "limit_share.h"
+
+#include <math.h>
+#include <string.h>
+
+/** Time constant of the demand estimate.  */
+#define DEMAND_TAU_S 5.0
+/** Demand below this counts as none.  */
+#define DEMAND_IDLE_PER_S 0.02
+#define UNUSED_AFTER_US (60 * 1000000LL)
+#define RETURN_WAIT_US 500000
+
+static int64_t
+min_i64 (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+static int64_t
+max_i64 (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+static void
+expire_lent (lt_limit_share_t *share, int64_t batch_us, int64_t now_us)
+{
+  /* Rounded up, with 1/1000 for clock drift.  */
+  int64_t slot_us
+      = (batch_us + batch_us / 1000) / (LT_LIMIT_LENT_SLOTS - 1) + 1;
+  int64_t slot = now_us / slot_us;
+  if (slot - share->lent_slot >= LT_LIMIT_LENT_SLOTS)
+    {
+      memset (share->lent, 0, sizeof (share->lent));
+      share->lent_total = 0;
+      share->lent_slot = slot;
+    }
+  while (share->lent_slot < slot)
+    {
+      share->lent_slot++;
+      int64_t *entry = &share->lent[share->lent_slot % LT_LIMIT_LENT_SLOTS];
+      share->lent_total -= *entry;
+      *entry = 0;
+    }
+}
+
+/* Tokens here and tokens lent out stay within the burst of the parts.  */
+static void
+clamp_tokens (lt_limit_share_t *share)
+{
+  int64_t cap = lt_limit_cap (&share->rate, share->ppm) - share->lent_total;
+  share->tokens = max_i64 (0, min_i64 (share->tokens, cap));
+}
+
+void
+lt_limit_share_fill (lt_limit_share_t *share, int64_t batch_us, int64_t now_us)
+{
+  expire_lent (share, batch_us, now_us);
+  share->tokens += lt_limit_accrued (&share->rate, share->ppm,
+                                     now_us - share->filled_us);
+  share->filled_us = max_i64 (share->filled_us, now_us);
+  clamp_tokens (share);
+}
+
+bool
+lt_limit_share_valid (const lt_limit_share_t *share, int64_t now_us)
+{
+  return share->ppm > 0 && now_us < share->valid_until_us;
+}
+
+bool
+lt_limit_share_take (lt_limit_share_t *share, int64_t now_us)
+{
+  if (lt_limit_share_valid (share, now_us) && share->tokens >= LT_LIMIT_TOKEN)
+    {
+      share->tokens -= LT_LIMIT_TOKEN;
+      return true;
+    }
+  if (share->borrowed >= LT_LIMIT_TOKEN && now_us < share->borrowed_until_us)
+    {
+      share->borrowed -= LT_LIMIT_TOKEN;
+      return true;
+    }
+  return false;
+}
+
+int64_t
+lt_limit_share_lend (lt_limit_share_t *share, int64_t wanted, int64_t batch_us,
+                     int64_t now_us)
+{
+  if (!lt_limit_share_valid (share, now_us) || share->tokens < LT_LIMIT_TOKEN)
+    return 0;
+  /* Half of the tokens at most, so that one borrower does not empty it.  */
+  int64_t whole = max_i64 (1, share->tokens / 2 / LT_LIMIT_TOKEN);
+  int64_t lent = min_i64 (wanted, whole * LT_LIMIT_TOKEN);
+  lent -= lent % LT_LIMIT_TOKEN;
+  if (lent <= 0)
+    return 0;
+  expire_lent (share, batch_us, now_us);
+  share->tokens -= lent;
+  share->lent[share->lent_slot % LT_LIMIT_LENT_SLOTS] += lent;
+  share->lent_total += lent;
+  return lent;
+}
+
+void
+lt_limit_share_borrow (lt_limit_share_t *share, int64_t borrowed,
+                       int64_t until_us, int64_t now_us)
+{
+  if (now_us >= until_us)
+    return;
+  if (share->borrowed > 0 && now_us < share->borrowed_until_us)
+    {
+      share->borrowed += borrowed;
+      share->borrowed_until_us = min_i64 (until_us, share->borrowed_until_us);
+      return;
+    }
+  share->borrowed = borrowed;
+  share->borrowed_until_us = until_us;
+}
+
+bool
+lt_limit_share_give (lt_limit_share_t *share, int32_t ppm, int64_t now_us)
+{
+  int64_t burst = share->rate.burst * LT_LIMIT_TOKEN;
+  int64_t keep = 0;
+  if (share->lent_total > 0 && burst > 0)
+    keep = (int64_t)(((__int128)share->lent_total * LT_LIMIT_WHOLE_PPM + burst
+                      - 1)
+                     / burst);
+  int64_t give = min_i64 (ppm, share->ppm - keep);
+  if (give <= 0 || share->pending.ppm > 0)
+    return false;
+  int64_t tokens = (int64_t)((__int128)share->tokens * give / share->ppm);
+  share->pending = (lt_limit_return_t){ .ppm = (int32_t)give,
+                                        .tokens = tokens,
+                                        .sent_us = now_us,
+                                        .wait_us = RETURN_WAIT_US };
+  share->returned++;
+  share->ppm -= (int32_t)give;
+  share->tokens -= tokens;
+  clamp_tokens (share);
+  return true;
+}
+
+void
+lt_limit_share_grant (lt_limit_share_t *share,
+                      const lt_limit_message_t *message, int64_t validity_us,
+                      int64_t now_us)
+{
+  if (message->generation < share->generation
+      || message->sent_us < share->created_us || message->sent_us > now_us)
+    return;
+  if (message->generation > share->generation)
+    {
+      /* The record lost the former entry, so its parts are granted anew.  */
+      if (message->transfer != 1)
+        return;
+      share->ppm = 0;
+      share->tokens = 0;
+      share->valid_until_us = 0;
+      share->generation = message->generation;
+      share->transfer = 0;
+      share->returned = 0;
+      share->pending = (lt_limit_return_t){ 0 };
+    }
+  if (message->transfer > share->transfer + 1)
+    return;
+  if (message->transfer == share->transfer + 1)
+    {
+      share->transfer++;
+      share->ppm += message->ppm;
+      share->tokens += message->tokens;
+      clamp_tokens (share);
+    }
+  share->valid_until_us
+      = max_i64 (share->valid_until_us, message->sent_us + validity_us);
+}
+
+void
+lt_limit_share_ack (lt_limit_share_t *share, const lt_limit_message_t *message,
+                    int64_t validity_us, int64_t now_us)
+{
+  if (message->generation != share->generation)
+    return;
+  if (message->gone)
+    {
+      share->ppm = 0;
+      share->tokens = 0;
+      share->valid_until_us = 0;
+      share->pending = (lt_limit_return_t){ 0 };
+      return;
+    }
+  if (message->returned >= share->returned)
+    share->pending = (lt_limit_return_t){ 0 };
+  if (message->sent_us >= share->created_us && message->sent_us > 0
+      && message->sent_us <= now_us)
+    share->valid_until_us
+        = max_i64 (share->valid_until_us, message->sent_us + validity_us);
+}
+
+void
+lt_limit_share_measure (lt_limit_share_t *share, int64_t now_us)
+{
+  double elapsed_s = (double)(now_us - share->demand_us) / 1e6;
+  if (elapsed_s <= 0)
+    return;
+  double rate = (double)share->demand_count / elapsed_s;
+  double weight = 1 - exp (-elapsed_s / DEMAND_TAU_S);
+  share->demand_per_s += weight * (rate - share->demand_per_s);
+  share->demand_us = now_us;
+  if (share->demand_count > 0)
+    share->used_us = now_us;
+  share->demand_count = 0;
+}
+
+int32_t
+lt_limit_share_need (const lt_limit_share_t *share, double headroom)
+{
+  if (share->removed || share->demand_per_s < DEMAND_IDLE_PER_S)
+    return 0;
+  if (share->rate.rate_milli_per_s <= 0)
+    return 0;
+  double need = headroom * share->demand_per_s * 1000.0 * LT_LIMIT_WHOLE_PPM
+                / (double)share->rate.rate_milli_per_s;
+  double least = lt_limit_min_ppm (&share->rate);
+  if (need < least)
+    need = least;
+  return need < LT_LIMIT_WHOLE_PPM ? (int32_t)need : LT_LIMIT_WHOLE_PPM;
+}
+
+bool
+lt_limit_share_unused (const lt_limit_share_t *share, int64_t now_us)
+{
+  return share->ppm == 0 && share->pending.ppm == 0 && !share->ask_open
+         && !share->borrow_open && share->lent_total == 0
+         && now_us - share->used_us > UNUSED_AFTER_US;
+}
--- /dev/null
+++ b/packages/policy/test/limit_world.h
@@ -0,0 +1,573 @@
+// Fakes around the limit modules: VMs with drifting clocks, a network that
+// loses, repeats and delays messages, and a table that can be down or lose a
+// response.  Shared by test_limit.cc and bench_limit.c; C and C++.
+#ifndef LT_POLICY_TEST_LIMIT_WORLD_H
+#define LT_POLICY_TEST_LIMIT_WORLD_H
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lt/base/rng.h"
+#include "lt/base/str.h"
+#include "lt/policy/limit_holder.h"
+#include "lt/policy/limit_home.h"
+
+#define WORLD_VMS 64
+#define WORLD_SPACES 8
+#define WORLD_REGIONS 3
+
+typedef enum world_kind
+{
+  WORLD_TICK,
+  WORLD_MESSAGE,
+  WORLD_READ,
+  WORLD_APPLY,
+  WORLD_REPLY,
+  WORLD_ARRIVAL,
+  WORLD_GIVE_UP
+} world_kind_t;
+
+typedef struct world_event
+{
+  int64_t at_us;
+  uint64_t order;
+  world_kind_t kind;
+  int vm;
+  int life;
+  int space;
+  lt_limit_vm_t from;
+  lt_limit_message_t message;
+  lt_limit_record_t *record; // Owned by the event.
+  lt_limit_outcome_t outcome;
+  int64_t expected;
+  int64_t request; // Arrival or give-up: index of the request.
+} world_event_t;
+
+typedef struct world_vm
+{
+  lt_limit_vm_t name;
+  int life;
+  int64_t incarnation;
+  bool alive;
+  int64_t paused_until_us;
+  int region;
+  double drift;
+  int64_t offset_us;
+  lt_limit_holder_t *holder;
+  lt_limit_home_t *homes[WORLD_SPACES];
+  int home_view[WORLD_SPACES]; // VM slot, or -1.
+} world_vm_t;
+
+typedef struct world_waiting
+{
+  int vm;
+  int life;
+  int space;
+  int64_t arrived_us;
+  bool open;
+} world_waiting_t;
+
+typedef struct world
+{
+  int64_t now_us;
+  uint64_t order;
+  lt_rng_t rng;
+  world_event_t *events; // Binary heap by (at_us, order).
+  size_t event_count;
+  size_t event_cap;
+  world_vm_t vms[WORLD_VMS];
+  int vm_count;
+  int space_count;
+  lt_limit_rate_t rates[WORLD_SPACES];
+  lt_limit_times_t times;
+  lt_limit_record_t table[WORLD_SPACES];
+  bool store_up;
+  bool cut[WORLD_REGIONS][WORLD_REGIONS];
+  double loss, repeat, late;        // Probabilities per message.
+  double lost_response, late_write; // Probabilities per write.
+  int64_t late_us;
+  int64_t near_us, far_us, store_us, wait_us;
+  world_waiting_t *waiting;
+  size_t waiting_count;
+  size_t waiting_cap;
+  uint64_t messages, writes, reads;
+  void *user;
+  // Called for each admission, and for each final refusal.
+  void (*admitted) (struct world *, int vm, int space, int64_t waited_us);
+  void (*refused) (struct world *, int vm, int space);
+  // Called on each arrival before the policy; optional.
+  void (*arrived) (struct world *, int vm, int space);
+} world_t;
+
+static bool
+world_before (const world_event_t *a, const world_event_t *b)
+{
+  return a->at_us != b->at_us ? a->at_us < b->at_us : a->order < b->order;
+}
+
+static void
+world_push (world_t *w, world_event_t event)
+{
+  event.order = w->order++;
+  if (w->event_count == w->event_cap)
+    {
+      w->event_cap = w->event_cap == 0 ? 256 : 2 * w->event_cap;
+      w->events = (world_event_t *)lt_realloc (
+          w->events, w->event_cap * sizeof (*w->events));
+    }
+  size_t i = w->event_count++;
+  while (i > 0 && world_before (&event, &w->events[(i - 1) / 2]))
+    {
+      w->events[i] = w->events[(i - 1) / 2];
+      i = (i - 1) / 2;
+    }
+  w->events[i] = event;
+}
+
+static world_event_t
+world_pop (world_t *w)
+{
+  world_event_t top = w->events[0];
+  world_event_t last = w->events[--w->event_count];
+  size_t i = 0;
+  for (;;)
+    {
+      size_t child = 2 * i + 1;
+      if (child >= w->event_count)
+        break;
+      if (child + 1 < w->event_count
+          && world_before (&w->events[child + 1], &w->events[child]))
+        child++;
+      if (!world_before (&w->events[child], &last))
+        break;
+      w->events[i] = w->events[child];
+      i = child;
+    }
+  w->events[i] = last;
+  return top;
+}
+
+static int64_t
+world_clock (const world_t *w, int vm)
+{
+  return w->vms[vm].offset_us
+         + (int64_t)((double)w->now_us * (1 + w->vms[vm].drift));
+}
+
+static bool
+world_reaches (const world_t *w, int from, int to)
+{
+  return !w->cut[w->vms[from].region][w->vms[to].region];
+}
+
+static bool
+world_store_reached (const world_t *w, int vm)
+{
+  return w->store_up && !w->cut[w->vms[vm].region][0];
+}
+
+static void
+world_send (world_t *w, int from, int to, const lt_limit_message_t *message)
+{
+  w->messages += from != to;
+  if (!w->vms[to].alive || !world_reaches (w, from, to))
+    return;
+  if (from != to && lt_rng_unit (&w->rng) < w->loss)
+    return;
+  world_event_t event;
+  memset (&event, 0, sizeof (event));
+  event.kind = WORLD_MESSAGE;
+  event.vm = to;
+  event.life = w->vms[to].life;
+  event.from = w->vms[from].name;
+  event.message = *message;
+  bool near = w->vms[from].region == w->vms[to].region;
+  event.at_us = w->now_us + (from == to ? 0 : near ? w->near_us : w->far_us);
+  if (lt_rng_unit (&w->rng) < w->late)
+    event.at_us += (int64_t)lt_rng_below (&w->rng, (uint64_t)w->late_us);
+  world_push (w, event);
+  if (lt_rng_unit (&w->rng) >= w->repeat)
+    return;
+  event.at_us += (int64_t)lt_rng_below (&w->rng, (uint64_t)w->late_us);
+  world_push (w, event);
+}
+
+static int
+world_find (const world_t *w, const lt_limit_vm_t *name)
+{
+  for (int i = 0; i < w->vm_count; i++)
+    if (memcmp (&w->vms[i].name, name, sizeof (*name)) == 0)
+      return i;
+  return -1;
+}
+
+static lt_limit_record_t *
+world_copy_record (const lt_limit_record_t *record)
+{
+  lt_limit_record_t *copy = (lt_limit_record_t *)lt_alloc (sizeof (*copy));
+  lt_limit_record_copy (copy, record);
+  return copy;
+}
+
+static void
+world_table_call (world_t *w, int vm, const lt_limit_action_t *action)
+{
+  world_event_t event;
+  memset (&event, 0, sizeof (event));
+  event.vm = vm;
+  event.life = w->vms[vm].life;
+  event.space = (int)action->group;
+  event.at_us = w->now_us + w->store_us;
+  event.expected = action->expected_version;
+  if (action->type == LT_LIMIT_READ)
+    {
+      w->reads++;
+      event.kind = WORLD_READ;
+      world_push (w, event);
+      return;
+    }
+  w->writes++;
+  event.kind = WORLD_APPLY;
+  event.record = world_copy_record (
+      lt_limit_home_draft (w->vms[vm].homes[action->group]));
+  if (lt_rng_unit (&w->rng) < w->late_write)
+    {
+      // The caller times out; the write is carried out afterwards.
+      world_event_t reply = event;
+      reply.record = NULL;
+      reply.kind = WORLD_REPLY;
+      reply.outcome = LT_LIMIT_UNKNOWN;
+      reply.at_us = w->now_us + 1000000;
+      world_push (w, reply);
+      event.life = -1;
+      event.at_us += (int64_t)lt_rng_below (&w->rng, (uint64_t)w->late_us);
+    }
+  world_push (w, event);
+}
+
+static void world_respend (world_t *w, int vm, uint64_t space);
+
+static void
+world_carry_out (world_t *w, int vm, lt_limit_actions_t *actions)
+{
+  for (size_t i = 0; i < actions->count; i++)
+    {
+      const lt_limit_action_t *action = &actions->items[i];
+      if (action->type == LT_LIMIT_SEND)
+        {
+          int to = world_find (w, &action->vm);
+          if (to >= 0)
+            world_send (w, vm, to, &action->message);
+        }
+      else if (action->type == LT_LIMIT_SEND_HOME)
+        {
+          int to = w->vms[vm].home_view[action->group];
+          if (to >= 0)
+            world_send (w, vm, to, &action->message);
+        }
+      else if (action->type == LT_LIMIT_WAKE)
+        world_respend (w, vm, action->message.workspace);
+      else
+        world_table_call (w, vm, action);
+    }
+  lt_limit_actions_destroy (actions);
+}
+
+static lt_limit_verdict_t
+world_spend (world_t *w, int vm, int space, bool repeat, int64_t arrived_us)
+{
+  lt_limit_actions_t actions = { NULL, 0, 0 };
+  lt_limit_spend_t spend
+      = lt_limit_holder_spend (w->vms[vm].holder, (uint32_t)space, repeat,
+                               world_clock (w, vm), &actions);
+  if (spend.verdict == LT_LIMIT_GRANTED)
+    w->admitted (w, vm, space, w->now_us - arrived_us);
+  else if (spend.verdict == LT_LIMIT_REFUSED)
+    w->refused (w, vm, space);
+  world_carry_out (w, vm, &actions);
+  return spend.verdict;
+}
+
+static void
+world_respend (world_t *w, int vm, uint64_t space)
+{
+  for (size_t i = 0; i < w->waiting_count; i++)
+    {
+      world_waiting_t *waiting = &w->waiting[i];
+      if (!waiting->open || waiting->vm != vm
+          || waiting->life != w->vms[vm].life
+          || (uint64_t)waiting->space != space)
+        continue;
+      waiting->open = false;
+      if (world_spend (w, vm, waiting->space, true, waiting->arrived_us)
+          == LT_LIMIT_WAIT)
+        w->waiting[i].open = true;
+    }
+}
+
+static void
+world_arrive (world_t *w, int vm, int space)
+{
+  if (w->arrived != NULL)
+    w->arrived (w, vm, space);
+  if (!w->vms[vm].alive)
+    {
+      w->refused (w, vm, space);
+      return;
+    }
+  if (world_spend (w, vm, space, false, w->now_us) != LT_LIMIT_WAIT)
+    return;
+  while (w->waiting_count > 0 && !w->waiting[w->waiting_count - 1].open)
+    w->waiting_count--;
+  if (w->waiting_count == w->waiting_cap)
+    {
+      w->waiting_cap = w->waiting_cap == 0 ? 64 : 2 * w->waiting_cap;
+      w->waiting = (world_waiting_t *)lt_realloc (
+          w->waiting, w->waiting_cap * sizeof (*w->waiting));
+    }
+  world_waiting_t waiting = { vm, w->vms[vm].life, space, w->now_us, true };
+  w->waiting[w->waiting_count] = waiting;
+  world_event_t event;
+  memset (&event, 0, sizeof (event));
+  event.kind = WORLD_GIVE_UP;
+  event.vm = vm;
+  event.life = waiting.life;
+  event.at_us = w->now_us + w->wait_us;
+  event.request = (int64_t)w->waiting_count++;
+  world_push (w, event);
+}
+
+static void
+world_apply (world_t *w, world_event_t *event)
+{
+  lt_limit_record_t *row = &w->table[event->space];
+  lt_limit_outcome_t outcome = LT_LIMIT_UNKNOWN;
+  if (world_store_reached (w, event->vm))
+    {
+      outcome = LT_LIMIT_CONFLICT;
+      if (row->version == event->expected)
+        {
+          lt_limit_record_copy (row, event->record);
+          outcome = LT_LIMIT_DONE;
+        }
+    }
+  lt_limit_record_destroy (event->record);
+  free (event->record);
+  event->record = NULL;
+  if (lt_rng_unit (&w->rng) < w->lost_response)
+    outcome = LT_LIMIT_UNKNOWN;
+  event->kind = WORLD_REPLY;
+  event->outcome = outcome;
+  event->at_us
+      = w->now_us + (outcome == LT_LIMIT_UNKNOWN ? 1000000 : w->store_us);
+  world_push (w, *event);
+}
+
+static void
+world_message (world_t *w, const world_event_t *event,
+               lt_limit_actions_t *actions)
+{
+  world_vm_t *vm = &w->vms[event->vm];
+  const lt_limit_message_t *message = &event->message;
+  int64_t now_us = world_clock (w, event->vm);
+  bool to_home = !message->recall
+                 && (message->type == LT_LIMIT_SHARE_ASK
+                     || message->type == LT_LIMIT_SHARE_RENEW
+                     || message->type == LT_LIMIT_SHARE_RETURN);
+  if (!to_home)
+    {
+      lt_limit_holder_message (vm->holder, &event->from, message, now_us,
+                               actions);
+      return;
+    }
+  lt_limit_home_t *home = vm->homes[lt_limit_group (message->workspace)];
+  lt_limit_home_message (home, &event->from, message, now_us);
+  lt_limit_home_tick (home, now_us, actions);
+}
+
+static void
+world_tick (world_t *w, int vm, lt_limit_actions_t *actions)
+{
+  int64_t now_us = world_clock (w, vm);
+  lt_limit_holder_tick (w->vms[vm].holder, now_us, actions);
+  for (int i = 0; i < w->space_count; i++)
+    lt_limit_home_tick (w->vms[vm].homes[i], now_us, actions);
+}
+
+static void
+world_deliver (world_t *w, world_event_t *event)
+{
+  world_vm_t *vm = &w->vms[event->vm];
+  lt_limit_actions_t actions = { NULL, 0, 0 };
+  int64_t now_us = world_clock (w, event->vm);
+  switch (event->kind)
+    {
+    case WORLD_TICK:
+      world_tick (w, event->vm, &actions);
+      event->at_us = w->now_us + 100000;
+      world_push (w, *event);
+      break;
+    case WORLD_MESSAGE:
+      world_message (w, event, &actions);
+      break;
+    case WORLD_READ:
+      lt_limit_home_read_done (vm->homes[event->space],
+                               world_store_reached (w, event->vm)
+                                   ? LT_LIMIT_DONE
+                                   : LT_LIMIT_UNKNOWN,
+                               &w->table[event->space], now_us, &actions);
+      break;
+    case WORLD_REPLY:
+      lt_limit_home_write_done (vm->homes[event->space], event->outcome,
+                                now_us, &actions);
+      break;
+    case WORLD_ARRIVAL:
+      world_arrive (w, event->vm, event->space);
+      break;
+    case WORLD_GIVE_UP:
+      if (w->waiting[event->request].open)
+        {
+          w->waiting[event->request].open = false;
+          w->refused (w, event->vm, w->waiting[event->request].space);
+        }
+      break;
+    case WORLD_APPLY:
+      break;
+    }
+  world_carry_out (w, event->vm, &actions);
+}
+
+// Runs all events up to UNTIL_US.
+static void
+world_run (world_t *w, int64_t until_us)
+{
+  while (w->event_count > 0 && w->events[0].at_us <= until_us)
+    {
+      world_event_t event = world_pop (w);
+      w->now_us = event.at_us;
+      if (event.kind == WORLD_APPLY)
+        {
+          world_apply (w, &event);
+          continue;
+        }
+      const world_vm_t *vm = &w->vms[event.vm];
+      bool stale = event.life != vm->life && event.kind != WORLD_ARRIVAL
+                   && event.kind != WORLD_GIVE_UP;
+      if (stale)
+        continue;
+      if (vm->paused_until_us > w->now_us)
+        {
+          event.at_us = vm->paused_until_us;
+          world_push (w, event);
+          continue;
+        }
+      world_deliver (w, &event);
+    }
+  w->now_us = until_us;
+}
+
+static void
+world_stop (world_t *w, int vm)
+{
+  world_vm_t *v = &w->vms[vm];
+  v->alive = false;
+  v->life++;
+  lt_limit_holder_destroy (v->holder);
+  v->holder = NULL;
+  for (int i = 0; i < w->space_count; i++)
+    {
+      lt_limit_home_destroy (v->homes[i]);
+      v->homes[i] = NULL;
+    }
+}
+
+// Starts VM with a newer incarnation; RENAME gives it a new id as well.
+static void
+world_start (world_t *w, int vm, bool rename)
+{
+  world_vm_t *v = &w->vms[vm];
+  char name[32];
+  if (rename || v->name.id[0] == '\0')
+    {
+      snprintf (name, sizeof (name), "vm%d-%d", vm, v->life);
+      lt_limit_vm_set (&v->name, name, strlen (name));
+    }
+  v->alive = true;
+  v->paused_until_us = 0;
+  v->incarnation++;
+  lt_limit_holder_options_t holder = LT_LIMIT_HOLDER_OPTIONS_DEFAULT;
+  holder.incarnation = v->incarnation;
+  holder.times = w->times;
+  v->holder = lt_limit_holder_create (&holder);
+  lt_limit_holder_configure (v->holder, w->rates, (uint32_t)w->space_count,
+                             world_clock (w, vm));
+  lt_limit_home_options_t home = LT_LIMIT_HOME_OPTIONS_DEFAULT;
+  home.vm = v->name;
+  home.incarnation = v->incarnation;
+  home.times = w->times;
+  for (int i = 0; i < w->space_count; i++)
+    {
+      home.group = (uint32_t)i;
+      v->homes[i] = lt_limit_home_create (&home);
+      lt_limit_home_configure (v->homes[i], &w->rates[i], 1,
+                               world_clock (w, vm));
+      v->home_view[i] = -1;
+    }
+  world_event_t event;
+  memset (&event, 0, sizeof (event));
+  event.kind = WORLD_TICK;
+  event.vm = vm;
+  event.life = v->life;
+  event.at_us = w->now_us + (int64_t)lt_rng_below (&w->rng, 100000);
+  world_push (w, event);
+}
+
+// Makes VM believe that the home of SPACE is the VM in slot HOME.
+static void
+world_set_view (world_t *w, int vm, int space, int home)
+{
+  world_vm_t *v = &w->vms[vm];
+  if (!v->alive)
+    return;
+  v->home_view[space] = home;
+  lt_limit_holder_set_home (v->holder, (uint32_t)space,
+                            home == vm  ? LT_LIMIT_HOME_SELF
+                            : home >= 0 ? LT_LIMIT_HOME_OTHER
+                                        : LT_LIMIT_HOME_NONE);
+  lt_limit_home_set_role (v->homes[space], home == vm);
+}
+
+static void
+world_init (world_t *w, uint64_t seed)
+{
+  memset (w, 0, sizeof (*w));
+  lt_rng_init (&w->rng, seed);
+  w->times = LT_LIMIT_TIMES_DEFAULT;
+  w->store_up = true;
+  w->near_us = 500;
+  w->far_us = 20000;
+  w->store_us = 5000;
+  w->late_us = 5000000;
+  w->wait_us = 250000;
+}
+
+static void
+world_destroy (world_t *w)
+{
+  for (int i = 0; i < w->vm_count; i++)
+    if (w->vms[i].alive)
+      world_stop (w, i);
+  for (size_t i = 0; i < w->event_count; i++)
+    if (w->events[i].record != NULL)
+      {
+        lt_limit_record_destroy (w->events[i].record);
+        free (w->events[i].record);
+      }
+  for (int i = 0; i < WORLD_SPACES; i++)
+    lt_limit_record_destroy (&w->table[i]);
+  free (w->events);
+  free (w->waiting);
+}
+
+#endif
