--- a/packages/config/src/patch.c
+++ b/packages/config/src/patch.c
@@ -69,9 +69,9 @@
     case LT_ROW_KEY:
       {
         const lt_key_t *key = &snapshot->keys[index];
-        *LT_VEC_PUSH (&patch->keys)
-            = (lt_patch_key_t){ *key,
-                                snapshot->workspaces[key->workspace].name };
+        *LT_VEC_PUSH (&patch->keys) = (lt_patch_key_t){
+          *key, lt_rows_workspace_name (snapshot, key->workspace)
+        };
         return;
       }
     case LT_ROW_SERVICE:
--- a/packages/config/src/sheet_build.c
+++ b/packages/config/src/sheet_build.c
@@ -47,7 +47,8 @@
   str_t text = lt_sheet_value (sheet, kind, row, column);
   lt_sheet_name_t *entry = lt_sheet_names_find (names, text);
   if (entry == NULL)
-    lt_sheet_fault (sheet, row->row, column, text, "the name of a %s row",
+    lt_sheet_fault (sheet, row->row, column, text,
+                    "the name of one of the %s rows",
                     lt_sheet_kind_name (target));
   else
     entry->used = true;
--- a/packages/config/src/sheet_routes.c
+++ b/packages/config/src/sheet_routes.c
@@ -65,7 +65,7 @@
       str_t name = lt_value_trim (str_split (list, '|', &list));
       if (lt_sheet_names_find (&b->workspaces, name) == NULL)
         lt_sheet_fault (sheet, row->row, LT_COLUMN_WORKSPACES, name,
-                        "the name of a workspace row");
+                        "the name of one of the workspace rows");
       route->workspaces[i] = name;
     }
   qsort (route->workspaces, parts, sizeof (str_t), by_text);
@@ -244,7 +244,7 @@
             sheet, row->row, LT_COLUMN_ENDS,
             lt_sheet_value (sheet, LT_KIND_STOP, row, LT_COLUMN_ENDS),
             "a time after the start");
-      for (uint32_t k = 0; k < i; k++)
+      for (uint32_t k = 0; k < i && sheet->errors == errors; k++)
         {
           const lt_patch_stop_t *other = &b->patch->stops.items[k];
           if (str_equal (other->upstream, stop->upstream)
--- a/packages/config/src/sheet_rows.c
+++ b/packages/config/src/sheet_rows.c
@@ -47,11 +47,11 @@
   lt_column_t header[HEADER_MAX_FIELDS]; /* LT_COLUMN_COUNT: no name. */
   size_t header_count;
   bool header_done;
-  uint32_t present;      /* Columns in the header. */
-  uint32_t missing_told; /* Missing columns that are already reported. */
+  uint32_t present; /* Columns in the header. */
   int row;
   size_t field;
-  uint32_t filled; /* Columns of the current row that have a value. */
+  bool last_filled; /* The field read last has a value. */
+  uint32_t filled;  /* Columns of the current row that have a value. */
   uint32_t offsets[LT_COLUMN_COUNT];
   size_t row_start; /* Length of the texts before the current row. */
 } reader_t;
@@ -73,6 +73,9 @@
                 const char *format, ...)
 {
   sheet->errors++;
+  /* The missing column itself has been reported.  */
+  if (column < LT_COLUMN_COUNT && (sheet->missing & 1U << column) != 0)
+    return;
   if (sheet->listed >= sheet->options->max_findings)
     {
       sheet->unlisted++;
@@ -167,7 +170,8 @@
 read_data_field (reader_t *r, str_t text)
 {
   size_t place = r->field++;
-  if (text.len == 0)
+  r->last_filled = text.len > 0;
+  if (!r->last_filled)
     return;
   lt_column_t column = place < r->header_count && place < HEADER_MAX_FIELDS
                            ? r->header[place]
@@ -226,8 +230,7 @@
   uint32_t keys = BIT (KEY) | BIT (KEY_HASH);
   if ((r->present & keys) != 0)
     used &= ~(keys & ~r->present);
-  uint32_t missing = used & ~r->present & ~r->missing_told;
-  r->missing_told |= missing;
+  uint32_t missing = used & ~r->present & ~r->sheet->missing;
   for (int column = 0; column < LT_COLUMN_COUNT; column++)
     if ((missing & 1U << column) != 0)
       lt_sheet_fault (r->sheet, r->row, (lt_column_t)column,
@@ -235,6 +238,7 @@
                       "this column in the header; \"%s\" "
                       "rows need it",
                       kinds[kind].name);
+  r->sheet->missing |= missing;
   uint32_t extra
       = r->filled & ~kinds[kind].columns & ~BIT (KIND) & ~BIT (COMMENT);
   for (int column = 0; column < LT_COLUMN_COUNT; column++)
@@ -263,7 +267,7 @@
 end_data_row (reader_t *r)
 {
   lt_sheet_t *sheet = r->sheet;
-  if (r->filled == 0)
+  if (r->filled == 0 || (r->present & BIT (KIND)) == 0)
     return;
   sheet->data_rows++;
   str_t name = current_value (r, LT_COLUMN_KIND);
@@ -374,6 +378,7 @@
   csv_set_delim (&parser, find_separator (text));
   bool after_cr = false;
   bool failed = false;
+  char last = text.len > 0 ? text.data[text.len - 1] : '\n';
   while (text.len > 0 && !failed)
     {
       size_t len = feed_part (&text, part, &after_cr);
@@ -384,6 +389,11 @@
                     "well-formed quotes from this row to the end; the sheet "
                     "may be truncated");
   csv_free (&parser);
+  /* A cut inside the last value could leave another valid value.  */
+  if (last != '\n' && last != '\r' && r.last_filled)
+    lt_sheet_fault (sheet, r.row - 1, LT_COLUMN_COUNT, str_make (NULL, 0),
+                    "a line end after the last row; the sheet may be "
+                    "truncated");
   if (!r.header_done)
     lt_sheet_fault (sheet, 1, LT_COLUMN_KIND, str_make (NULL, 0),
                     "a header line with the column \"kind\"");
--- a/packages/config/src/sheet_rows.h
+++ b/packages/config/src/sheet_rows.h
@@ -72,9 +72,10 @@
   size_t listed;   /**< Findings in the list that this sheet has added. */
   size_t unlisted; /**< Findings beyond options->max_findings. */
   size_t errors;
-  int data_rows;   /**< Rows with content after the header. */
-  int rows_before; /**< Data rows up to and including the sheet row. */
-  lt_buf_t texts;  /**< Length-prefixed values. */
+  uint32_t missing; /**< Columns that rows need and the header lacks. */
+  int data_rows;    /**< Rows with content after the header. */
+  int rows_before;  /**< Data rows up to and including the sheet row. */
+  lt_buf_t texts;   /**< Length-prefixed values. */
   LT_VEC (uint32_t) values; /**< Offsets into texts. */
   lt_sheet_row_list_t rows[LT_KIND_COUNT];
 } lt_sheet_t;
