--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -112,6 +112,7 @@
   lt_node_add_filter (node, lt_filter_route_create ());
   lt_node_add_filter (node, lt_filter_size_create ());
   lt_node_add_filter (node, lt_filter_authenticate_create ());
+  lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
