Keep the arguments alive in the settings test

Cause: the test read settings that point into freed arguments; it failed in Settings.FlagsTakePrecedenceOverTheEnvironment. Change: the test holds the arguments. Conclusion: node_test_settings passes.

--- a/packages/node/test/test_settings.cc
+++ b/packages/node/test/test_settings.cc
@@ -11,14 +11,17 @@
 static std::string
 load (std::vector<std::string> args, int *error, lt_settings_t *settings)
 {
+  // The settings point into the arguments, so these outlive the call.
+  static std::vector<std::string> held;
   std::vector<char *> argv;
   args.insert (args.begin (), "lavendertrackd");
-  for (std::string &a : args)
+  held = args;
+  for (std::string &a : held)
     argv.push_back (a.data ());
   argv.push_back (nullptr);
   lt_findings_t findings = {};
   lt_settings_init (settings);
-  *error = lt_settings_load (settings, static_cast<int> (args.size ()),
+  *error = lt_settings_load (settings, static_cast<int> (held.size ()),
                              argv.data (), &findings);
   lt_buf_t out = {};
   lt_findings_print (&findings, &out);
