--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -16,7 +16,7 @@
 
 enum
 {
-  CONNECTION_MEMORY_BYTES = 32 * 1024, /* Bounds the request's header. */
+  CONNECTION_MEMORY_BYTES = 16 * 1024, /* Bounds the request's header. */
   IDLE_TIMEOUT_S = 75,
   ANSWER_BLOCK_BYTES = 16 * 1024
 };
@@ -207,7 +207,7 @@
                 answer->headers.items[i].value);
   add_header (response, STR_LIT ("X-Request-Id"),
               str_from (request->request_id));
-  if (call->server->node->leaving)
+  if (call->server->node->leaving || request->head_invalid)
     add_header (response, STR_LIT ("Connection"), STR_LIT ("close"));
   answer->started = true;
   enum MHD_Result result = MHD_queue_response (
@@ -236,7 +236,7 @@
   request->sink_data = call;
   lt_request_parse_head (request, call->connection, str_from (method),
                          str_from (call->target));
-  if (request->body_too_large)
+  if (request->body_too_large || request->head_invalid)
     {
       /* Refused before the body is read; the connection closes after it.  */
       call->chain_started = true;
@@ -321,8 +321,9 @@
 start_daemon (lt_caller_server_t *server, const struct sockaddr_in *address)
 {
   return MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_access,
-      server, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, 0, NULL,
+      NULL, on_access, server, MHD_OPTION_EXTERNAL_LOGGER, lt_http_loop_log,
+      NULL, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
       MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -14,6 +14,7 @@
 #include "lt/node/admin.h"
 #include "lt/policy/retry.h"
 #include "pools.h"
+#include "sheet_file.h"
 #include "upstream_client.h"
 
 #define TICK_S 0.1
@@ -97,7 +98,7 @@
     {
       char labels[96];
       snprintf (labels, sizeof (labels), "reason=\"%s\"",
-                lt_refusal_info ((lt_refusal_t)i)->reason);
+                lt_refusal_get ((lt_refusal_t)i)->reason);
       node->refused[i]
           = lt_metrics_counter (node->metrics, "lavendertrack_refused_total",
                                 "Requests refused, by reason.", labels);
@@ -111,6 +112,7 @@
   lt_node_add_filter (node, lt_filter_route_create ());
   lt_node_add_filter (node, lt_filter_size_create ());
   lt_node_add_filter (node, lt_filter_authenticate_create ());
+  lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
@@ -180,6 +182,8 @@
                                        &node->upstreams);
   if (error == 0)
     error = start_controllers (node);
+  if (error == 0 && settings->sheet.len > 0)
+    error = lt_sheet_file_apply (node, settings->sheet);
   if (error == 0)
     error = lt_admin_create (node, &daemon->admin);
   if (error == 0)
