--- a/packages/policy/test/test_limit.cc
+++ b/packages/policy/test/test_limit.cc
@@ -86,9 +86,10 @@
       world_set_view (&w, i, space, vm);
   }
 
-  // Offers PER_S requests a second to each live VM for SECONDS.
+  // Offers PER_S requests a second per VM for SECONDS, all of them to VM HOT
+  // unless that is -1.
   void
-  load (double seconds, double per_s)
+  load (double seconds, double per_s, int hot = -1)
   {
     int64_t end = w.now_us + (int64_t)(seconds * 1e6);
     while (w.now_us < end)
@@ -97,6 +98,8 @@
                            + (int64_t)lt_rng_exponential (
                                &w.rng, 1e6 / (per_s * w.vm_count)));
         int vm = (int)lt_rng_below (&w.rng, (uint64_t)w.vm_count);
+        if (hot >= 0)
+          vm = hot;
         if (w.vms[vm].alive && w.vms[vm].paused_until_us <= w.now_us)
           world_arrive (&w, vm,
                         (int)lt_rng_below (&w.rng, (uint64_t)w.space_count));
@@ -184,7 +187,10 @@
   for (; seed < end; seed++)
     {
       World world (seed, 6,
-                   { { 0, 40000, 30 }, { 1, 5000, 3 }, { 2, 300000, 600 } },
+                   { { 0, 40000, 30 },
+                     { 1, 5000, 3 },
+                     { 2, 300000, 600 },
+                     { 3, 2000, 300 } },
                    SHORT);
       world_t *w = &world.w;
       for (int i = 0; i < w->vm_count; i++)
@@ -195,7 +201,10 @@
       for (int step = 0; step < 120; step++)
         {
           static const double loads[] = { 0, 5, 40, 200 };
-          world.load (2, 0.1 + loads[lt_rng_below (&w->rng, 4)]);
+          // Load moves between VMs, so that parts and tokens move too.
+          int hot = (int)lt_rng_below (&w->rng, (uint64_t)w->vm_count);
+          world.load (2, 0.1 + loads[lt_rng_below (&w->rng, 4)],
+                      lt_rng_below (&w->rng, 2) == 0 ? hot : -1);
           if (faults && lt_rng_below (&w->rng, 2) == 0)
             random_fault (world);
         }
