--- a/packages/config/include/lt/config/sheet.h
+++ b/packages/config/include/lt/config/sheet.h
@@ -28,6 +28,10 @@
   int lt_sheet_parse (str_t text, const lt_sheet_options_t *options,
                       lt_findings_t *findings, lt_snapshot_t **snapshot);
 
+  /** Returns whether NAME can name a row: 1 to 128 bytes of UTF-8 without
+      control characters and "|", and not "*".  */
+  bool lt_name_is_valid (str_t name);
+
   /** Returns the keyed hash under which a caller's secret is stored.  */
   lt_digest_t lt_key_hash (str_t hash_secret, str_t secret);
 
--- a/packages/config/src/sheet.c
+++ b/packages/config/src/sheet.c
@@ -5,6 +5,7 @@
 
 #include "lt/base/error.h"
 #include "sheet_build.h"
+#include "sheet_value.h"
 
 enum
 {
@@ -17,6 +18,12 @@
   return lt_digest_make (hash_secret, secret);
 }
 
+bool
+lt_name_is_valid (str_t name)
+{
+  return lt_value_is_name (name);
+}
+
 static int
 by_row (const void *a, const void *b)
 {
