--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -242,6 +242,8 @@
       call->started = true;
       run_handler (call);
     }
+  /* The call is freed in a response only when its connection is gone.
+     NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
   if (call->response == NULL)
     {
       call->suspended = true;
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -268,6 +268,7 @@
    to be closed.  The second send is stopped here: whether a request may be
    sent again is the dispatcher's decision.  */
 static int
+/* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's signature. */
 on_before_send (void *cls, char *primary_ip, char *local_ip, int primary_port,
                 int local_port)
 {
@@ -465,6 +466,8 @@
   if (client == NULL)
     return;
   while (client->transfers != NULL)
+    /* transfer_free unlinks the head.
+       NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
     transfer_free (client->transfers);
   for (int i = 0; i < client->idle_count; i++)
     curl_easy_cleanup (client->idle[i]);
