--- a/packages/policy/include/lt/policy/claim.h
+++ b/packages/policy/include/lt/policy/claim.h
@@ -25,7 +25,9 @@
     /** The dispatcher gave up and no byte was permitted (no upstream, every
         connection attempt failed).  */
     LT_CLAIM_EVENT_NOT_SENT,
-    LT_CLAIM_EVENT_ANSWERED, /**< A complete response arrived. */
+    /** A complete response arrived; the dispatcher streams it to the caller by
+        itself.  */
+    LT_CLAIM_EVENT_ANSWERED,
     /** After the first byte: reset, timeout or truncated response.  */
     LT_CLAIM_EVENT_BROKEN,
     LT_CLAIM_EVENT_RELEASE_RESULT,
@@ -57,15 +59,16 @@
   {
     LT_CLAIM_ACTION_INSERT, /**< Put if absent, with the attempt's version. */
     LT_CLAIM_ACTION_READ,
-    LT_CLAIM_ACTION_SEND,    /**< Start dispatching; see FIRST_BYTE. */
-    LT_CLAIM_ACTION_PERMIT,  /**< Reply to FIRST_BYTE: send now. */
-    LT_CLAIM_ACTION_STOP,    /**< Stop dispatching; no byte was permitted. */
-    LT_CLAIM_ACTION_RELEASE, /**< Delete on the attempt's version. */
+    LT_CLAIM_ACTION_SEND,          /**< Start dispatching; see FIRST_BYTE. */
+    LT_CLAIM_ACTION_PERMIT,        /**< Reply to FIRST_BYTE: send now. */
+    LT_CLAIM_ACTION_STOP,          /**< End dispatching and open transfers. */
+    LT_CLAIM_ACTION_RELEASE,       /**< Delete on the attempt's version. */
     LT_CLAIM_ACTION_RECORD_ANSWER, /**< Put on the attempt's version, state
                                       ANSWERED. */
     LT_CLAIM_ACTION_RECORD_LOST,   /**< The same, state LOST. */
     LT_CLAIM_ACTION_REPLY,         /**< Answer the caller. */
-    LT_CLAIM_ACTION_FINISHED       /**< The attempt may be freed. */
+    /** The attempt may be freed once its open table call has completed.  */
+    LT_CLAIM_ACTION_FINISHED
   } lt_claim_action_kind_t;
 
 /** Replies: enumerator, name, HTTP status (0: chosen by the driver).  */
@@ -96,7 +99,9 @@
   typedef struct lt_claim_action
   {
     lt_claim_action_kind_t kind;
-    int64_t delay_us; /**< Of table calls: start them this much later. */
+    /** Of table calls: start them this much later, whatever else happens until
+        then; the machine accounts for them.  */
+    int64_t delay_us;
     /** Of REPLY.  RECORDED: the reply is in the record of the event, or 409
         with ran "ran" if its body was not kept.  DISPATCH: the dispatcher's
         own refusal or the upstream's response.  */
@@ -152,12 +157,15 @@
   {
     lt_claim_options_t options;
     lt_claim_state_t state;
-    bool insert_open;   /**< An earlier insert may still take effect. */
-    bool other_claimed; /**< Another attempt holds the key. */
+    bool insert_open;    /**< An insert has no result yet. */
+    int inserts_unknown; /**< Inserts that may still take effect. */
+    bool held;           /**< The record is known to exist. */
+    bool other_claimed;  /**< Another attempt is known to hold the key. */
     bool replied;
-    bool answered;      /**< RECORDING keeps a response. */
-    int64_t delay_us;   /**< Of the next table retry. */
-    int64_t give_up_us; /**< End of RELEASING and RECORDING. */
+    lt_claim_action_t waiting; /**< Reply that waits for the release. */
+    bool answered;             /**< What RECORDING keeps. */
+    int64_t delay_us;          /**< Of the next table retry. */
+    int64_t give_up_us;        /**< End of RELEASING and RECORDING. */
   } lt_claim_t;
 
   void lt_claim_init (lt_claim_t *claim, const lt_claim_options_t *options);
--- /dev/null
+++ b/packages/policy/test/claim_world.h
@@ -0,0 +1,284 @@
+// A small world for the claim machine: one table with conditional writes, an
+// upstream that counts runs, and VMs that crash, pause and lose answers.
+#ifndef LT_TEST_CLAIM_WORLD_H
+#define LT_TEST_CLAIM_WORLD_H
+
+#include <cstring>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lt/policy/claim.h"
+
+namespace claim_world
+{
+
+const int64_t MS = 1000;
+
+struct Item
+{
+  int64_t version;
+  std::string bytes;
+};
+
+struct Call
+{
+  int attempt;
+  lt_claim_action_kind_t kind;
+  int64_t due_us;
+  int64_t version;
+  std::string bytes;
+  bool applied = false;
+  bool reported = false;
+  lt_claim_outcome_t outcome = LT_CLAIM_UNKNOWN;
+  bool found = false;
+  Item item = {};
+};
+
+// Where a request is on its way to the upstream.
+enum class Sending
+{
+  NONE,
+  DISPATCHING, // No byte permitted.
+  LEFT,        // A byte may have left the VM.
+  RAN,         // The upstream ran it; the response is under way.
+  OVER
+};
+
+struct Attempt
+{
+  lt_claim_t claim;
+  std::string key;
+  int vm;
+  Sending sending = Sending::NONE;
+  int runs = 0;
+  std::string reply;
+  int replies = 0;
+  bool not_run = false;
+  bool finished = false;
+};
+
+class World
+{
+public:
+  int64_t now_us = 0;
+  std::map<std::string, Item> table;
+  std::vector<std::unique_ptr<Call> > calls;
+  std::vector<std::unique_ptr<Attempt> > attempts;
+  std::map<std::string, int> runs;
+  std::map<int, bool> dead; // Crashed VMs.
+  std::map<int, bool> paused;
+  std::string fault; // First violated rule.
+
+  int
+  start (int vm, const std::string &key, const std::string &body,
+         int64_t timeout_us)
+  {
+    auto a = std::make_unique<Attempt> ();
+    lt_claim_options_t options = LT_CLAIM_OPTIONS_DEFAULT;
+    std::string name = "vm" + std::to_string (vm);
+    lt_claim_attempt_make (str_from (name.c_str ()), 7, attempts.size (),
+                           &options.attempt);
+    options.fingerprint = lt_claim_fingerprint (
+        STR_LIT ("POST"), STR_LIT ("/order"), str_from (body.c_str ()));
+    options.deadline_us = now_us + timeout_us;
+    lt_claim_init (&a->claim, &options);
+    a->key = key;
+    a->vm = vm;
+    attempts.push_back (std::move (a));
+    int id = (int)attempts.size () - 1;
+    event (id, LT_CLAIM_EVENT_START);
+    return id;
+  }
+
+  // Reports an event; returns true when the first byte is permitted.
+  bool
+  event (int id, lt_claim_event_kind_t kind,
+         lt_claim_outcome_t outcome = LT_CLAIM_DONE,
+         const lt_claim_record_t *record = nullptr)
+  {
+    Attempt &a = *attempts[id];
+    if (dead[a.vm])
+      return false;
+    lt_claim_event_t e = { kind, outcome, record };
+    lt_claim_actions_t actions = lt_claim_step (&a.claim, &e, now_us, now_us);
+    bool permitted = false;
+    for (size_t i = 0; i < actions.count; i++)
+      permitted |= carry_out (id, actions.items[i]);
+    return permitted;
+  }
+
+  // Lets the table handle a call; the result is not reported yet.
+  void
+  apply (Call &c)
+  {
+    c.applied = true;
+    std::string key = attempts[c.attempt]->key;
+    auto at = table.find (key);
+    bool holds = at != table.end () && at->second.version == c.version;
+    c.outcome = LT_CLAIM_DONE;
+    if (c.kind == LT_CLAIM_ACTION_READ)
+      {
+        c.found = at != table.end ();
+        if (c.found)
+          c.item = at->second;
+      }
+    else if (c.kind == LT_CLAIM_ACTION_INSERT && at == table.end ())
+      table[key] = { c.version, c.bytes };
+    else if (c.kind == LT_CLAIM_ACTION_RELEASE && holds)
+      table.erase (at);
+    else if (c.kind != LT_CLAIM_ACTION_INSERT
+             && c.kind != LT_CLAIM_ACTION_RELEASE && holds)
+      table[key] = { c.version + 1, c.bytes };
+    else
+      c.outcome = LT_CLAIM_REFUSED;
+  }
+
+  void
+  report (Call &c, lt_claim_outcome_t outcome)
+  {
+    c.reported = true;
+    lt_claim_record_t record;
+    bool read = c.kind == LT_CLAIM_ACTION_READ && c.found
+                && outcome == LT_CLAIM_DONE;
+    if (read
+        && lt_claim_record_decode (
+               str_make (c.item.bytes.data (), c.item.bytes.size ()), &record)
+               != 0)
+      record.state = (lt_claim_record_state_t)0;
+    event (c.attempt, result_event (c.kind), outcome,
+           read ? &record : nullptr);
+  }
+
+  void
+  upstream_run (Attempt &a)
+  {
+    a.sending = Sending::RAN;
+    a.runs++;
+    if (++runs[a.key] > 1)
+      violate ("an action ran twice");
+    check (a);
+  }
+
+  int64_t
+  next_timer () const
+  {
+    int64_t next = INT64_MAX;
+    for (const auto &a : attempts)
+      if (!a->finished && !is (dead, a->vm) && !is (paused, a->vm))
+        next = std::min (next, lt_claim_next_us (&a->claim));
+    return next;
+  }
+
+  void
+  fire_timers ()
+  {
+    for (size_t i = 0; i < attempts.size (); i++)
+      if (!is (paused, attempts[i]->vm)
+          && lt_claim_next_us (&attempts[i]->claim) <= now_us)
+        event ((int)i, LT_CLAIM_EVENT_TIMER);
+  }
+
+  static bool
+  is (const std::map<int, bool> &set, int vm)
+  {
+    auto at = set.find (vm);
+    return at != set.end () && at->second;
+  }
+
+private:
+  void
+  violate (const std::string &rule)
+  {
+    if (fault.empty ())
+      fault = rule;
+  }
+
+  void
+  check (const Attempt &a)
+  {
+    if (a.not_run && a.runs > 0)
+      violate ("a request refused as not run ran");
+    if (a.replies > 1)
+      violate ("a caller was answered twice");
+  }
+
+  static lt_claim_event_kind_t
+  result_event (lt_claim_action_kind_t kind)
+  {
+    switch (kind)
+      {
+      case LT_CLAIM_ACTION_INSERT:
+        return LT_CLAIM_EVENT_INSERT_RESULT;
+      case LT_CLAIM_ACTION_READ:
+        return LT_CLAIM_EVENT_READ_RESULT;
+      case LT_CLAIM_ACTION_RELEASE:
+        return LT_CLAIM_EVENT_RELEASE_RESULT;
+      default:
+        return LT_CLAIM_EVENT_RECORD_RESULT;
+      }
+  }
+
+  void
+  call (int id, const lt_claim_action_t &action)
+  {
+    Attempt &a = *attempts[id];
+    auto c = std::make_unique<Call> ();
+    c->attempt = id;
+    c->kind = action.kind;
+    c->due_us = now_us + action.delay_us;
+    c->version = lt_claim_attempt_version (&a.claim.options.attempt);
+    lt_claim_record_t record = {};
+    record.state = action.kind == LT_CLAIM_ACTION_INSERT
+                       ? LT_CLAIM_RECORD_CLAIMED
+                   : action.kind == LT_CLAIM_ACTION_RECORD_ANSWER
+                       ? LT_CLAIM_RECORD_ANSWERED
+                       : LT_CLAIM_RECORD_LOST;
+    record.attempt = a.claim.options.attempt;
+    record.fingerprint = a.claim.options.fingerprint;
+    record.deadline_wall_us = a.claim.options.deadline_us;
+    record.status = 201;
+    lt_buf_t bytes = {};
+    lt_claim_record_encode (&record, &bytes);
+    c->bytes.assign (bytes.data, bytes.len);
+    lt_buf_destroy (&bytes);
+    calls.push_back (std::move (c));
+  }
+
+  bool
+  carry_out (int id, const lt_claim_action_t &action)
+  {
+    Attempt &a = *attempts[id];
+    switch (action.kind)
+      {
+      case LT_CLAIM_ACTION_SEND:
+        a.sending = Sending::DISPATCHING;
+        return false;
+      case LT_CLAIM_ACTION_PERMIT:
+        return true;
+      case LT_CLAIM_ACTION_STOP:
+        // The dispatcher may ask for the first byte before it notices.
+        return false;
+      case LT_CLAIM_ACTION_REPLY:
+        a.reply = std::string (lt_claim_reply_name (action.reply)) + " "
+                  + lt_claim_ran_name (action.ran);
+        a.replies++;
+        a.not_run = action.ran == LT_CLAIM_RAN_NOT;
+        if (action.reply == LT_CLAIM_REPLY_RECORDED && runs[a.key] == 0)
+          violate ("a recorded outcome of an action that did not run");
+        check (a);
+        return false;
+      case LT_CLAIM_ACTION_FINISHED:
+        a.finished = true;
+        return false;
+      default:
+        call (id, action);
+        return false;
+      }
+  }
+};
+
+} // namespace claim_world
+
+#endif
--- a/packages/standin/src/httpd.c
+++ b/packages/standin/src/httpd.c
@@ -104,7 +104,7 @@
       connection, MHD_CONNECTION_INFO_CONNECTION_FD);
   struct sockaddr none = { .sa_family = AF_UNSPEC };
   if (info != NULL)
-    connect (info->connect_fd, &none, sizeof (none));
+    (void)!connect (info->connect_fd, &none, sizeof (none));
   return MHD_NO;
 }
 
