--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -5,6 +5,7 @@
 
 #include "lt/base/str.h"
 #include "lt/config/snapshot.h"
+#include "lt/node/filter.h"
 #include "lt/node/refusal.h"
 
 #ifdef __cplusplus
@@ -72,6 +73,7 @@
     lt_buf_t body;
     int64_t body_limit_bytes;
     bool body_too_large;
+    bool head_invalid; /**< Framing headers contradict each other. */
     struct lt_snapshot_ref *config; /**< Snapshot used for this request. */
     const lt_snapshot_t *snapshot;
     const lt_route_t *route;
@@ -80,8 +82,10 @@
     int64_t started_us;
     int64_t deadline_us; /**< Monotonic. */
     lt_digest_t body_digest;
-    uint64_t fingerprint;
+    lt_digest_t
+        fingerprint; /**< For the quarantine; zero before it is known. */
     void *filter_state[LT_FILTER_MAX];
+    struct lt_dispatch *dispatch; /**< While attempts may be open. */
     int next_filter; /**< Next to run; filters below it were called. */
     bool in_answer;  /**< Answer hooks are running. */
     int answer_filter;
@@ -100,12 +104,17 @@
   /** Goes on after LT_FILTER_WAIT.  */
   void lt_request_resume (lt_request_t *request);
   /** Answers with a problem document; returns LT_FILTER_REFUSED.  */
-  int lt_request_refuse (lt_request_t *request, lt_refusal_t refusal);
+  lt_filter_result_t lt_request_refuse (lt_request_t *request,
+                                        lt_refusal_t refusal);
   /** As lt_request_refuse, with a Retry-After of its own.  */
-  int lt_request_refuse_after (lt_request_t *request, lt_refusal_t refusal,
-                               int64_t retry_after_ms);
+  lt_filter_result_t lt_request_refuse_after (lt_request_t *request,
+                                              lt_refusal_t refusal,
+                                              int64_t retry_after_ms);
+  /** The answer's last byte is at hand, or it failed: calls the done hooks and
+    wakes the caller's side.  */
+  void lt_request_finish (lt_request_t *request);
   /** Shows a complete answer that did not come from an upstream in this call;
-      the answer must be filled in.  */
+        the answer must be filled in.  */
   void lt_request_answer_ready (lt_request_t *request);
   /** Milliseconds until the deadline, at least 0.  */
   int64_t lt_request_remaining_ms (const lt_request_t *request,
