--- a/packages/policy/include/lt/policy/retry.h
+++ b/packages/policy/include/lt/policy/retry.h
@@ -57,6 +57,8 @@
     double budget_per_s;    /**< Least refill of a service, so that a rare
                                request can be retried. */
     int attempts_max;       /**< Of one request, without hedges. */
+    /** Must leave room in hedge_ratio: at 0.95 healthy requests use up a
+       budget of 5% and slow ones go without (bench_retry).  */
     double hedge_quantile;
     int64_t hedge_min_us;      /**< Least delay of a hedge. */
     int64_t hedge_min_samples; /**< No hedges before this many latencies. */
@@ -71,7 +73,7 @@
                          .budget_burst = 10,                                  \
                          .budget_per_s = 0.2,                                 \
                          .attempts_max = 3,                                   \
-                         .hedge_quantile = 0.95,                              \
+                         .hedge_quantile = 0.97,                              \
                          .hedge_min_us = 1000,                                \
                          .hedge_min_samples = 50,                             \
                          .backoff_us = 2000 })
@@ -107,7 +109,8 @@
   /** Counts a new request (not an attempt) into the budgets.  */
   void lt_retry_on_request (lt_retry_t *retry, uint64_t service,
                             uint64_t workspace, int64_t now_us);
-  /** Reports the time to the response header of a first attempt.  */
+  /** Reports the time to the response header of a first attempt; of one that
+      was cancelled, the time until then.  */
   void lt_retry_on_latency (lt_retry_t *retry, uint64_t service,
                             int64_t latency_us);
   /** Decides after a failed attempt; takes the tokens when it says retry.  */
--- /dev/null
+++ b/packages/policy/src/quarantine.c
@@ -0,0 +1,319 @@
+#include "lt/policy/quarantine.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+typedef enum entry_state
+{
+  ENTRY_SUSPECT,
+  ENTRY_QUARANTINED,
+  ENTRY_PROBATION /**< After a quarantine: one more loss starts the next. */
+} entry_state_t;
+
+typedef struct entry
+{
+  UT_hash_handle hh;
+  lt_digest_t fingerprint;
+  entry_state_t state;
+  uint32_t level;
+  int64_t ends_us; /**< Of the state. */
+  uint32_t loss_count;
+  uint64_t upstreams[LT_QUARANTINE_LOSSES_MAX];
+} entry_t;
+
+struct lt_quarantine
+{
+  lt_quarantine_options_t options;
+  entry_t *entries;
+};
+
+lt_quarantine_t *
+lt_quarantine_create (const lt_quarantine_options_t *options)
+{
+  lt_quarantine_t *quarantine = lt_alloc (sizeof (*quarantine));
+  quarantine->options = *options;
+  if (quarantine->options.losses_max > LT_QUARANTINE_LOSSES_MAX)
+    quarantine->options.losses_max = LT_QUARANTINE_LOSSES_MAX;
+  return quarantine;
+}
+
+static void
+entry_delete (lt_quarantine_t *quarantine, entry_t *entry)
+{
+  /* The analyzer does not see that uthash keeps hh.tbl set.  */
+  HASH_DELETE (hh, quarantine->entries, entry); /* NOLINT(clang-analyzer-*) */
+  free (entry);
+}
+
+void
+lt_quarantine_destroy (lt_quarantine_t *quarantine)
+{
+  if (quarantine == NULL)
+    return;
+  entry_t *entry;
+  entry_t *next;
+  HASH_ITER (hh, quarantine->entries, entry, next)
+  {
+    entry_delete (quarantine, entry);
+  }
+  free (quarantine);
+}
+
+lt_digest_t
+lt_quarantine_fingerprint (str_t workspace, str_t route, str_t method,
+                           str_t path, const lt_digest_t *body)
+{
+  const str_t parts[] = { workspace, route, method, path };
+  lt_buf_t bytes = { 0 };
+  for (size_t i = 0; i < sizeof (parts) / sizeof (parts[0]); i++)
+    {
+      lt_buf_printf (&bytes, "%zu:", parts[i].len);
+      lt_buf_append_str (&bytes, parts[i]);
+    }
+  lt_buf_append (&bytes, body->bytes, LT_DIGEST_BYTES);
+  lt_digest_t digest
+      = lt_digest_make (STR_LIT ("quarantine"), lt_buf_str (&bytes));
+  lt_buf_destroy (&bytes);
+  return digest;
+}
+
+static entry_t *
+entry_find (const lt_quarantine_t *quarantine, const lt_digest_t *fingerprint)
+{
+  entry_t *entry = NULL;
+  HASH_FIND (hh, quarantine->entries, fingerprint, sizeof (*fingerprint),
+             entry);
+  return entry;
+}
+
+/** Moves an entry on whose time is over.  Returns false when it was dropped.
+ */
+static bool
+entry_expire (lt_quarantine_t *quarantine, entry_t *entry, int64_t now_us)
+{
+  if (entry->state == ENTRY_QUARANTINED && now_us >= entry->ends_us)
+    {
+      entry->state = ENTRY_PROBATION;
+      entry->ends_us += quarantine->options.memory_us;
+      entry->loss_count = 0;
+    }
+  if (entry->state == ENTRY_QUARANTINED || now_us < entry->ends_us)
+    return true;
+  entry_delete (quarantine, entry);
+  return false;
+}
+
+static entry_t *
+entry_live (lt_quarantine_t *quarantine, const lt_digest_t *fingerprint,
+            int64_t now_us)
+{
+  entry_t *entry = entry_find (quarantine, fingerprint);
+  if (entry == NULL || !entry_expire (quarantine, entry, now_us))
+    return NULL;
+  return entry;
+}
+
+/** Drops the oldest entry that is not a quarantine, or the oldest.  */
+static void
+make_room (lt_quarantine_t *quarantine)
+{
+  if (HASH_COUNT (quarantine->entries) < quarantine->options.entries_max)
+    return;
+  entry_t *victim = quarantine->entries;
+  entry_t *entry;
+  entry_t *next;
+  HASH_ITER (hh, quarantine->entries, entry, next)
+  {
+    if (entry->state == ENTRY_QUARANTINED)
+      continue;
+    victim = entry;
+    break;
+  }
+  entry_delete (quarantine, victim);
+}
+
+static entry_t *
+entry_get (lt_quarantine_t *quarantine, const lt_digest_t *fingerprint,
+           int64_t now_us)
+{
+  entry_t *entry = entry_live (quarantine, fingerprint, now_us);
+  if (entry != NULL)
+    return entry;
+  make_room (quarantine);
+  entry = lt_alloc (sizeof (*entry));
+  entry->fingerprint = *fingerprint;
+  entry->ends_us = now_us + quarantine->options.suspect_us;
+  HASH_ADD (hh, quarantine->entries, fingerprint, sizeof (entry->fingerprint),
+            entry);
+  return entry;
+}
+
+lt_quarantine_check_t
+lt_quarantine_check (lt_quarantine_t *quarantine,
+                     const lt_digest_t *fingerprint, int64_t now_us)
+{
+  entry_t *entry = entry_live (quarantine, fingerprint, now_us);
+  if (entry == NULL)
+    return (lt_quarantine_check_t){ .verdict = LT_QUARANTINE_CLEAN };
+  if (entry->state != ENTRY_QUARANTINED)
+    return (lt_quarantine_check_t){ .verdict = LT_QUARANTINE_SUSPECT };
+  return (lt_quarantine_check_t){ .verdict = LT_QUARANTINE_REFUSED,
+                                  .retry_after_us = entry->ends_us - now_us };
+}
+
+static void
+entry_notice (const entry_t *entry, int64_t now_us,
+              lt_quarantine_notice_t *notice)
+{
+  *notice = (lt_quarantine_notice_t){ .fingerprint = entry->fingerprint,
+                                      .level = entry->level,
+                                      .remaining_us = entry->ends_us - now_us,
+                                      .loss_count = entry->loss_count };
+  for (uint32_t i = 0; i < entry->loss_count; i++)
+    notice->upstreams[i] = entry->upstreams[i];
+}
+
+/** Returns false when the loss of UPSTREAM was known.  */
+static bool
+entry_add_loss (entry_t *entry, uint64_t upstream)
+{
+  for (uint32_t i = 0; i < entry->loss_count; i++)
+    if (entry->upstreams[i] == upstream)
+      return false;
+  if (entry->loss_count == LT_QUARANTINE_LOSSES_MAX)
+    return false;
+  entry->upstreams[entry->loss_count++] = upstream;
+  return true;
+}
+
+static int64_t
+level_length_us (const lt_quarantine_options_t *options, uint32_t level)
+{
+  int64_t length_us = options->first_us;
+  for (uint32_t i = 1; i < level && length_us < options->longest_us; i++)
+    length_us *= 2;
+  return length_us < options->longest_us ? length_us : options->longest_us;
+}
+
+/** Quarantines an entry that has lost enough.  Returns whether it did.  */
+static bool
+entry_judge (const lt_quarantine_t *quarantine, entry_t *entry, int64_t now_us)
+{
+  uint32_t allowed = entry->state == ENTRY_PROBATION
+                         ? 1
+                         : (uint32_t)quarantine->options.losses_max;
+  if (entry->state == ENTRY_QUARANTINED || entry->loss_count < allowed)
+    return false;
+  entry->state = ENTRY_QUARANTINED;
+  entry->level++;
+  entry->ends_us
+      = now_us + level_length_us (&quarantine->options, entry->level);
+  return true;
+}
+
+bool
+lt_quarantine_on_loss (lt_quarantine_t *quarantine,
+                       const lt_digest_t *fingerprint, uint64_t upstream,
+                       int64_t now_us, lt_quarantine_notice_t *notice)
+{
+  entry_t *entry = entry_get (quarantine, fingerprint, now_us);
+  if (!entry_add_loss (entry, upstream))
+    return false;
+  if (entry->state == ENTRY_SUSPECT)
+    entry->ends_us = now_us + quarantine->options.suspect_us;
+  entry_judge (quarantine, entry, now_us);
+  entry_notice (entry, now_us, notice);
+  return true;
+}
+
+bool
+lt_quarantine_on_response (lt_quarantine_t *quarantine,
+                           const lt_digest_t *fingerprint, int64_t now_us,
+                           lt_quarantine_notice_t *notice)
+{
+  entry_t *entry = entry_live (quarantine, fingerprint, now_us);
+  if (entry == NULL || entry->state == ENTRY_QUARANTINED)
+    return false;
+  entry_notice (entry, now_us, notice);
+  notice->cleared = true;
+  entry_delete (quarantine, entry);
+  return true;
+}
+
+/** Takes over a quarantine that another VM knows of.  */
+static void
+merge_quarantine (const lt_quarantine_t *quarantine, entry_t *entry,
+                  const lt_quarantine_notice_t *received, int64_t now_us)
+{
+  int64_t longest_us = quarantine->options.longest_us;
+  int64_t remaining_us = received->remaining_us < longest_us
+                             ? received->remaining_us
+                             : longest_us;
+  if (received->level < entry->level)
+    return;
+  int64_t ends_us = now_us + remaining_us;
+  bool later = entry->state != ENTRY_QUARANTINED || ends_us > entry->ends_us;
+  entry->level = received->level;
+  entry->state = ENTRY_QUARANTINED;
+  if (later)
+    entry->ends_us = ends_us;
+}
+
+bool
+lt_quarantine_on_notice (lt_quarantine_t *quarantine,
+                         const lt_quarantine_notice_t *received,
+                         int64_t now_us, lt_quarantine_notice_t *notice)
+{
+  uint32_t losses = received->loss_count < LT_QUARANTINE_LOSSES_MAX
+                        ? received->loss_count
+                        : LT_QUARANTINE_LOSSES_MAX;
+  if (received->remaining_us <= 0)
+    return false;
+  entry_t *entry = entry_live (quarantine, &received->fingerprint, now_us);
+  if (received->cleared)
+    {
+      if (entry != NULL && entry->state != ENTRY_QUARANTINED)
+        entry_delete (quarantine, entry);
+      return false;
+    }
+  if (entry == NULL)
+    entry = entry_get (quarantine, &received->fingerprint, now_us);
+  for (uint32_t i = 0; i < losses; i++)
+    entry_add_loss (entry, received->upstreams[i]);
+  if (received->level > 0)
+    {
+      merge_quarantine (quarantine, entry, received, now_us);
+      return false;
+    }
+  if (!entry_judge (quarantine, entry, now_us))
+    return false;
+  entry_notice (entry, now_us, notice);
+  return true;
+}
+
+void
+lt_quarantine_tick (lt_quarantine_t *quarantine, int64_t now_us)
+{
+  entry_t *entry;
+  entry_t *next;
+  HASH_ITER (hh, quarantine->entries, entry, next)
+  {
+    entry_expire (quarantine, entry, now_us);
+  }
+}
+
+size_t
+lt_quarantine_active (const lt_quarantine_t *quarantine, int64_t now_us)
+{
+  size_t count = 0;
+  const entry_t *entry;
+  for (entry = quarantine->entries; entry != NULL; entry = entry->hh.next)
+    count += entry->state == ENTRY_QUARANTINED && now_us < entry->ends_us;
+  return count;
+}
+
+size_t
+lt_quarantine_entries (const lt_quarantine_t *quarantine)
+{
+  return HASH_COUNT (quarantine->entries);
+}
