--- /dev/null
+++ b/packages/node/src/filter_record.c
@@ -0,0 +1,111 @@
+#include "filter_record.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lt/node/node.h"
+
+enum
+{
+  /* About 1.2 MB, one of 32 MB that the VM may use.  */
+  RECORDS_MAX = 4096
+};
+
+typedef struct record_filter
+{
+  lt_filter_t base;
+  uint64_t count; /* Records ever made; the ring holds the last ones. */
+  lt_request_record_t records[RECORDS_MAX];
+} record_filter_t;
+
+static lt_filter_result_t
+filter_request (lt_filter_t *filter, lt_request_t *request)
+{
+  (void)filter;
+  (void)request;
+  return LT_FILTER_CONTINUE;
+}
+
+/* Cuts at the end of a character, so that the text stays valid.  */
+static void
+copy_text (char *out, size_t size, str_t text)
+{
+  if (text.len > size - 1)
+    text.len = size - 1;
+  while (text.len > 0 && !str_is_utf8 (text))
+    text.len--;
+  if (text.len > 0)
+    memcpy (out, text.data, text.len);
+  out[text.len] = '\0';
+}
+
+static void
+filter_done (lt_filter_t *base, lt_request_t *request)
+{
+  record_filter_t *filter = (record_filter_t *)base;
+  lt_node_t *node = base->node;
+  const lt_snapshot_t *s = request->snapshot;
+  lt_request_record_t *r = &filter->records[filter->count++ % RECORDS_MAX];
+  *r = (lt_request_record_t){
+    .status = request->answer.status,
+    .failed = request->answer.failed,
+    .config_version = s == NULL ? 0 : s->version,
+    .ended_wall_us = lt_clock_wall_us (node->clock),
+    .duration_us = lt_node_now_us (node) - request->started_us,
+  };
+  if (request->refused)
+    r->reason = lt_refusal_get (request->refusal)->reason;
+  copy_text (r->request_id, sizeof (r->request_id),
+             str_from (request->request_id));
+  copy_text (r->method, sizeof (r->method), str_from (request->method));
+  if (request->route != NULL)
+    copy_text (r->route, sizeof (r->route), request->route->name);
+  if (s != NULL && request->workspace != LT_NO_INDEX)
+    copy_text (r->workspace, sizeof (r->workspace),
+               s->workspaces[request->workspace].name);
+  copy_text (r->ran, sizeof (r->ran),
+             lt_header_list_get (&request->answer.headers,
+                                 STR_LIT ("X-Request-Ran")));
+}
+
+static void
+filter_destroy (lt_filter_t *filter)
+{
+  free (filter);
+}
+
+static const lt_filter_vtable_t vtable = { .name = "record",
+                                           .request = filter_request,
+                                           .done = filter_done,
+                                           .destroy = filter_destroy };
+
+lt_filter_t *
+lt_filter_record_create (void)
+{
+  record_filter_t *filter = lt_alloc (sizeof (*filter));
+  filter->base.vtable = &vtable;
+  return &filter->base;
+}
+
+const lt_request_record_t *
+lt_filter_record_find (const lt_node_t *node, str_t request_id)
+{
+  for (int i = 0; i < node->filter_count; i++)
+    {
+      if (node->filters[i]->vtable != &vtable)
+        continue;
+      const record_filter_t *filter
+          = (const record_filter_t *)node->filters[i];
+      uint64_t oldest
+          = filter->count > RECORDS_MAX ? filter->count - RECORDS_MAX : 0;
+      for (uint64_t n = filter->count; n > oldest; n--)
+        {
+          const lt_request_record_t *r
+              = &filter->records[(n - 1) % RECORDS_MAX];
+          if (str_equal (str_from (r->request_id), request_id))
+            return r;
+        }
+    }
+  return NULL;
+}
