--- a/packages/ctl/src/change.c
+++ b/packages/ctl/src/change.c
@@ -58,7 +58,7 @@
   free (target);
   if (err != 0)
     return LT_CTL_UNAVAILABLE;
-  if (answer.status == 200 && answer.body != NULL)
+  if (answer.status == 200)
     {
       *diff = answer.body;
       return LT_CTL_DONE;
--- a/packages/ctl/src/client.c
+++ b/packages/ctl/src/client.c
@@ -114,6 +114,14 @@
   answer->status = (int)status;
   if (err == 0 && text.len > 0)
     answer->body = json_loadb (text.data, text.len, 0, NULL);
+  if (err == 0 && answer->body == NULL)
+    {
+      fprintf (ctl->err,
+               "lavenderctl: %s: status %ld with a body that is no "
+               "JSON\n",
+               ctl->admin, status);
+      err = -LT_EUNKNOWN;
+    }
   curl_slist_free_all (headers);
   curl_easy_cleanup (curl);
   lt_buf_destroy (&url);
@@ -140,14 +148,27 @@
   return target.data;
 }
 
+static int
+report_conflict (lt_ctl_t *ctl, const json_t *body)
+{
+  fprintf (ctl->err,
+           "lavenderctl: conflict: version %lld by %s came between and "
+           "nothing changed; look at the state and try again\n",
+           (long long)lt_ctl_number (body, "version"),
+           lt_ctl_text (body, "author"));
+  return LT_CTL_CONFLICT;
+}
+
 int
 lt_ctl_explain_refusal (lt_ctl_t *ctl, const lt_ctl_answer_t *answer,
                         const char *source)
 {
   const char *reason = lt_ctl_text (answer->body, "reason");
   const char *detail = lt_ctl_text (answer->body, "detail");
+  if (!ctl->json && strcmp (reason, "conflict") == 0)
+    return report_conflict (ctl, answer->body);
   json_t *findings = json_object_get (answer->body, "findings");
-  if (ctl->json && answer->body != NULL)
+  if (ctl->json)
     lt_ctl_print_json (ctl, answer->body);
   else if (json_is_array (findings))
     lt_ctl_print_findings (ctl, findings, source);
@@ -170,7 +191,7 @@
   int err = lt_ctl_request (ctl, "GET", target, str_make (NULL, 0), &answer);
   if (err != 0)
     return LT_CTL_UNAVAILABLE;
-  if (answer.status == 200 && answer.body != NULL)
+  if (answer.status == 200)
     {
       *body = answer.body;
       return LT_CTL_DONE;
--- a/packages/ctl/src/client.h
+++ b/packages/ctl/src/client.h
@@ -9,14 +9,14 @@
 
 typedef struct lt_ctl_answer
 {
-  int status;   /**< HTTP status. */
-  json_t *body; /**< NULL when it is no JSON object or array. */
+  int status; /**< HTTP status. */
+  json_t *body;
 } lt_ctl_answer_t;
 
 /** Sends one request.  TARGET is the path with query, already escaped.
     Returns 0; -LT_EUNAVAILABLE when nothing was sent; -LT_EUNKNOWN when the
-    request may have been received and its answer is lost.  Faults are printed
-    to ctl->err.  */
+    request may have been received and its answer is lost or no JSON.  Faults
+    are printed to ctl->err.  */
 int lt_ctl_request (lt_ctl_t *ctl, const char *method, const char *target,
                     str_t body, lt_ctl_answer_t *answer);
 void lt_ctl_answer_clear (lt_ctl_answer_t *answer);
--- a/packages/ctl/src/command_apply.c
+++ b/packages/ctl/src/command_apply.c
@@ -76,20 +76,6 @@
   return LT_CTL_UNKNOWN;
 }
 
-static int
-report_conflict (lt_ctl_t *ctl, const json_t *body)
-{
-  if (ctl->json)
-    lt_ctl_print_json (ctl, body);
-  else
-    fprintf (ctl->err,
-             "conflict: version %lld by %s came between; run \"lavenderctl "
-             "diff\" and apply again\n",
-             (long long)lt_ctl_number (body, "version"),
-             lt_ctl_text (body, "author"));
-  return LT_CTL_CONFLICT;
-}
-
 static int
 send_sheet (apply_t *apply)
 {
@@ -109,10 +95,8 @@
     return LT_CTL_UNAVAILABLE;
   const char *reason = lt_ctl_text (answer.body, "reason");
   int status;
-  if (answer.status == 200 && answer.body != NULL)
+  if (answer.status == 200)
     status = lt_ctl_finish_change (apply->ctl, answer.body, apply->a.no_wait);
-  else if (strcmp (reason, "conflict") == 0)
-    status = report_conflict (apply->ctl, answer.body);
   else if (strcmp (reason, "outcome-unknown") == 0)
     status = query_outcome (apply);
   else
--- a/packages/ctl/src/command_key.c
+++ b/packages/ctl/src/command_key.c
@@ -94,7 +94,7 @@
   if (err != 0)
     return LT_CTL_UNAVAILABLE;
   bool done = answer->status == 200 || answer->status == 201;
-  if (!done || answer->body == NULL)
+  if (!done)
     {
       bool unknown
           = strcmp (lt_ctl_text (answer->body, "reason"), "outcome-unknown")
--- a/packages/node/src/admin_api.c
+++ b/packages/node/src/admin_api.c
@@ -13,6 +13,7 @@
   { "GET", "/v1/routes", true, lt_admin_handle_routes },
   { "GET", "/v1/routes/", true, lt_admin_handle_route },
   { "GET", "/v1/status", true, lt_admin_handle_status },
+  { "GET", "/v1/upstreams/", true, lt_admin_handle_upstream },
   { "POST", "/v1/upstreams/", true, lt_admin_handle_upstream_edit },
   { "GET", "/v1/workspaces", true, lt_admin_handle_workspaces },
   { "GET", "/v1/workspaces/", true, lt_admin_handle_workspace },
--- a/packages/node/src/admin_upstreams.c
+++ b/packages/node/src/admin_upstreams.c
@@ -1,4 +1,4 @@
-/* Drain and return of upstreams.  */
+/* State, drain and return of upstreams.  */
 #include <string.h>
 
 #include "admin_common.h"
@@ -15,6 +15,31 @@
   return str_make (slash + 1, suffix.len - name->len - 1);
 }
 
+void
+lt_admin_handle_upstream (lt_admin_request_t *request)
+{
+  const lt_snapshot_t *s = lt_admin_snapshot (request);
+  if (s == NULL)
+    return;
+  uint32_t index = lt_snapshot_find_upstream (s, request->suffix);
+  if (index == LT_NO_INDEX)
+    {
+      lt_admin_respond_problem (request, 404, "not-found",
+                                "no upstream has this name");
+      return;
+    }
+  const lt_upstream_t *u = &s->upstreams[index];
+  lt_admin_respond_json (
+      request, 200,
+      json_pack ("{s:I, s:o, s:o, s:o, s:o, s:o, s:i, s:i, s:b}", "version",
+                 (json_int_t)s->version, "name", lt_admin_str (u->name),
+                 "address", lt_admin_str (u->address), "service",
+                 lt_admin_str (s->services[u->service].name), "region",
+                 lt_admin_str (u->region), "failure_domain",
+                 lt_admin_str (u->failure_domain), "slots", u->slots,
+                 "connections", u->connections, "drained", u->drained));
+}
+
 void
 lt_admin_handle_upstream_edit (lt_admin_request_t *request)
 {
--- a/packages/node/test/test_admin_api.cc
+++ b/packages/node/test/test_admin_api.cc
@@ -302,6 +302,10 @@
     { "drain permitted", "POST",
       "/v1/upstreams/quotes-1/drain?allow_below_floor=1", "",
       LT_APPLY_ACCEPTED, 0 },
+    { "one upstream", "GET", "/v1/upstreams/quotes-1", "", LT_APPLY_ACCEPTED,
+      0 },
+    { "upstream without row", "GET", "/v1/upstreams/ghost", "",
+      LT_APPLY_ACCEPTED, 0 },
     { "return", "POST", "/v1/upstreams/quotes-1/return", "", LT_APPLY_ACCEPTED,
       0 },
     { "unknown action", "POST", "/v1/upstreams/quotes-1/eject", "",
@@ -353,6 +357,7 @@
                                { "GET", "/v1/routes/x" },
                                { "GET", "/v1/status" },
                                { "POST", "/v1/upstreams/x/drain" },
+                               { "GET", "/v1/upstreams/x" },
                                { "GET", "/v1/workspaces" },
                                { "GET", "/v1/workspaces/x" } };
   for (const auto &t : targets)
