--- a/packages/platform/test/test_contract.cc
+++ b/packages/platform/test/test_contract.cc
@@ -334,15 +334,15 @@
 {
   auto b = make ();
   std::string large (300 * 1024 + 1, 'x');
-  std::vector<std::vector<Op> > lists = { {},
-                                          { get ("a"), put ("b", 0, "") },
-                                          { get ("a"), get ("a") },
-                                          { get ("") },
-                                          { put ("\xff", 0, "") },
-                                          { put ("a", -1, "") },
-                                          { put ("a", -2, "") },
-                                          { put ("a", 0, large) },
-                                          std::vector<Op> (101, get ("a")) };
+  std::vector<std::vector<Op>> lists = { {},
+                                         { get ("a"), put ("b", 0, "") },
+                                         { get ("a"), get ("a") },
+                                         { get ("") },
+                                         { put ("\xff", 0, "") },
+                                         { put ("a", -1, "") },
+                                         { put ("a", -2, "") },
+                                         { put ("a", 0, large) },
+                                         std::vector<Op> (101, get ("a")) };
   for (size_t i = 0; i < lists.size (); i++)
     {
       std::vector<lt_table_op_t> raw;
--- a/packages/policy/test/claim_world.h
+++ b/packages/policy/test/claim_world.h
@@ -64,8 +64,8 @@
 public:
   int64_t now_us = 0;
   std::map<std::string, Item> table;
-  std::vector<std::unique_ptr<Call> > calls;
-  std::vector<std::unique_ptr<Attempt> > attempts;
+  std::vector<std::unique_ptr<Call>> calls;
+  std::vector<std::unique_ptr<Attempt>> attempts;
   std::map<std::string, int> runs;
   std::map<int, bool> dead; // Crashed VMs.
   std::map<int, bool> paused;
--- a/packages/policy/test/test_claim.cc
+++ b/packages/policy/test/test_claim.cc
@@ -349,7 +349,7 @@
   World world;
   const Point &point;
   size_t next = 0;
-  std::vector<std::pair<Call *, Fate> > late;
+  std::vector<std::pair<Call *, Fate>> late;
 };
 
 TEST (Claim, CrashAndLostAnswerPoints)
