--- a/packages/policy/src/limit_holder.c
+++ b/packages/policy/src/limit_holder.c
@@ -134,7 +134,7 @@
 {
   holder->removed
       = lt_realloc (holder->removed,
-                    (holder->removed_count + 1) * sizeof (*holder->removed));
+                    (holder->removed_count + 1) * sizeof (lt_limit_share_t *));
   holder->removed[holder->removed_count++] = share;
   share->removed = true;
 }
