Do not pass NULL to fwrite for an empty list of findings

Change: nothing is written for an empty text. Conclusion: the fault is found by the existing golden contract.

--- a/packages/ctl/src/output.c
+++ b/packages/ctl/src/output.c
@@ -118,7 +118,8 @@
   }
   lt_buf_t text = { 0 };
   lt_findings_print (&list, &text);
-  fwrite (text.data, 1, text.len, ctl->out);
+  if (text.len > 0)
+    fwrite (text.data, 1, text.len, ctl->out);
   lt_buf_destroy (&text);
   lt_findings_destroy (&list);
 }
