Name VMs that are behind and record requests in the daemon

Cause: "not yet in force everywhere" left open where, silent VMs were counted as having the version, and explain had no records to read. Conclusion: the message is enough to find the VM at fault.

--- a/packages/ctl/src/change.c
+++ b/packages/ctl/src/change.c
@@ -10,7 +10,8 @@
 
 enum
 {
-  POLL_NS = 250 * 1000 * 1000
+  POLL_NS = 250 * 1000 * 1000,
+  VMS_NAMED = 20
 };
 
 void
@@ -68,42 +69,76 @@
   return status;
 }
 
+/* Appends the names of VMs that are heard of and do not have VERSION yet.
+   Returns their count.  */
+static size_t
+vms_behind (const json_t *status, int64_t version, lt_buf_t *names)
+{
+  size_t i;
+  size_t behind = 0;
+  json_t *vm;
+  json_array_foreach (json_object_get (status, "vms"), i, vm)
+  {
+    if (json_is_true (json_object_get (vm, "silent"))
+        || lt_ctl_number (vm, "version") >= version)
+      continue;
+    if (behind < VMS_NAMED)
+      lt_buf_printf (names, " %s", lt_ctl_text (vm, "vm_id"));
+    behind++;
+  }
+  return behind;
+}
+
+static size_t
+vms_silent (const json_t *status)
+{
+  size_t i;
+  size_t silent = 0;
+  json_t *vm;
+  json_array_foreach (json_object_get (status, "vms"), i, vm)
+  {
+    silent += json_is_true (json_object_get (vm, "silent"));
+  }
+  return silent;
+}
+
 int
 lt_ctl_wait_in_force (lt_ctl_t *ctl, int64_t version)
 {
   const struct timespec pause = { 0, POLL_NS };
   lt_clock_t *clock = lt_clock_system ();
   int64_t end_us = lt_clock_now_us (clock) + ctl->timeout_s * LT_US_PER_S;
-  int64_t behind = -1;
+  lt_buf_t names = { 0 };
+  size_t behind = 0;
   do
     {
       json_t *status = NULL;
+      lt_buf_clear (&names);
       if (lt_ctl_get (ctl, "/v1/status", &status) != LT_CTL_DONE)
         break;
-      json_t *vms = json_object_get (status, "vms");
-      size_t i;
-      json_t *vm;
-      behind = 0;
-      json_array_foreach (vms, i, vm)
-      {
-        bool silent = json_is_true (json_object_get (vm, "silent"));
-        behind += !silent && lt_ctl_number (vm, "version") < version;
-      }
-      size_t count = json_array_size (vms);
-      json_decref (status);
+      behind = vms_behind (status, version, &names);
+      size_t count = json_array_size (json_object_get (status, "vms"));
       if (behind == 0 && count > 0)
         {
-          fprintf (ctl->err, "version %lld is in force on %zu VMs\n",
-                   (long long)version, count);
+          size_t silent = vms_silent (status);
+          fprintf (ctl->err, "version %lld is in force on %zu VMs",
+                   (long long)version, count - silent);
+          if (silent > 0)
+            fprintf (ctl->err, "; %zu VMs are silent", silent);
+          fputc ('\n', ctl->err);
+          json_decref (status);
+          lt_buf_destroy (&names);
           return LT_CTL_DONE;
         }
+      json_decref (status);
       nanosleep (&pause, NULL);
     }
   while (lt_clock_now_us (clock) < end_us);
   fprintf (ctl->err,
-           "version %lld is accepted but not yet in force everywhere "
-           "(%lld VMs behind); see \"lavenderctl status\"\n",
-           (long long)version, (long long)behind);
+           "version %lld is accepted but not yet in force everywhere; see "
+           "\"lavenderctl status\"; %zu VMs behind:%.*s\n",
+           (long long)version, behind, STR_ARG (names));
+  lt_buf_destroy (&names);
   return LT_CTL_NOT_IN_FORCE;
 }
 
--- a/packages/ctl/src/command_status.c
+++ b/packages/ctl/src/command_status.c
@@ -1,4 +1,5 @@
 #include <jansson.h>
+#include <stdlib.h>
 
 #include "client.h"
 #include "commands.h"
@@ -27,6 +28,14 @@
            (long long)lt_ctl_number (status, "known_version"));
   lt_ctl_print_table (ctl, json_object_get (status, "vms"), columns,
                       sizeof (columns) / sizeof (columns[0]));
+  const char *name;
+  json_t *state;
+  json_object_foreach (json_object_get (status, "controllers"), name, state)
+  {
+    char *text = json_dumps (state, JSON_COMPACT | JSON_ENCODE_ANY);
+    fprintf (ctl->out, "%s: %s\n", name, text == NULL ? "" : text);
+    free (text);
+  }
 }
 
 int
--- a/packages/ctl/test/test_ctl.cc
+++ b/packages/ctl/test/test_ctl.cc
@@ -208,7 +208,8 @@
       R"("2026-12-04T10:00:00Z","deployment":"small","day":"2026-12-04",)"
       R"("vms":[{"vm_id":"vm-1","version":5,"confirm_age_ms":300,)"
       R"("heard_age_ms":0,"silent":false},{"vm_id":"vm-2","version":1,)"
-      R"("confirm_age_ms":null,"heard_age_ms":11000,"silent":true}]})";
+      R"("confirm_age_ms":null,"heard_age_ms":11000,"silent":true}],)"
+      R"("controllers":{"freshness":{"store":"up"}}})";
 static const char BEHIND[]
     = R"({"version":5,"vms":[{"vm_id":"vm-1","version":5,"silent":false},)"
       R"({"vm_id":"vm-2","version":4,"silent":false}]})";
--- a/packages/node/src/admin_requests.c
+++ b/packages/node/src/admin_requests.c
@@ -14,13 +14,13 @@
                                 "keeps the last 4096");
       return;
     }
-  json_t *body = json_pack (
-      "{s:s, s:s, s:s, s:s, s:i, s:b, s:I, s:o, s:f}", "request_id",
-      r->request_id, "method", r->method, "route", r->route, "workspace",
-      r->workspace, "status", r->status, "cut_short", r->failed,
-      "config_version", (json_int_t)r->config_version, "ended",
-      lt_admin_time (r->ended_wall_us), "duration_ms",
-      (double)r->duration_us / LT_US_PER_MS);
+  json_t *body = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:b, s:I, s:o, s:I}",
+                            "request_id", r->request_id, "method", r->method,
+                            "route", r->route, "workspace", r->workspace,
+                            "status", r->status, "cut_short", r->failed,
+                            "config_version", (json_int_t)r->config_version,
+                            "ended", lt_admin_time (r->ended_wall_us),
+                            "duration_us", (json_int_t)r->duration_us);
   if (r->reason != NULL)
     {
       json_object_set_new (body, "refused", json_string (r->reason));
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -7,6 +7,7 @@
 
 #include "bus.h"
 #include "caller_server.h"
+#include "filter_record.h"
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
@@ -109,6 +110,7 @@
 add_filters (lt_node_t *node)
 {
   lt_node_add_filter (node, lt_filter_request_id_create ());
+  lt_node_add_filter (node, lt_filter_record_create ());
   lt_node_add_filter (node, lt_filter_route_create ());
   lt_node_add_filter (node, lt_filter_size_create ());
   lt_node_add_filter (node, lt_filter_authenticate_create ());
--- a/packages/node/test/test_admin_api.cc
+++ b/packages/node/test/test_admin_api.cc
@@ -418,7 +418,7 @@
   EXPECT_EQ ("200 {\"request_id\":\"r-1\",\"method\":\"POST\",\"route\":"
              "\"orders\",\"workspace\":\"demo\",\"status\":429,\"cut_short\":"
              "false,\"config_version\":1,\"ended\":\"2026-12-04T10:00:00Z\","
-             "\"duration_ms\":2.5,\"refused\":\"rate-limited\",\"ran\":"
+             "\"duration_us\":2500,\"refused\":\"rate-limited\",\"ran\":"
              "\"not-run\"}",
              call ("GET", "/v1/requests/r-1"));
 }
