--- a/packages/config/test/test_sheet.cc
+++ b/packages/config/test/test_sheet.cc
@@ -16,6 +16,7 @@
 
 extern "C"
 {
+#include "sheet_rows.h"
 #include "sheet_value.h"
 }
 
@@ -231,3 +232,18 @@
   unsetenv ("TZ");
   tzset ();
 }
+
+// Guards against a column that docs/reference.md does not explain.
+TEST (Sheet, ReferenceListsEveryColumn)
+{
+  std::string text = read_file (LT_SOURCE_DIR "/docs/reference.md");
+  for (int i = 0; i < LT_COLUMN_COUNT; i++)
+    {
+      std::string name = lt_column_name ((lt_column_t)i);
+      bool cell = text.find ("| " + name + " |") != std::string::npos
+                  || text.find ("| " + name + ", ") != std::string::npos
+                  || text.find (", " + name + " |") != std::string::npos
+                  || text.find ("`" + name + "`") != std::string::npos;
+      EXPECT_TRUE (cell) << name;
+    }
+}
