Notice restarts of upstreams in the local health module

Cause: an upstream that was killed and restarted answers cold without an ejection or a drain. Change: answers after three refused connections in a row start the cold time; refused connections keep counting as failures. Conclusion: HealthLocal.RestartIsNoticed passes.

--- a/packages/policy/src/health_local.c
+++ b/packages/policy/src/health_local.c
@@ -12,6 +12,7 @@
    answer and its latency are no evidence, later failures are, so that an
    upstream that goes on failing is found again at once.  */
 #define COLD_ANSWERS 1
+#define RESTART_REFUSALS 3
 /* lt_health_update runs from the controllers' tick, every 100 ms.  */
 #define UPDATES_PER_S 10.0
 #define PROBE_INTERVAL_US 1000000LL
@@ -22,6 +23,7 @@
 {
   lt_health_state_t state;
   int64_t cold_until_us;
+  uint32_t refused;      /**< Connections refused in a row. */
   uint32_t cold_answers; /**< That are left out; UINT32_MAX: by time. */
   lt_health_test_t tests[LT_HEALTH_STREAMS];
   bool avoided;
@@ -101,6 +103,24 @@
     counts->latency[bucket]++;
 }
 
+/* An answer after several refused connections is of a new process.  */
+static void
+notice_restart (const lt_health_local_t *local, item_t *item,
+                lt_health_outcome_t outcome, int64_t now_us)
+{
+  if (outcome == LT_HEALTH_REFUSED)
+    {
+      item->refused++;
+      return;
+    }
+  if (item->refused >= RESTART_REFUSALS)
+    {
+      item->cold_until_us = now_us + local->options.cold_us;
+      item->cold_answers = UINT32_MAX;
+    }
+  item->refused = 0;
+}
+
 /* A refused connection is not an answer.  A timeout is slowness.  */
 static bool
 is_cold_answer (item_t *item, const lt_health_observation_t *observation)
@@ -127,6 +147,7 @@
   if (observation->outcome == LT_HEALTH_RESET && observation->suspect)
     return;
   item_t *item = &local->items[u];
+  notice_restart (local, item, observation->outcome, now_us);
   if (now_us < item->cold_until_us && is_cold_answer (item, observation))
     return;
   count_response (&local->step[u], observation);
--- a/packages/policy/test/test_health.cc
+++ b/packages/policy/test/test_health.cc
@@ -432,6 +432,24 @@
   EXPECT_EQ (1U, vm.avoided ());
 }
 
+/* Guards against a restarted process whose first answers count: refused
+   connections count, the answers after them do not.  */
+TEST (HealthLocal, RestartIsNoticed)
+{
+  Pool p (12, 50);
+  Vm vm (p, 5);
+  vm.run (30, [] (uint32_t, int64_t *, lt_rng_t *) { return LT_HEALTH_OK; });
+  for (int i = 0; i < 3; i++)
+    {
+      lt_health_observation_t o = { 0, LT_HEALTH_REFUSED, false, 0 };
+      lt_health_observe (vm.local, &o, vm.now);
+    }
+  vm.run (9, [] (uint32_t u, int64_t *, lt_rng_t *) {
+    return u == 0 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
+  });
+  EXPECT_EQ (0U, vm.avoided ());
+}
+
 /* Guards against an avoided upstream that comes back by time alone, and
    against avoidance that never ends.  */
 TEST (HealthLocal, OnlyProbesEndAnAvoidance)
