--- /dev/null
+++ b/packages/node/src/health_controller.c
@@ -0,0 +1,364 @@
+#include "lt/node/health_controller.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "health_internal.h"
+#include "lt/base/error.h"
+
+/* Services without outcomes are brought up to date this often; all of them at
+   every tick would take several percent of a core at 1,300 services.  */
+#define IDLE_UPDATE_TICKS 10
+
+lt_health_service_t *
+lt_health_controller_service (lt_health_controller_t *controller, str_t name)
+{
+  if (controller->config == NULL)
+    return NULL;
+  uint32_t index
+      = lt_snapshot_find_service (controller->config->snapshot, name);
+  return index == LT_NO_INDEX ? NULL : controller->services[index];
+}
+
+lt_health_pending_t *
+lt_health_pending_create (lt_health_controller_t *controller,
+                          const lt_health_service_t *service)
+{
+  lt_health_pending_t *pending = lt_alloc (sizeof (*pending));
+  pending->controller = controller;
+  pending->service = str_dup (service->name);
+  pending->sent_us = lt_node_now_us (controller->node);
+  pending->next = controller->pending;
+  controller->pending = pending;
+  return pending;
+}
+
+void
+lt_health_pending_destroy (lt_health_pending_t *pending)
+{
+  lt_health_controller_t *controller = pending->controller;
+  if (controller != NULL)
+    {
+      lt_health_pending_t **at = &controller->pending;
+      while (*at != pending)
+        at = &(*at)->next;
+      *at = pending->next;
+    }
+  lt_ejection_record_clear (&pending->next_record);
+  free (pending->service);
+  free (pending->upstream);
+  free (pending);
+}
+
+/* Finds the upstream that INDEX of SNAPSHOT names in the configuration that
+   the pools stand on.  */
+static lt_health_service_t *
+locate (lt_health_controller_t *controller, const lt_snapshot_t *snapshot,
+        uint32_t index, uint32_t *upstream)
+{
+  if (controller->config == NULL)
+    return NULL;
+  const lt_snapshot_t *current = controller->config->snapshot;
+  if (snapshot != current)
+    index
+        = lt_snapshot_find_upstream (current, snapshot->upstreams[index].name);
+  if (index == LT_NO_INDEX)
+    return NULL;
+  uint32_t service = current->upstreams[index].service;
+  *upstream = index - current->services[service].first_upstream;
+  return controller->services[service];
+}
+
+static lt_health_controller_t *
+from_pools (lt_pools_t *pools)
+{
+  return (
+      lt_health_controller_t *)((char *)pools
+                                - offsetof (lt_health_controller_t, pools));
+}
+
+static lt_snapshot_ref_t *
+pools_config (lt_pools_t *pools)
+{
+  return from_pools (pools)->config;
+}
+
+static int64_t
+pools_pick (lt_pools_t *pools, uint32_t service, const uint32_t *tried,
+            uint32_t tried_count, int64_t now_us)
+{
+  lt_health_controller_t *self = from_pools (pools);
+  lt_health_service_t *s = self->services[service];
+  uint32_t first = self->config->snapshot->services[service].first_upstream;
+  uint32_t local[16];
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < tried_count && count < 16; i++)
+    if (tried[i] >= first && tried[i] - first < s->pool.count)
+      local[count++] = tried[i] - first;
+  lt_balance_request_t request = { local, count };
+  int picked
+      = lt_balance_pick (s->balance, &request, &self->node->rng, now_us);
+  return picked < 0 ? picked : (int64_t)first + picked;
+}
+
+static void
+pools_begin (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+             uint32_t upstream)
+{
+  uint32_t u;
+  lt_health_service_t *service
+      = locate (from_pools (pools), snapshot, upstream, &u);
+  if (service != NULL)
+    lt_balance_begin (service->balance, u);
+}
+
+static void
+pools_end (lt_pools_t *pools, const lt_snapshot_t *snapshot, uint32_t upstream)
+{
+  uint32_t u;
+  lt_health_service_t *service
+      = locate (from_pools (pools), snapshot, upstream, &u);
+  if (service != NULL)
+    lt_balance_end (service->balance, u);
+}
+
+static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
+                                                .pick = pools_pick,
+                                                .begin = pools_begin,
+                                                .end = pools_end };
+
+static lt_health_outcome_t
+outcome_of (lt_attempt_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case LT_ATTEMPT_RESET:
+      return LT_HEALTH_RESET;
+    case LT_ATTEMPT_REFUSED:
+      return LT_HEALTH_REFUSED;
+    case LT_ATTEMPT_SHED:
+      return LT_HEALTH_SHED;
+    case LT_ATTEMPT_TIMEOUT:
+      return LT_HEALTH_TIMEOUT;
+    case LT_ATTEMPT_FAILED:
+    case LT_ATTEMPT_TRUNCATED:
+      return LT_HEALTH_FAILED;
+    case LT_ATTEMPT_OK:
+    case LT_ATTEMPT_CANCELED:
+      break;
+    }
+  return LT_HEALTH_OK;
+}
+
+static void
+on_observation (lt_controller_t *controller,
+                const lt_observation_event_t *event, int64_t now_us)
+{
+  lt_health_controller_t *self = (lt_health_controller_t *)controller;
+  uint32_t u;
+  lt_health_service_t *service
+      = locate (self, event->snapshot, event->upstream, &u);
+  if (service == NULL || event->outcome == LT_ATTEMPT_CANCELED)
+    return;
+  service->used_us = now_us;
+  service->dirty = true;
+  if (event->outcome == LT_ATTEMPT_SHED)
+    lt_balance_shed (service->balance, u, event->retry_after_ms * LT_US_PER_MS,
+                     &self->node->rng, now_us);
+  else
+    lt_balance_accepted (service->balance, u);
+  lt_health_observation_t observation
+      = { .upstream = u,
+          .outcome = outcome_of (event->outcome),
+          .latency_us = event->latency_us };
+  if (event->outcome == LT_ATTEMPT_RESET && self->hooks.is_suspect != NULL)
+    observation.suspect
+        = self->hooks.is_suspect (self->hooks.user, &event->fingerprint);
+  lt_health_observe (service->local, &observation, now_us);
+}
+
+static void
+on_config (lt_controller_t *controller, const lt_snapshot_t *old,
+           const lt_snapshot_t *current, int64_t now_us)
+{
+  (void)old;
+  lt_health_controller_t *self = (lt_health_controller_t *)controller;
+  lt_snapshot_ref_t *config = self->node->config;
+  /* A newer one is in force already and its message follows.  */
+  if (config == NULL || config->snapshot != current)
+    return;
+  lt_health_service_t **services
+      = lt_alloc ((current->service_count + 1) * sizeof (void *));
+  for (uint32_t i = 0; i < current->service_count; i++)
+    {
+      lt_health_service_t *before
+          = lt_health_controller_service (self, current->services[i].name);
+      if (before != NULL)
+        self->services[before->index] = NULL;
+      services[i]
+          = lt_health_service_create (self->node, current, i, before, now_us);
+      lt_health_service_update (services[i], now_us);
+    }
+  for (uint32_t i = 0; i < self->service_count; i++)
+    lt_health_service_destroy (self->services[i]);
+  free (self->services);
+  self->services = services;
+  self->service_count = current->service_count;
+  lt_snapshot_ref_release (self->config);
+  self->config = lt_snapshot_ref_acquire (config);
+}
+
+/* Counting goes over all VMs, so it is done once a second for all services. */
+static void
+count_vms (lt_health_controller_t *self)
+{
+  if (self->hooks.count_vms == NULL || self->turn % IDLE_UPDATE_TICKS != 1)
+    return;
+  self->hooks.count_vms (self->hooks.user, &self->vms, &self->region_vms,
+                         &self->domain_vms);
+}
+
+static void
+tick (lt_controller_t *controller, int64_t now_us)
+{
+  lt_health_controller_t *self = (lt_health_controller_t *)controller;
+  self->turn++;
+  count_vms (self);
+  for (uint32_t i = 0; i < self->service_count; i++)
+    {
+      lt_health_service_t *service = self->services[i];
+      bool turn = (self->turn + i) % IDLE_UPDATE_TICKS == 0;
+      if (turn && self->vms > 0)
+        lt_balance_set_vms (service->balance, self->vms, self->region_vms,
+                            self->domain_vms);
+      if (turn || service->dirty)
+        lt_health_service_update (service, now_us);
+      lt_health_run_fleet (self, service, now_us);
+      if (!turn)
+        continue;
+      uint32_t due = lt_health_local_probe_due (service->local, now_us);
+      if (due != UINT32_MAX)
+        lt_health_start_probe (self, service, due, false, now_us);
+      lt_health_keep_confirmed (self, service, now_us);
+    }
+  lt_health_send_evidence (self, now_us);
+}
+
+static void
+on_frame (lt_controller_t *controller, const lt_peer_message_t *message,
+          int64_t now_us)
+{
+  lt_health_controller_t *self = (lt_health_controller_t *)controller;
+  if (message->type == LT_MESSAGE_EVIDENCE)
+    lt_health_on_evidence (self, message, now_us);
+  else
+    lt_health_on_ejections (self, message, now_us);
+}
+
+static json_t *
+status (lt_controller_t *controller)
+{
+  lt_health_controller_t *self = (lt_health_controller_t *)controller;
+  json_t *list = json_array ();
+  int64_t now_us = lt_node_now_us (self->node);
+  for (uint32_t i = 0; i < self->service_count; i++)
+    json_array_append_new (
+        list, lt_health_service_status (self->services[i], now_us));
+  return json_pack ("{s:o}", "services", list);
+}
+
+static void
+destroy (lt_controller_t *controller)
+{
+  lt_health_controller_t *self = (lt_health_controller_t *)controller;
+  lt_health_pending_t *next;
+  for (lt_health_pending_t *p = self->pending; p != NULL; p = next)
+    {
+      next = p->next;
+      p->controller = NULL;
+      /* The table still completes its calls; probes end without a word.  */
+      if (p->probe)
+        lt_health_pending_destroy (p);
+    }
+  for (uint32_t i = 0; i < self->service_count; i++)
+    lt_health_service_destroy (self->services[i]);
+  free (self->services);
+  lt_snapshot_ref_release (self->config);
+  if (self->node->health_controller == self)
+    self->node->health_controller = NULL;
+  free (self);
+}
+
+static const lt_controller_vtable_t vtable
+    = { .name = "health",
+        .types = LT_TYPE_BIT (LT_MESSAGE_EVIDENCE)
+                 | LT_TYPE_BIT (LT_MESSAGE_EJECTIONS),
+        .tick = tick,
+        .on_frame = on_frame,
+        .on_config = on_config,
+        .on_observation = on_observation,
+        .status = status,
+        .destroy = destroy };
+
+lt_controller_t *
+lt_health_controller_create (lt_node_t *node, const lt_health_hooks_t *hooks)
+{
+  lt_health_controller_t *self = lt_alloc (sizeof (*self));
+  self->base.vtable = &vtable;
+  self->base.node = node;
+  self->pools.vtable = &pools_vtable;
+  self->node = node;
+  if (hooks != NULL)
+    self->hooks = *hooks;
+  self->ejected = lt_metrics_counter (
+      node->metrics, "lavendertrack_ejections_total",
+      "Ejections and returns that this VM wrote, and refusals by the floor.",
+      "result=\"ejected\"");
+  self->returned
+      = lt_metrics_counter (node->metrics, "lavendertrack_ejections_total", "",
+                            "result=\"returned\"");
+  self->refused = lt_metrics_counter (
+      node->metrics, "lavendertrack_ejections_total", "", "result=\"floor\"");
+  node->health_controller = self;
+  return &self->base;
+}
+
+lt_pools_t *
+lt_health_controller_pools (lt_health_controller_t *controller)
+{
+  return &controller->pools;
+}
+
+int
+lt_health_controller_set_leaving (lt_health_controller_t *controller,
+                                  str_t upstream, bool leaving)
+{
+  int64_t now_us = lt_node_now_us (controller->node);
+  for (uint32_t i = 0; i < controller->service_count; i++)
+    {
+      lt_health_service_t *service = controller->services[i];
+      uint32_t u = lt_health_service_find (service, upstream);
+      if (u == UINT32_MAX)
+        continue;
+      service->leaving[u] = leaving;
+      lt_health_service_set_out (service);
+      lt_health_service_update (service, now_us);
+      return 0;
+    }
+  return -LT_ENOTFOUND;
+}
+
+int64_t
+lt_health_controller_in_flight (lt_health_controller_t *controller,
+                                str_t upstream)
+{
+  for (uint32_t i = 0; i < controller->service_count; i++)
+    {
+      lt_health_service_t *service = controller->services[i];
+      uint32_t u = lt_health_service_find (service, upstream);
+      if (u != UINT32_MAX)
+        return lt_balance_in_flight (service->balance, u);
+    }
+  return -LT_ENOTFOUND;
+}
