--- /dev/null
+++ b/packages/node/src/peer_transport.h
@@ -0,0 +1,39 @@
+/** @file
+    Connections to other VMs over TCP: listener, outgoing connections, frames.
+    Addresses of VMs come from the membership module.  */
+#ifndef LT_NODE_PEER_TRANSPORT_H
+#define LT_NODE_PEER_TRANSPORT_H
+
+#include "lt/node/node.h"
+#include "lt/wire/session.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  typedef struct lt_peer_transport lt_peer_transport_t;
+
+  /** A connection to PEER is open.  */
+  typedef void (*lt_peer_open_t) (void *user, const lt_vm_identity_t *peer,
+                                  bool outgoing);
+
+  /** Listens on the settings' peer address and sets node->peers.  Returns 0 or
+      a negative error number.  */
+  int lt_peer_transport_create (lt_node_t *node, lt_peer_open_t on_open,
+                                void *user, lt_peer_transport_t **transport);
+  void lt_peer_transport_destroy (lt_peer_transport_t *transport);
+  /** Address that others connect to, with the port that was bound.  */
+  str_t lt_peer_transport_address (const lt_peer_transport_t *transport);
+  /** Connects to ADDRESS unless there is a connection, or its last failure was
+      too short ago.  */
+  void lt_peer_transport_connect (lt_peer_transport_t *transport,
+                                  str_t address);
+  /** Closes what is idle, stuck or unverified for too long.  */
+  void lt_peer_transport_tick (lt_peer_transport_t *transport, int64_t now_us);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- a/packages/node/test/test_config_controller.cc
+++ b/packages/node/test/test_config_controller.cc
@@ -1,164 +1,26 @@
 // Guards changes of the configuration on one VM with the in-memory platform:
 // each is accepted once, conflicts name the change that came between, and lost
 // answers are settled by reading back.
-#include <gtest/gtest.h>
+#include "site.h"
 
-#include <ev.h>
-#include <sodium.h>
-
-#include <functional>
-#include <string>
-#include <vector>
-
-#include "bus.h"
-#include "lt/base/error.h"
-#include "lt/config/sheet.h"
-#include "lt/node/config_controller.h"
-#include "lt/node/node.h"
-#include "lt/platform/memory.h"
-#include "lt/policy/freshness.h"
-
-namespace
+// One VM with a store of its own.
+struct Alone : World, Site
 {
-struct Outcome
-{
-  int calls = 0;
-  lt_apply_outcome_t outcome = LT_APPLY_UNAVAILABLE;
-  int64_t version = -1;
-  std::string author;
-};
-
-void
-on_applied (void *user, const lt_apply_result_t *result)
-{
-  Outcome *o = static_cast<Outcome *> (user);
-  o->calls++;
-  o->outcome = result->outcome;
-  o->version = result->change.version;
-  o->author.assign (
-      result->change.author.data == nullptr ? "" : result->change.author.data,
-      result->change.author.len);
-}
-
-// One node without callers: loop, platform, bus and the config controller.
-struct Site
-{
-  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
-  lt_manual_clock_t clock;
-  lt_settings_t settings;
-  lt_node_t node = {};
-  lt_controller_t *controller = nullptr;
-
-  Site ()
-  {
-    (void)!sodium_init ();
-    lt_log_set_level (LT_LOG_ERROR);
-    lt_manual_clock_init (&clock, 1000000000000);
-    lt_settings_init (&settings);
-    settings.vm_id = STR_LIT ("vm-1");
-    settings.region = settings.store_region = STR_LIT ("vest");
-    settings.failure_domain = STR_LIT ("vest-a");
-    node.loop = loop;
-    node.clock = &clock.base;
-    node.settings = &settings;
-    node.metrics = lt_metrics_create ();
-    lt_rng_init (&node.rng, 3);
-    lt_platform_memory_create (loop, &clock.base, &node.platform);
-    node.bus = lt_bus_create (&node);
-    start ();
-  }
-  Site (const Site &) = delete;
-  ~Site ()
-  {
-    stop ();
-    lt_platform_destroy (&node.platform);
-    lt_bus_destroy (node.bus);
-    lt_metrics_destroy (node.metrics);
-    ev_loop_destroy (loop);
-  }
-
-  void
-  start ()
-  {
-    controller = lt_config_controller_create (&node);
-    lt_node_add_controller (&node, controller);
-  }
-  // The process ends; the platform stays.
-  void
-  stop ()
-  {
-    controller->vtable->destroy (controller);
-    node.controller_count = 0;
-    turn ();
-    lt_snapshot_ref_release (node.config);
-    node.config = nullptr;
-  }
-
-  void
-  turn ()
-  {
-    for (int i = 0; i < 10; i++)
-      ev_run (loop, EVRUN_NOWAIT);
-  }
+  Alone () : Site (*static_cast<World *> (this)) {}
   void
   tick (int64_t advance_ms = 100)
   {
     lt_manual_clock_advance (&clock, advance_ms * LT_US_PER_MS);
-    controller->vtable->tick (controller, clock.now_us);
+    Site::tick ();
     turn ();
   }
-
-  lt_snapshot_t *
-  snapshot (const char *workspace)
-  {
-    std::string sheet = "kind;name;day;rows;workspace;rate_per_s;burst\n"
-                        "sheet;shop;2026-12-04;2\n"
-                        "workspace;"
-                        + std::string (workspace) + "\nlimit;;;;" + workspace
-                        + ";5;5\n";
-    lt_sheet_options_t options = LT_SHEET_OPTIONS_DEFAULT;
-    options.source = STR_LIT ("sheet");
-    options.hash_secret = STR_LIT ("hash-secret-0123456789");
-    lt_findings_t findings = {};
-    lt_snapshot_t *result = nullptr;
-    int error = lt_sheet_parse (str_make (sheet.data (), sheet.size ()),
-                                &options, &findings, &result);
-    lt_buf_t text = {};
-    lt_findings_print (&findings, &text);
-    EXPECT_EQ (0, error) << (text.data == nullptr ? "" : text.data);
-    lt_buf_destroy (&text);
-    lt_findings_destroy (&findings);
-    return result;
-  }
-
-  int
-  apply (const char *workspace, int64_t base, const char *author,
-         Outcome *outcome)
-  {
-    return lt_config_controller_apply (node.config_controller,
-                                       snapshot (workspace), base,
-                                       str_from (author), on_applied, outcome);
-  }
-
-  int64_t
-  applied () const
-  {
-    return node.config == nullptr ? 0 : node.config->snapshot->version;
-  }
-
-  void
-  fault (lt_platform_call_t kind, lt_platform_fault_t f)
-  {
-    lt_platform_memory_set_fault (&node.platform, kind, f);
-  }
 };
-}
 
 // Guards the order of changes: consecutive ones are accepted, one on an old
 // base is refused with the author of the change that came between.
 TEST (ConfigController, AcceptsAndNamesConflicts)
 {
-  Site site;
+  Alone site;
   Outcome first;
   ASSERT_EQ (0, site.apply ("ana", 0, "anna", &first));
   EXPECT_EQ (0, first.calls) << "never inside the call";
@@ -226,7 +88,7 @@
   };
   for (const auto &c : cases)
     {
-      Site site;
+      Alone site;
       Outcome outcome;
       site.fault (c.kind, c.fault);
       ASSERT_EQ (0, site.apply ("ana", 0, "anna", &outcome)) << c.name;
@@ -245,7 +107,7 @@
 // reported as unknown, and the version is taken up when the store is back.
 TEST (ConfigController, ReportsUnknownAndCatchesUp)
 {
-  Site site;
+  Alone site;
   Outcome outcome;
   site.fault (LT_CALL_TABLE_WRITE, { false, true, 50, 1 });
   ASSERT_EQ (0, site.apply ("ana", 0, "anna", &outcome));
@@ -268,7 +130,7 @@
 // platform that come after it.
 TEST (ConfigController, EndsWithOpenCalls)
 {
-  Site site;
+  Alone site;
   Outcome outcome;
   site.fault (LT_CALL_TABLE_READ, { false, false, 50, 0 });
   site.tick ();
@@ -286,7 +148,7 @@
 // requests are served again only then; a store that is down stops them.
 TEST (ConfigController, RecoversFromStoreAndGates)
 {
-  Site site;
+  Alone site;
   Outcome outcome;
   site.apply ("ana", 0, "anna", &outcome);
   site.turn ();
@@ -295,24 +157,21 @@
   ASSERT_EQ (2, site.applied ());
   site.stop ();
   site.start ();
-  EXPECT_FALSE (
-      lt_freshness_allows_keyed (site.node.freshness, site.clock.now_us));
+  EXPECT_FALSE (site.serves ());
   for (int i = 0; i < 20; i++)
     site.tick ();
   EXPECT_EQ (2, site.applied ());
-  EXPECT_TRUE (
-      lt_freshness_allows_keyed (site.node.freshness, site.clock.now_us));
+  EXPECT_TRUE (site.serves ());
   site.fault (LT_CALL_TABLE_READ, { true, false, 0, 0 });
   for (int i = 0; i < 70; i++)
     site.tick ();
-  EXPECT_FALSE (
-      lt_freshness_allows_keyed (site.node.freshness, site.clock.now_us));
+  EXPECT_FALSE (site.serves ());
 }
 
 // Guards the history: newest first, with authors, in pages.
 TEST (ConfigController, ReadsHistory)
 {
-  Site site;
+  Alone site;
   Outcome outcome;
   const char *authors[] = { "anna", "berta", "cilka" };
   for (int i = 0; i < 3; i++)
--- a/packages/policy/include/lt/policy/membership.h
+++ b/packages/policy/include/lt/policy/membership.h
@@ -154,9 +154,9 @@
       live; it is tried.  ID may be empty when only the address is known.  */
   void lt_membership_add_hint (lt_membership_t *membership, int64_t now_us,
                                str_t id, str_t address);
-  /** A connection that LT_MEMBERSHIP_CONNECT asked for is open.  */
+  /** A connection to PEER is open; GREET sends it a heartbeat at once.  */
   void lt_membership_on_connected (lt_membership_t *membership, int64_t now_us,
-                                   const lt_member_update_t *peer);
+                                   const lt_member_update_t *peer, bool greet);
   /** This VM leaves: announced, and never refuted.  */
   void lt_membership_leave (lt_membership_t *membership, int64_t now_us);
 
--- a/packages/policy/src/membership_probe.c
+++ b/packages/policy/src/membership_probe.c
@@ -307,10 +307,10 @@
 
 void
 lt_membership_on_connected (lt_membership_t *m, int64_t now_us,
-                            const lt_member_update_t *peer)
+                            const lt_member_update_t *peer, bool greet)
 {
   member_t *member = lt_membership_contact (m, now_us, peer);
-  if (member != NULL)
+  if (member != NULL && greet)
     lt_membership_heartbeat (m, now_us, member);
 }
 
