--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -18,21 +18,41 @@
 
   typedef struct lt_quarantine_options
   {
-    int losses_max;   /**< Upstreams lost before quarantine, at most 4. */
+    int losses_max; /**< Upstreams lost before quarantine, at most 4. */
+    /** The same for a fingerprint that had a response within good_us: such a
+        request has run without harm, so its upstreams more likely died of
+        something else.  */
+    int losses_good_max;
+    int64_t good_us;
+    /** Time in which a notice reaches all VMs.  A retry after a loss and the
+        reply to the caller wait for it; else a caller that sends again at once
+        through other VMs is faster than the notices.  */
+    int64_t notice_us;
     int64_t first_us; /**< Length of the first quarantine. */
     int64_t longest_us;
     int64_t suspect_us; /**< A suspect is forgotten after this. */
     int64_t memory_us;  /**< The doubling is forgotten this long after the end
                            of a quarantine. */
+    /** VMs end a quarantine at different times within this, so that one of
+        them tries the request first.  */
+    int64_t spread_us;
+    int64_t trial_us; /**< Longest time of that try. */
+    uint64_t vm;      /**< Hash of the VM's name. */
     size_t entries_max;
   } lt_quarantine_options_t;
 
 #define LT_QUARANTINE_OPTIONS_DEFAULT                                         \
   ((lt_quarantine_options_t){ .losses_max = 2,                                \
+                              .losses_good_max = 4,                           \
+                              .good_us = 30 * 1000000LL,                      \
+                              .notice_us = 60 * 1000LL,                       \
                               .first_us = 60 * 1000000LL,                     \
                               .longest_us = 600 * 1000000LL,                  \
                               .suspect_us = 60 * 1000000LL,                   \
                               .memory_us = 1800 * 1000000LL,                  \
+                              .spread_us = 10 * 1000000LL,                    \
+                              .trial_us = 2 * 1000000LL,                      \
+                              .vm = 0,                                        \
                               .entries_max = 4096 })
 
 #define LT_QUARANTINE_LOSSES_MAX 4
@@ -56,11 +76,11 @@
     LT_QUARANTINE_REFUSED
   } lt_quarantine_verdict_t;
 
-  typedef struct lt_quarantine_check
+  typedef struct lt_quarantine_check_result
   {
     lt_quarantine_verdict_t verdict;
     int64_t retry_after_us; /**< Of a refusal. */
-  } lt_quarantine_check_t;
+  } lt_quarantine_check_result_t;
 
   lt_quarantine_t *
   lt_quarantine_create (const lt_quarantine_options_t *options);
@@ -69,10 +89,11 @@
   lt_digest_t lt_quarantine_fingerprint (str_t workspace, str_t route,
                                          str_t method, str_t path,
                                          const lt_digest_t *body);
-  /** Asked before every attempt, also before retries.  */
-  lt_quarantine_check_t lt_quarantine_check (lt_quarantine_t *quarantine,
-                                             const lt_digest_t *fingerprint,
-                                             int64_t now_us);
+  /** Asked before every attempt, also before retries.  After a quarantine, one
+      caller at a time gets LT_QUARANTINE_SUSPECT.  */
+  lt_quarantine_check_result_t
+  lt_quarantine_check (lt_quarantine_t *quarantine,
+                       const lt_digest_t *fingerprint, int64_t now_us);
   /** Reports that the connection to UPSTREAM (hash of its name) ended before
       the response header.  Returns true when NOTICE is to be sent to all
       VMs.  */
@@ -80,15 +101,22 @@
                               const lt_digest_t *fingerprint,
                               uint64_t upstream, int64_t now_us,
                               lt_quarantine_notice_t *notice);
-  /** Reports a response header for a request.  Returns true when NOTICE is to
-      be sent to all VMs.  */
+  /** Returns how long a retry, or the reply to the caller, must wait for the
+      notice of this VM's last loss; 0 for none.  */
+  int64_t lt_quarantine_wait_us (const lt_quarantine_t *quarantine,
+                                 const lt_digest_t *fingerprint,
+                                 int64_t now_us);
+  /** Reports a response header for a request; for every request.  Returns true
+     when NOTICE is to be sent to all VMs.  */
   bool lt_quarantine_on_response (lt_quarantine_t *quarantine,
                                   const lt_digest_t *fingerprint,
                                   int64_t now_us,
                                   lt_quarantine_notice_t *notice);
-  /** Merges what another VM sent.  Returns true when the merge quarantined a
-      request that neither VM had quarantined; NOTICE is then to be sent to
-      all VMs.  */
+  /** Merges what another VM sent.  A VM that saw the request run without harm
+      does not join a quarantine below losses_good_max.  Returns true when the
+      merge quarantined a request that neither VM had quarantined; NOTICE is
+      then to be sent to all VMs.  Only a VM with a loss of its own judges, so
+      that one loss does not make every VM send notices.  */
   bool lt_quarantine_on_notice (lt_quarantine_t *quarantine,
                                 const lt_quarantine_notice_t *received,
                                 int64_t now_us,
--- a/packages/policy/src/quarantine.c
+++ b/packages/policy/src/quarantine.c
@@ -10,13 +10,28 @@
   ENTRY_PROBATION /**< After a quarantine: one more loss starts the next. */
 } entry_state_t;
 
+/** Slots for fingerprints that had a response; one per hash.  */
+enum
+{
+  GOOD_SLOTS = 4096
+};
+
+typedef struct good
+{
+  uint64_t key;
+  int64_t until_us;
+} good_t;
+
 typedef struct entry
 {
   UT_hash_handle hh;
   lt_digest_t fingerprint;
   entry_state_t state;
   uint32_t level;
-  int64_t ends_us; /**< Of the state. */
+  int64_t ends_us;  /**< Of the state, as VMs tell each other. */
+  int64_t trial_us; /**< The try on probation ends then. */
+  bool lost_here;   /**< This VM saw a loss. */
+  int64_t loss_us;  /**< The last of them. */
   uint32_t loss_count;
   uint64_t upstreams[LT_QUARANTINE_LOSSES_MAX];
 } entry_t;
@@ -25,6 +40,7 @@
 {
   lt_quarantine_options_t options;
   entry_t *entries;
+  good_t goods[GOOD_SLOTS];
 };
 
 lt_quarantine_t *
@@ -34,6 +50,8 @@
   quarantine->options = *options;
   if (quarantine->options.losses_max > LT_QUARANTINE_LOSSES_MAX)
     quarantine->options.losses_max = LT_QUARANTINE_LOSSES_MAX;
+  if (quarantine->options.losses_good_max > LT_QUARANTINE_LOSSES_MAX)
+    quarantine->options.losses_good_max = LT_QUARANTINE_LOSSES_MAX;
   return quarantine;
 }
 
@@ -86,12 +104,52 @@
   return entry;
 }
 
+static uint64_t
+fingerprint_hash (const lt_digest_t *fingerprint)
+{
+  return lt_hash64 (
+      str_make ((const char *)fingerprint->bytes, LT_DIGEST_BYTES));
+}
+
+static void
+good_set (lt_quarantine_t *quarantine, const lt_digest_t *fingerprint,
+          int64_t now_us)
+{
+  uint64_t key = fingerprint_hash (fingerprint);
+  quarantine->goods[key % GOOD_SLOTS]
+      = (good_t){ key, now_us + quarantine->options.good_us };
+}
+
+static bool
+good_is (const lt_quarantine_t *quarantine, const lt_digest_t *fingerprint,
+         int64_t now_us)
+{
+  uint64_t key = fingerprint_hash (fingerprint);
+  const good_t *good = &quarantine->goods[key % GOOD_SLOTS];
+  return good->key == key && now_us < good->until_us;
+}
+
+/** Returns when this VM may try the request again.  */
+static int64_t
+entry_ready_us (const lt_quarantine_t *quarantine, const entry_t *entry)
+{
+  int64_t spread_us = quarantine->options.spread_us;
+  if (spread_us <= 0)
+    return entry->ends_us;
+  const uint64_t parts[]
+      = { quarantine->options.vm, fingerprint_hash (&entry->fingerprint),
+          entry->level };
+  uint64_t hash = lt_hash64 (str_make ((const char *)parts, sizeof (parts)));
+  return entry->ends_us + (int64_t)(hash % (uint64_t)spread_us);
+}
+
 /** Moves an entry on whose time is over.  Returns false when it was dropped.
  */
 static bool
 entry_expire (lt_quarantine_t *quarantine, entry_t *entry, int64_t now_us)
 {
-  if (entry->state == ENTRY_QUARANTINED && now_us >= entry->ends_us)
+  if (entry->state == ENTRY_QUARANTINED
+      && now_us >= entry_ready_us (quarantine, entry))
     {
       entry->state = ENTRY_PROBATION;
       entry->ends_us += quarantine->options.memory_us;
@@ -148,17 +206,35 @@
   return entry;
 }
 
-lt_quarantine_check_t
+lt_quarantine_check_result_t
 lt_quarantine_check (lt_quarantine_t *quarantine,
                      const lt_digest_t *fingerprint, int64_t now_us)
 {
   entry_t *entry = entry_live (quarantine, fingerprint, now_us);
   if (entry == NULL)
-    return (lt_quarantine_check_t){ .verdict = LT_QUARANTINE_CLEAN };
-  if (entry->state != ENTRY_QUARANTINED)
-    return (lt_quarantine_check_t){ .verdict = LT_QUARANTINE_SUSPECT };
-  return (lt_quarantine_check_t){ .verdict = LT_QUARANTINE_REFUSED,
-                                  .retry_after_us = entry->ends_us - now_us };
+    return (lt_quarantine_check_result_t){ .verdict = LT_QUARANTINE_CLEAN };
+  int64_t until_us = now_us;
+  if (entry->state == ENTRY_QUARANTINED)
+    until_us = entry_ready_us (quarantine, entry);
+  else if (entry->state == ENTRY_PROBATION && now_us < entry->trial_us)
+    until_us = entry->trial_us;
+  else
+    entry->trial_us = now_us + quarantine->options.trial_us;
+  if (until_us == now_us)
+    return (lt_quarantine_check_result_t){ .verdict = LT_QUARANTINE_SUSPECT };
+  return (lt_quarantine_check_result_t){ .verdict = LT_QUARANTINE_REFUSED,
+                                         .retry_after_us = until_us - now_us };
+}
+
+int64_t
+lt_quarantine_wait_us (const lt_quarantine_t *quarantine,
+                       const lt_digest_t *fingerprint, int64_t now_us)
+{
+  const entry_t *entry = entry_find (quarantine, fingerprint);
+  if (entry == NULL || !entry->lost_here)
+    return 0;
+  int64_t until_us = entry->loss_us + quarantine->options.notice_us;
+  return until_us > now_us ? until_us - now_us : 0;
 }
 
 static void
@@ -199,10 +275,13 @@
 static bool
 entry_judge (const lt_quarantine_t *quarantine, entry_t *entry, int64_t now_us)
 {
-  uint32_t allowed = entry->state == ENTRY_PROBATION
-                         ? 1
-                         : (uint32_t)quarantine->options.losses_max;
-  if (entry->state == ENTRY_QUARANTINED || entry->loss_count < allowed)
+  int allowed = quarantine->options.losses_max;
+  if (good_is (quarantine, &entry->fingerprint, now_us))
+    allowed = quarantine->options.losses_good_max;
+  if (entry->state == ENTRY_PROBATION)
+    allowed = 1;
+  if (entry->state == ENTRY_QUARANTINED
+      || entry->loss_count < (uint32_t)allowed)
     return false;
   entry->state = ENTRY_QUARANTINED;
   entry->level++;
@@ -217,6 +296,8 @@
                        int64_t now_us, lt_quarantine_notice_t *notice)
 {
   entry_t *entry = entry_get (quarantine, fingerprint, now_us);
+  entry->lost_here = true;
+  entry->loss_us = now_us;
   if (!entry_add_loss (entry, upstream))
     return false;
   if (entry->state == ENTRY_SUSPECT)
@@ -231,6 +312,7 @@
                            const lt_digest_t *fingerprint, int64_t now_us,
                            lt_quarantine_notice_t *notice)
 {
+  good_set (quarantine, fingerprint, now_us);
   entry_t *entry = entry_live (quarantine, fingerprint, now_us);
   if (entry == NULL || entry->state == ENTRY_QUARANTINED)
     return false;
@@ -280,12 +362,13 @@
     entry = entry_get (quarantine, &received->fingerprint, now_us);
   for (uint32_t i = 0; i < losses; i++)
     entry_add_loss (entry, received->upstreams[i]);
-  if (received->level > 0)
-    {
-      merge_quarantine (quarantine, entry, received, now_us);
-      return false;
-    }
-  if (!entry_judge (quarantine, entry, now_us))
+  bool good
+      = good_is (quarantine, &received->fingerprint, now_us)
+        && entry->loss_count < (uint32_t)quarantine->options.losses_good_max;
+  if (received->level > 0 && !good)
+    merge_quarantine (quarantine, entry, received, now_us);
+  if (received->level > 0 || !entry->lost_here
+      || !entry_judge (quarantine, entry, now_us))
     return false;
   entry_notice (entry, now_us, notice);
   return true;
@@ -308,7 +391,8 @@
   size_t count = 0;
   const entry_t *entry;
   for (entry = quarantine->entries; entry != NULL; entry = entry->hh.next)
-    count += entry->state == ENTRY_QUARANTINED && now_us < entry->ends_us;
+    count += entry->state == ENTRY_QUARANTINED
+             && now_us < entry_ready_us (quarantine, entry);
   return count;
 }
 
--- /dev/null
+++ b/packages/policy/test/test_quarantine.cc
@@ -0,0 +1,323 @@
+// Guards against a request that crashes one upstream after another, and
+// against refusing requests that crash nothing.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "lt/base/clock.h"
+#include "lt/policy/quarantine.h"
+
+namespace
+{
+
+const int64_t S = LT_US_PER_S;
+
+class Vm
+{
+public:
+  explicit Vm (const lt_quarantine_options_t &options)
+      : q (lt_quarantine_create (&options))
+  {
+  }
+  ~Vm () { lt_quarantine_destroy (q); }
+  Vm (const Vm &) = delete;
+  lt_quarantine_t *q;
+};
+
+class Quarantine : public testing::Test
+{
+protected:
+  Quarantine () : options (LT_QUARANTINE_OPTIONS_DEFAULT)
+  {
+    options.spread_us = 0;
+  }
+
+  static lt_digest_t
+  print (const char *path)
+  {
+    lt_digest_t body = lt_digest_make (STR_LIT (""), STR_LIT ("body"));
+    return lt_quarantine_fingerprint (STR_LIT ("w"), STR_LIT ("r"),
+                                      STR_LIT ("GET"), str_from (path), &body);
+  }
+
+  lt_quarantine_options_t options;
+};
+
+struct Step
+{
+  int64_t at_s;
+  int vm;
+  char kind; // l: loss, r: response, c: check only
+  uint64_t upstream;
+  lt_quarantine_verdict_t verdict; // On that VM afterwards.
+  int64_t retry_after_s;
+};
+
+const lt_quarantine_verdict_t CLEAN = LT_QUARANTINE_CLEAN;
+const lt_quarantine_verdict_t SUSPECT = LT_QUARANTINE_SUSPECT;
+const lt_quarantine_verdict_t REFUSED = LT_QUARANTINE_REFUSED;
+
+struct Case
+{
+  const char *name;
+  bool shared; // Notices arrive at once; else never.
+  std::vector<Step> steps;
+};
+
+const Case cases[] = {
+  { "two upstreams on one VM",
+    true,
+    { { 0, 0, 'c', 0, CLEAN, 0 },
+      { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 0, 0, 'l', 2, REFUSED, 60 },
+      { 1, 1, 'c', 0, REFUSED, 59 },
+      { 59, 2, 'c', 0, REFUSED, 1 } } },
+  { "two upstreams through two VMs",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 1, 1, 'l', 2, REFUSED, 60 },
+      { 2, 2, 'c', 0, REFUSED, 59 },
+      { 2, 0, 'c', 0, REFUSED, 59 } } },
+  { "the same upstream twice is one loss",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 }, { 1, 1, 'l', 1, SUSPECT, 0 } } },
+  { "a response clears the suspicion on all VMs",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 1, 1, 'r', 2, CLEAN, 0 },
+      { 2, 0, 'l', 3, SUSPECT, 0 } } },
+  { "a request that ran without harm is refused for other deaths",
+    true,
+    { { 0, 0, 'r', 1, CLEAN, 0 },
+      { 29, 0, 'l', 1, SUSPECT, 0 },
+      { 29, 0, 'l', 2, SUSPECT, 0 },
+      { 29, 0, 'l', 3, SUSPECT, 0 },
+      { 29, 0, 'l', 4, REFUSED, 60 } } },
+  { "a VM that saw it run joins a quarantine of two losses",
+    true,
+    { { 0, 1, 'r', 1, CLEAN, 0 },
+      { 1, 0, 'l', 1, SUSPECT, 0 },
+      { 1, 0, 'l', 2, REFUSED, 60 },
+      { 1, 2, 'c', 0, REFUSED, 60 },
+      { 1, 1, 'c', 0, SUSPECT, 0 },
+      { 1, 1, 'l', 3, SUSPECT, 0 },
+      { 1, 1, 'l', 4, REFUSED, 60 } } },
+  { "an old response excuses losses",
+    true,
+    { { 0, 0, 'r', 1, CLEAN, 0 },
+      { 30, 0, 'l', 1, SUSPECT, 0 },
+      { 30, 0, 'l', 2, REFUSED, 60 } } },
+  { "a response from before does not end a quarantine",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 0, 0, 'l', 2, REFUSED, 60 },
+      { 1, 1, 'r', 3, REFUSED, 59 } } },
+  { "a suspicion ends",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 60, 0, 'c', 0, CLEAN, 0 },
+      { 61, 1, 'l', 2, SUSPECT, 0 } } },
+  { "each repeat costs one upstream and doubles, up to the longest",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 0, 0, 'l', 2, REFUSED, 60 },
+      { 60, 1, 'c', 0, SUSPECT, 0 },
+      { 60, 1, 'l', 1, REFUSED, 120 },
+      { 180, 2, 'l', 1, REFUSED, 240 },
+      { 420, 0, 'l', 1, REFUSED, 480 },
+      { 900, 1, 'l', 1, REFUSED, 600 },
+      { 1500, 2, 'l', 1, REFUSED, 600 } } },
+  { "the doubling is forgotten",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 0, 0, 'l', 2, REFUSED, 60 },
+      { 1860, 0, 'c', 0, CLEAN, 0 },
+      { 1860, 0, 'l', 1, SUSPECT, 0 },
+      { 1860, 0, 'l', 2, REFUSED, 60 } } },
+  { "a response after a quarantine ends the probation",
+    true,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 0, 0, 'l', 2, REFUSED, 60 },
+      { 61, 1, 'r', 1, CLEAN, 0 },
+      { 62, 0, 'l', 1, SUSPECT, 0 } } },
+  { "without notices each VM judges by itself",
+    false,
+    { { 0, 0, 'l', 1, SUSPECT, 0 },
+      { 0, 1, 'l', 2, SUSPECT, 0 },
+      { 0, 1, 'l', 3, REFUSED, 60 },
+      { 0, 0, 'c', 0, SUSPECT, 0 } } },
+};
+
+TEST_F (Quarantine, Cases)
+{
+  for (const auto &c : cases)
+    {
+      Vm vms[] = { Vm (options), Vm (options), Vm (options) };
+      lt_digest_t fp = print ("/x");
+      int i = 0;
+      for (const auto &s : c.steps)
+        {
+          int64_t now = s.at_s * S;
+          lt_quarantine_notice_t notice;
+          bool send = false;
+          if (s.kind == 'l')
+            send = lt_quarantine_on_loss (vms[s.vm].q, &fp, s.upstream, now,
+                                          &notice);
+          if (s.kind == 'r')
+            send = lt_quarantine_on_response (vms[s.vm].q, &fp, now, &notice);
+          for (int other = 0; send && c.shared && other < 3; other++)
+            if (other != s.vm)
+              {
+                lt_quarantine_notice_t again;
+                lt_quarantine_on_notice (vms[other].q, &notice, now, &again);
+              }
+          lt_quarantine_check_result_t check
+              = lt_quarantine_check (vms[s.vm].q, &fp, now);
+          EXPECT_EQ (s.verdict, check.verdict) << c.name << " step " << i;
+          EXPECT_EQ (s.retry_after_s * S, check.retry_after_us)
+              << c.name << " step " << i;
+          i++;
+        }
+    }
+}
+
+// Guards against many copies of a request being tried at the end of its
+// quarantine.
+TEST_F (Quarantine, OneTrialAtATime)
+{
+  options.spread_us = 10 * S;
+  lt_digest_t fp = print ("/x");
+  lt_quarantine_notice_t notice;
+  std::vector<int64_t> ends;
+  for (uint64_t i = 0; i < 40; i++)
+    {
+      options.vm = i;
+      Vm vm (options);
+      lt_quarantine_on_loss (vm.q, &fp, 1, 0, &notice);
+      lt_quarantine_on_loss (vm.q, &fp, 2, 0, &notice);
+      int64_t end = lt_quarantine_check (vm.q, &fp, 0).retry_after_us;
+      EXPECT_GE (end, 60 * S);
+      EXPECT_LT (end, 70 * S);
+      EXPECT_EQ (SUSPECT, lt_quarantine_check (vm.q, &fp, end).verdict);
+      EXPECT_EQ (REFUSED, lt_quarantine_check (vm.q, &fp, end).verdict);
+      EXPECT_EQ (SUSPECT,
+                 lt_quarantine_check (vm.q, &fp, end + 2 * S).verdict);
+      ends.push_back (end);
+    }
+  std::sort (ends.begin (), ends.end ());
+  EXPECT_GT (ends.back () - ends.front (), 5 * S);
+}
+
+// Guards against retries and replies that are faster than the notices.
+TEST_F (Quarantine, WaitsForNotices)
+{
+  Vm vm (options);
+  lt_digest_t fp = print ("/x");
+  lt_quarantine_notice_t notice;
+  EXPECT_EQ (0, lt_quarantine_wait_us (vm.q, &fp, S));
+  lt_quarantine_on_loss (vm.q, &fp, 1, S, &notice);
+  EXPECT_EQ (60000, lt_quarantine_wait_us (vm.q, &fp, S));
+  EXPECT_EQ (1, lt_quarantine_wait_us (vm.q, &fp, S + 59999));
+  EXPECT_EQ (0, lt_quarantine_wait_us (vm.q, &fp, S + 60000));
+  Vm other (options);
+  lt_quarantine_notice_t again;
+  lt_quarantine_on_notice (other.q, &notice, S, &again);
+  EXPECT_EQ (0, lt_quarantine_wait_us (other.q, &fp, S));
+}
+
+// Guards against the gap in which two VMs each saw one loss at the same time:
+// the merge must quarantine, and must be passed on.
+TEST_F (Quarantine, CrossingNoticesQuarantine)
+{
+  Vm a (options);
+  Vm b (options);
+  Vm c (options);
+  lt_digest_t fp = print ("/x");
+  lt_quarantine_notice_t from_a;
+  lt_quarantine_notice_t from_b;
+  lt_quarantine_notice_t merged;
+  ASSERT_TRUE (lt_quarantine_on_loss (a.q, &fp, 1, 0, &from_a));
+  ASSERT_TRUE (lt_quarantine_on_loss (b.q, &fp, 2, 0, &from_b));
+  EXPECT_TRUE (lt_quarantine_on_notice (b.q, &from_a, S, &merged));
+  EXPECT_EQ (REFUSED, lt_quarantine_check (b.q, &fp, S).verdict);
+  EXPECT_FALSE (lt_quarantine_on_notice (c.q, &merged, S, &from_a));
+  EXPECT_EQ (REFUSED, lt_quarantine_check (c.q, &fp, S).verdict);
+  EXPECT_EQ (1u, merged.level);
+}
+
+// Guards against requests that differ in one part sharing a quarantine.
+TEST_F (Quarantine, FingerprintTellsRequestsApart)
+{
+  lt_digest_t one = lt_digest_make (STR_LIT (""), STR_LIT ("1"));
+  lt_digest_t two = lt_digest_make (STR_LIT (""), STR_LIT ("2"));
+  const struct
+  {
+    const char *workspace, *route, *method, *path;
+    const lt_digest_t *body;
+  } parts[]
+      = { { "w", "r", "GET", "/x", &one }, { "v", "r", "GET", "/x", &one },
+          { "w", "q", "GET", "/x", &one }, { "w", "r", "PUT", "/x", &one },
+          { "w", "r", "GET", "/y", &one }, { "w", "r", "GET", "/x", &two },
+          { "wr", "", "GET", "/x", &one } };
+  std::vector<std::string> seen;
+  for (const auto &p : parts)
+    {
+      lt_digest_t d = lt_quarantine_fingerprint (
+          str_from (p.workspace), str_from (p.route), str_from (p.method),
+          str_from (p.path), p.body);
+      std::string bytes ((const char *)d.bytes, sizeof (d.bytes));
+      for (const auto &other : seen)
+        EXPECT_NE (other, bytes);
+      seen.push_back (bytes);
+    }
+}
+
+// Guards against memory that grows with the number of suspects, and against
+// suspects pushing out quarantines.
+TEST_F (Quarantine, BoundedAndKeepsQuarantines)
+{
+  options.entries_max = 10;
+  Vm vm (options);
+  lt_quarantine_notice_t notice;
+  lt_digest_t bad = print ("/bad");
+  lt_quarantine_on_loss (vm.q, &bad, 1, 0, &notice);
+  lt_quarantine_on_loss (vm.q, &bad, 2, 0, &notice);
+  for (int i = 0; i < 100; i++)
+    {
+      lt_digest_t fp = print (std::to_string (i).c_str ());
+      lt_quarantine_on_loss (vm.q, &fp, 1, S, &notice);
+      EXPECT_LE (lt_quarantine_entries (vm.q), 10u);
+    }
+  EXPECT_EQ (REFUSED, lt_quarantine_check (vm.q, &bad, S).verdict);
+  EXPECT_EQ (1u, lt_quarantine_active (vm.q, S));
+  EXPECT_EQ (0u, lt_quarantine_active (vm.q, 60 * S));
+  lt_quarantine_tick (vm.q, 3600 * S);
+  EXPECT_EQ (0u, lt_quarantine_entries (vm.q));
+}
+
+// Guards against a peer's notice that refuses a request for longer than
+// allowed or overruns the list of upstreams.
+TEST_F (Quarantine, NoticeIsBounded)
+{
+  Vm vm (options);
+  lt_quarantine_notice_t notice = {};
+  lt_quarantine_notice_t again;
+  notice.fingerprint = print ("/x");
+  notice.level = 1;
+  notice.remaining_us = INT64_MAX / 2;
+  notice.loss_count = 1000;
+  lt_quarantine_on_notice (vm.q, &notice, 0, &again);
+  lt_quarantine_check_result_t check
+      = lt_quarantine_check (vm.q, &notice.fingerprint, 0);
+  EXPECT_EQ (REFUSED, check.verdict);
+  EXPECT_EQ (600 * S, check.retry_after_us);
+  notice.fingerprint = print ("/y");
+  notice.remaining_us = -1;
+  EXPECT_FALSE (lt_quarantine_on_notice (vm.q, &notice, 0, &again));
+  EXPECT_EQ (CLEAN,
+             lt_quarantine_check (vm.q, &notice.fingerprint, 0).verdict);
+}
+
+} // namespace
