--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -13,8 +13,11 @@
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/node/admin_api.h"
+#include "lt/node/config_controller.h"
+#include "lt/node/health_controller.h"
 #include "lt/policy/retry.h"
-#include "pools.h"
+#include "membership_controller.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -134,6 +137,26 @@
   return lt_platform_http_create (node->loop, &options, &node->platform);
 }
 
+static int
+add_controllers (lt_node_t *node)
+{
+  lt_node_add_controller (node, lt_config_controller_create (node));
+  if (node->settings->peer_listen.len > 0)
+    {
+      lt_controller_t *membership = NULL;
+      int error = lt_membership_controller_create (node, &membership);
+      if (error != 0)
+        return error;
+      lt_node_add_controller (node, membership);
+    }
+  lt_health_hooks_t hooks = lt_health_hooks_membership (node);
+  bool alone = node->membership == NULL;
+  lt_node_add_controller (
+      node, lt_health_controller_create (node, alone ? NULL : &hooks));
+  node->pools = lt_health_controller_pools (node->health_controller);
+  return 0;
+}
+
 static int
 start_controllers (lt_node_t *node)
 {
@@ -164,7 +187,6 @@
   node->incarnation = (uint64_t)lt_clock_wall_us (clock);
   lt_rng_init (&node->rng, seed);
   node->bus = lt_bus_create (node);
-  node->pools = lt_pools_round_robin_create (node);
   lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
   node->retry = lt_retry_create (&retry_options, &node->rng);
   create_counters (node);
@@ -182,6 +204,8 @@
   if (error == 0)
     error = lt_upstream_client_create (loop, settings->upstream_connections,
                                        &node->upstreams);
+  if (error == 0)
+    error = add_controllers (node);
   if (error == 0)
     error = start_controllers (node);
   if (error == 0 && settings->sheet.len > 0)
@@ -192,6 +216,8 @@
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
   daemon->tick.data = daemon;
+  if (error == 0)
+    lt_admin_add_api (daemon->admin);
   if (error != 0)
     {
       lt_daemon_destroy (daemon);
@@ -226,7 +252,6 @@
   for (int i = node->filter_count - 1; i >= 0; i--)
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
-  lt_pools_round_robin_destroy (node->pools);
   lt_retry_destroy (node->retry);
   lt_platform_destroy (&node->platform);
   lt_bus_destroy (node->bus);
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -1,6 +1,6 @@
 /** @file
     Where the dispatcher gets upstreams from.  The health controller implements
-    it; a round-robin version serves as baseline and in tests.  */
+    it.  */
 #ifndef LT_NODE_POOLS_H
 #define LT_NODE_POOLS_H
 
@@ -36,10 +36,6 @@
     const lt_pools_vtable_t *vtable;
   };
 
-  /** Round robin over all upstreams that are not drained.  */
-  lt_pools_t *lt_pools_round_robin_create (lt_node_t *node);
-  void lt_pools_round_robin_destroy (lt_pools_t *pools);
-
 #ifdef __cplusplus
 }
 #endif
--- a/packages/node/src/sheet_file.h
+++ b/packages/node/src/sheet_file.h
@@ -10,7 +10,8 @@
 {
 #endif
 
-  /** Reads and applies the file.  Findings go to stderr.  Returns 0,
+  /** Reads and applies the file.  Findings go to stderr; the
+    outcome is logged later.  Returns 0,
       -LT_EFINDINGS or a negative errno value.  */
   int lt_sheet_file_apply (lt_node_t *node, str_t path);
 
--- /dev/null
+++ b/packages/node/test/test_fleet.cc
@@ -0,0 +1,93 @@
+// Three VMs as processes, with the HTTP stand-in of the platform.
+#include <gtest/gtest.h>
+
+#include "fleet.h"
+
+class FleetTest : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    for (const char *name : { "q1", "q2", "o1" })
+      fleet.start_upstream (name);
+    for (int i = 0; i < 3; i++)
+      ASSERT_TRUE (fleet.wait_alive (i))
+          << read_file (fleet.log_file ("vm-" + std::to_string (i + 1)));
+    CommandResult applied = fleet.ctl (
+        0, { "apply", "--day", "any", fleet.sheet ("basic.csv") });
+    ASSERT_EQ (0, applied.status) << applied.output;
+  }
+
+  Fleet fleet{ 3 };
+  const std::string key = "Authorization: Bearer demo-key-1";
+};
+
+// Guards against a change that is in force on the VM that accepted it alone.
+TEST_F (FleetTest, AppliedSheetServesOnEveryVm)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (200, fleet.request (i, "GET", "/quotes/1", { key }).status);
+      EXPECT_EQ (401, fleet
+                          .request (i, "GET", "/quotes/1",
+                                    { "Authorization: Bearer wrong" })
+                          .status);
+    }
+}
+
+// Guards against a withdrawn key that goes on working on another VM (I4).
+TEST_F (FleetTest, WithdrawnKeyIsDeadOnEveryVm)
+{
+  CommandResult result = fleet.ctl (1, { "key", "withdraw", "demo-1" });
+  EXPECT_EQ (0, result.status) << result.output;
+  for (int i = 0; i < 3; i++)
+    EXPECT_EQ (401, fleet.request (i, "GET", "/quotes/1", { key }).status);
+}
+
+// Guards against requests that a planned stop of a VM cuts (I10).
+TEST_F (FleetTest, StoppedVmCutsNoRequest)
+{
+  std::atomic<bool> stop{ false };
+  std::atomic<int> answered{ 0 }, cut{ 0 }, refused_connect{ 0 };
+  std::vector<std::thread> callers;
+  for (int c = 0; c < 4; c++)
+    callers.emplace_back ([&] {
+      while (!stop)
+        {
+          Reply reply = fleet.request (2, "GET", "/quotes/1", { key });
+          if (reply.code == CURLE_OK && reply.status < 500)
+            answered++;
+          else if (reply.code == CURLE_COULDNT_CONNECT)
+            refused_connect++;
+          else
+            cut++;
+          usleep (5000);
+        }
+    });
+  usleep (200000);
+  fleet.vms[2].process->signal (SIGTERM);
+  EXPECT_EQ (0, fleet.vms[2].process->wait ());
+  stop = true;
+  for (std::thread &t : callers)
+    t.join ();
+  EXPECT_GT (answered, 20);
+  EXPECT_EQ (0, cut);
+}
+
+// Guards against VMs that lose the configuration when the store is down.
+TEST_F (FleetTest, RestartedVmGetsTheConfigurationFromPeers)
+{
+  fleet.store.reset ();
+  fleet.vms[2].process->signal (SIGKILL);
+  fleet.vms[2].process->wait ();
+  fleet.start_vm (2);
+  ASSERT_TRUE (fleet.wait_ready (2));
+  EXPECT_EQ (200, fleet.request (2, "GET", "/stock").status);
+  // The store's region attests the outage, so keyed requests are served too.
+  EXPECT_TRUE (fleet.wait_for ([&] {
+    return fleet.request (2, "GET", "/quotes/1", { key }).status == 200;
+  }));
+  for (int i = 0; i < 2; i++)
+    EXPECT_EQ (200, fleet.request (i, "GET", "/quotes/1", { key }).status);
+}
