--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -242,6 +242,24 @@
     return wait_for ([&] { return fetch ("GET", url, {}, "").status == 200; });
   }
 
+  // Waits until VM I knows COUNT VMs, itself included, that have spoken.
+  bool
+  wait_members (int i, size_t count)
+  {
+    std::string url = "http://"
+                      + local (vms[static_cast<size_t> (i)].admin_port)
+                      + "/v1/status";
+    std::string auth
+        = std::string ("Authorization: Bearer ") + Vm::kOperatorKey;
+    return wait_for ([&] {
+      std::string body = fetch ("GET", url, { auth }, "").body;
+      size_t known = 0;
+      for (const VmProcess &vm : vms)
+        known += body.find ("\"" + vm.id + "\"") != std::string::npos;
+      return known >= count;
+    });
+  }
+
   Reply
   request (int vm, const std::string &method, const std::string &target,
            const std::vector<std::string> &headers = {},
--- a/packages/node/test/test_fleet.cc
+++ b/packages/node/test/test_fleet.cc
@@ -14,6 +14,8 @@
     for (int i = 0; i < 3; i++)
       ASSERT_TRUE (fleet.wait_alive (i))
           << read_file (fleet.log_file ("vm-" + std::to_string (i + 1)));
+    for (int i = 0; i < 3; i++)
+      ASSERT_TRUE (fleet.wait_members (i, 3));
     CommandResult applied = fleet.ctl (
         0, { "apply", "--day", "any", fleet.sheet ("basic.csv") });
     ASSERT_EQ (0, applied.status) << applied.output;
