Leave a failing failure domain to local avoidance

Change: when most upstreams of a failure domain fail alike, an ejection needs a reporter of another region; one VM compares an upstream with those of other failure domains.

--- a/packages/node/src/health_exchange.c
+++ b/packages/node/src/health_exchange.c
@@ -44,7 +44,8 @@
   uint32_t domain = lt_health_service_domain (
       service, controller->node->settings->failure_domain);
   lt_health_fleet_add (service->fleet, domain, counts, count);
-  if (controller->hooks.owner == NULL)
+  /* Alone, nobody else writes the record once it has been read.  */
+  if (controller->hooks.owner == NULL && service->confirmed_us > 0)
     service->confirmed_us = now_us;
 }
 
--- a/packages/policy/bench/bench_health.c
+++ b/packages/policy/bench/bench_health.c
@@ -6,8 +6,8 @@
 
     SITE is kovacic-quotes, kovacic-orders, regnly-kiosk, regnly-ledger or
     target; SCENARIO is fail-PERCENT, slow-FACTOR, healthy, cut-domain,
-    cut-region or all-bad.  One line per policy; times in seconds from the
-    onset.  */
+    cut-region, dead-domain or all-bad.  One line per policy; times in seconds
+   from the onset.  */
 #include "lt/base/rng.h"
 #include "lt/base/str.h"
 #include "lt/policy/balance.h"
@@ -61,7 +61,8 @@
 {
   double fail; /**< Extra failure share of upstream 0. */
   double slow; /**< Latency factor of upstream 0. */
-  int cut;     /**< 1: one VM domain from a domain; 2: a region. */
+  int cut;     /**< Domain 1 from the VMs of domain 0 (1) or region 0 (2). */
+  bool dead;   /**< All upstreams of domain 0 fail. */
   double all;  /**< Failure share of all upstreams. */
 } scenario_t;
 
@@ -109,6 +110,7 @@
   uint64_t wrong;     /**< Of healthy upstreams. */
   uint64_t avoided;   /**< Local, or of the baseline. */
   uint64_t avoided_wrong;
+  uint64_t avoided_slow;
   double first_s;
   double fleet_s;
   double most_s; /**< Nine tenths of the region's VMs have stopped. */
@@ -277,6 +279,16 @@
          && domain == 1;
 }
 
+/* Returns whether UPSTREAM is bad in this scenario.  */
+static bool
+is_target (const sim_t *sim, uint32_t upstream)
+{
+  const scenario_t *s = &sim->scenario;
+  if (s->dead)
+    return upstream % sim->site->domains == 0;
+  return upstream == 0 && (s->fail > 0 || s->slow > 0);
+}
+
 static void
 send_request (sim_t *sim, uint32_t v)
 {
@@ -286,7 +298,7 @@
     return;
   sim->requests++;
   const scenario_t *s = &sim->scenario;
-  bool target = has_fault (sim) && u == 0;
+  bool target = has_fault (sim) && is_target (sim, (uint32_t)u);
   double factor = target && s->slow > 0 ? s->slow : 1;
   double latency
       = SERVICE_US * sim->speed[u] * exp (SIGMA * normal (&sim->rng)) * factor;
@@ -294,7 +306,7 @@
     latency += REGION_RTT_US;
   else if ((uint32_t)u % sim->site->domains != vm->domain)
     latency += (double)sim->site->domain_rtt_us;
-  bool fault = (target && lt_rng_unit (&sim->rng) < s->fail)
+  bool fault = (target && (s->dead || lt_rng_unit (&sim->rng) < s->fail))
                || (has_fault (sim) && lt_rng_unit (&sim->rng) < s->all);
   if (fault || (target && s->slow > 0))
     sim->harmed++;
@@ -316,8 +328,7 @@
 static void
 note_avoided (sim_t *sim, const vm_t *vm, uint32_t u)
 {
-  bool right = has_fault (sim) && u == 0
-               && (sim->scenario.fail > 0 || sim->scenario.slow > 0);
+  bool right = has_fault (sim) && is_target (sim, u);
   sim->avoided++;
   sim->avoided_wrong += !right && !is_cut (sim, vm, u);
   double since = (double)(sim->now_us - sim->onset_us) / 1e6;
@@ -387,8 +398,11 @@
       lt_health_state_t state = lt_health_state (vm->local, u);
       lt_balance_set_usable (vm->balance, u, state == LT_HEALTH_USABLE,
                              sim->now_us);
-      if (state == LT_HEALTH_AVOIDED && vm->in_a_row[u] != state)
-        note_avoided (sim, vm, u);
+      if (state != LT_HEALTH_AVOIDED || vm->in_a_row[u] == state)
+        continue;
+      note_avoided (sim, vm, u);
+      sim->avoided_slow += lt_health_local_evidence (vm->local, u)->stream
+                           == LT_HEALTH_STREAM_SLOW;
     }
 }
 
@@ -430,8 +444,7 @@
           error = lt_ejection_add (&sim->view, &sim->vms[0].pool,
                                    action->upstream, &action->evidence,
                                    sim->now_us, 0, &sim->written);
-          bool right = action->upstream == 0 && has_fault (sim)
-                       && (sim->scenario.fail > 0 || sim->scenario.slow > 0);
+          bool right = has_fault (sim) && is_target (sim, action->upstream);
           sim->ejections += error == 0;
           sim->wrong += error == 0 && !right;
           double since = (double)(sim->now_us - sim->onset_us) / 1e6;
@@ -515,6 +528,8 @@
     s->cut = 1;
   else if (strcmp (text, "cut-region") == 0)
     s->cut = 2;
+  else if (strcmp (text, "dead-domain") == 0)
+    s->dead = true;
   else if (strcmp (text, "all-bad") == 0)
     s->all = 0.5;
   else
@@ -529,7 +544,7 @@
   double *first_s = lt_alloc (seeds * sizeof *first_s);
   double *fleet_s = lt_alloc (seeds * sizeof *fleet_s);
   double *most_s = lt_alloc (seeds * sizeof *most_s);
-  uint64_t sums[6] = { 0 };
+  uint64_t sums[7] = { 0 };
   for (size_t i = 0; i < seeds; i++)
     {
       sim_t sim;
@@ -544,6 +559,7 @@
       sums[3] += sim.wrong;
       sums[4] += sim.avoided;
       sums[5] += sim.avoided_wrong;
+      sums[6] += sim.avoided_slow;
       destroy (&sim);
     }
   double hours
@@ -551,14 +567,16 @@
   printf ("site=%s scenario=%s policy=%s seeds=%zu first_p50=%.1f "
           "fleet_p50=%.1f fleet_p90=%.1f most_p50=%.1f most_p90=%.1f "
           "harmed=%.1f ejections=%llu wrong=%llu wrong_per_h=%.3f "
-          "avoided=%llu avoided_wrong_per_h=%.2f requests=%llu\n",
+          "avoided=%llu avoided_wrong_per_h=%.2f avoided_slow=%llu "
+          "requests=%llu\n",
           site->name, name, base ? "5-in-a-row" : "cusum", seeds,
           quantile (first_s, seeds, 0.5), quantile (fleet_s, seeds, 0.5),
           quantile (fleet_s, seeds, 0.9), quantile (most_s, seeds, 0.5),
           quantile (most_s, seeds, 0.9), (double)sums[1] / (double)seeds,
           (unsigned long long)sums[2], (unsigned long long)sums[3],
           (double)sums[3] / hours, (unsigned long long)sums[4],
-          (double)sums[5] / hours, (unsigned long long)sums[0]);
+          (double)sums[5] / hours, (unsigned long long)sums[6],
+          (unsigned long long)sums[0]);
   fflush (stdout);
   free (first_s);
   free (fleet_s);
--- a/packages/policy/include/lt/policy/health_fleet.h
+++ b/packages/policy/include/lt/policy/health_fleet.h
@@ -6,7 +6,9 @@
     An ejection needs a score above the threshold of the stated false alarm
     rate, support from at least two failure domains of reporters that carry at
     least half of the upstream's requests, and no contradiction by domains that
-    carry more than a quarter: what only some VMs see is a path failure.  */
+    carry more than a quarter: what only some VMs see is a path failure.
+    When most upstreams of a failure domain fail alike, a reporter of another
+    region must support it too; else it is left to local avoidance.  */
 #ifndef LT_POLICY_HEALTH_FLEET_H
 #define LT_POLICY_HEALTH_FLEET_H
 
--- a/packages/policy/include/lt/policy/health_record.h
+++ b/packages/policy/include/lt/policy/health_record.h
@@ -60,7 +60,6 @@
   {
     lt_ejection_record_t record;
     int64_t *seen_us; /**< One per entry. */
-    int64_t read_us;  /**< When a read that confirmed the copy was sent. */
   } lt_ejection_view_t;
 
   void lt_ejection_view_clear (lt_ejection_view_t *view);
--- a/packages/policy/src/health_fleet.c
+++ b/packages/policy/src/health_fleet.c
@@ -14,12 +14,16 @@
 #define REPORTER_CAP 4.0
 #define REPORTER_LEAST 2.0
 #define REPORT_SMOOTHING 0.01
+#define SLOW_MARGIN 2
 /* Log-likelihood ratios at which a domain supports or contradicts a fault,
    about 3 to 1 for and 7 to 1 against.  The second domain often has a tenth of
    the requests; with 2.0 for support too, a failure share of 5% took up to
    57 s instead of 30 s.  */
 #define SUPPORT 1.0
 #define CONTRADICTION 2.0
+/* One failure more than normal; the upstreams of a domain that is cut off
+   reach it within the same step.  */
+#define DOMAIN_SCORE 4.0
 #define LEAST_SUPPORTERS 2
 #define LEAST_SUPPORT 0.5
 #define MOST_CONTRADICTED 0.25
@@ -27,6 +31,7 @@
 /* One upstream as the VMs of one failure domain see it.  */
 typedef struct cell
 {
+  bool remote;     /**< The reporters are in another region. */
   double requests; /**< In this step, and so on. */
   double failed;
   float latency[2][LT_HEALTH_BUCKETS];
@@ -107,6 +112,7 @@
   double most = fmax (REPORTER_LEAST, REPORTER_CAP * fleet->usual);
   double scale = counts->requests > most ? most / counts->requests : 1;
   fleet->usual += REPORT_SMOOTHING * (counts->requests * scale - fleet->usual);
+  cell->remote = counts->remote;
   cell->requests += counts->requests * scale;
   cell->failed += counts->failed * scale;
   for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
@@ -169,7 +175,8 @@
     {
       uint32_t slow[2];
       for (uint32_t remote = 0; remote < 2; remote++)
-        slow[remote] = lt_health_sketches_slow (&fleet->sketches, u, remote);
+        slow[remote] = lt_health_sketches_slow (&fleet->sketches, u, remote,
+                                                SLOW_MARGIN);
       for (uint32_t d = 0; d < LT_HEALTH_MAX_DOMAINS; d++)
         {
           if (!fleet->seen[d])
@@ -233,13 +240,15 @@
   double supporting; /**< Trials of domains that support. */
   double contradicting;
   uint32_t supporters;
+  bool remote; /**< A supporter is in another region. */
 } verdict_t;
 
 /* Adds domain D's opinion on the share SHARE against its own baseline.  The
    estimated share is used, not the alternative: a small alternative is hardly
    contradicted by domains that see no failure at all.  */
 static void
-ask_domain (const lt_health_onset_t *since, double share, verdict_t *verdict)
+ask_domain (const lt_health_onset_t *since, double share, bool remote,
+            verdict_t *verdict)
 {
   double base = since->baseline;
   double good = since->trials - since->bad;
@@ -249,12 +258,44 @@
   if (opinion >= SUPPORT)
     {
       verdict->supporters++;
+      verdict->remote |= remote;
       verdict->supporting += since->trials;
     }
   if (opinion <= -CONTRADICTION)
     verdict->contradicting += since->trials;
 }
 
+static double
+score_of (const lt_health_fleet_t *fleet, uint32_t u, lt_health_stream_t s,
+          uint32_t k)
+{
+  double score = 0;
+  for (uint32_t d = 0; d < LT_HEALTH_MAX_DOMAINS; d++)
+    score += cell_at (fleet, u, d)->tests[s].score[k];
+  return score;
+}
+
+/* Returns whether most upstreams of U's failure domain fail alike.  Then the
+   domain may be cut off from the region that uses it, and no reporter is left
+   that could contradict.  */
+static bool
+domain_fails (const lt_health_fleet_t *fleet, uint32_t u, lt_health_stream_t s,
+              uint32_t k)
+{
+  const lt_health_upstream_t *upstreams = fleet->pool->upstreams;
+  uint32_t all = 0;
+  uint32_t failing = 0;
+  for (uint32_t v = 0; v < fleet->pool->count; v++)
+    {
+      if (upstreams[v].failure_domain != upstreams[u].failure_domain
+          || upstreams[v].out || fleet->items[v].ejected)
+        continue;
+      all++;
+      failing += score_of (fleet, v, s, k) >= DOMAIN_SCORE;
+    }
+  return failing > 1 && failing * 3 >= all * 2;
+}
+
 /* Returns whether alternative K holds for enough domains and reporters.  */
 static bool
 is_confirmed (const lt_health_fleet_t *fleet, uint32_t u, lt_health_stream_t s,
@@ -275,12 +316,15 @@
     {
       const lt_health_test_t *test = &cell_at (fleet, u, d)->tests[s];
       if (test->since[k].trials > 0)
-        ask_domain (&test->since[k], v.bad / v.trials, &v);
+        ask_domain (&test->since[k], v.bad / v.trials,
+                    cell_at (fleet, u, d)->remote, &v);
     }
   if (v.supporters < LEAST_SUPPORTERS
       || v.supporting < LEAST_SUPPORT * v.trials
       || v.contradicting > MOST_CONTRADICTED * v.trials)
     return false;
+  if (!v.remote && domain_fails (fleet, u, s, k))
+    return false;
   *evidence = (lt_health_evidence_t){ .stream = s,
                                       .score = v.score,
                                       .threshold = fleet->threshold,
--- a/packages/policy/src/health_local.c
+++ b/packages/policy/src/health_local.c
@@ -13,6 +13,9 @@
    upstream that goes on failing is found again at once.  */
 #define COLD_ANSWERS 1
 #define RESTART_REFUSALS 3
+/* One VM knows its peers' latency from few responses.  With the aggregator's
+   margin of 2 all false avoidances of healthy upstreams were for slowness.  */
+#define SLOW_MARGIN 3
 /* lt_health_update runs from the controllers' tick, every 100 ms.  */
 #define UPDATES_PER_S 10.0
 #define PROBE_INTERVAL_US 1000000LL
@@ -47,6 +50,8 @@
   bool report_failures;
   uint32_t *dirty; /**< Upstreams with counts in step. */
   uint32_t dirty_count;
+  lt_health_share_t *shares_now; /**< Of the upstreams in dirty. */
+  bool one_domain;
   lt_health_shares_t shares;
   lt_health_sketches_t sketches;
 };
@@ -66,9 +71,16 @@
   local->step = lt_alloc ((count + 1) * sizeof *local->step);
   local->report = lt_alloc ((count + 1) * sizeof *local->report);
   local->dirty = lt_alloc ((count + 1) * sizeof *local->dirty);
+  local->shares_now = lt_alloc ((count + 1) * sizeof *local->shares_now);
+  local->one_domain = true;
   for (uint32_t i = 0; i < count; i++)
-    if (pool->upstreams[i].out)
-      local->items[i].state = LT_HEALTH_OUT;
+    {
+      if (pool->upstreams[i].out)
+        local->items[i].state = LT_HEALTH_OUT;
+      if (pool->upstreams[i].failure_domain
+          != pool->upstreams[0].failure_domain)
+        local->one_domain = false;
+    }
   lt_health_shares_init (&local->shares, count);
   lt_health_sketches_init (&local->sketches, count, 1);
   return local;
@@ -85,6 +97,7 @@
   free (local->step);
   free (local->report);
   free (local->dirty);
+  free (local->shares_now);
   free (local);
 }
 
@@ -177,7 +190,8 @@
 {
   const lt_health_counts_t *step = &local->step[u];
   uint32_t remote = local->pool->upstreams[u].remote;
-  uint32_t slow = lt_health_sketches_slow (&local->sketches, u, remote);
+  uint32_t slow
+      = lt_health_sketches_slow (&local->sketches, u, remote, SLOW_MARGIN);
   lt_health_share_t share = { { 0 }, { 0 } };
   share.trials[LT_HEALTH_STREAM_FAILED] = step->requests;
   share.bad[LT_HEALTH_STREAM_FAILED] = step->failed;
@@ -189,20 +203,43 @@
   return share;
 }
 
+/* Sums the step's counts of the upstreams in other failure domains than U, or
+   of all others when U's domain is the only one.  */
+static lt_health_share_t
+step_peers (const lt_health_local_t *local, uint32_t u)
+{
+  const lt_health_upstream_t *upstreams = local->pool->upstreams;
+  lt_health_share_t apart = { { 0 }, { 0 } };
+  lt_health_share_t all = { { 0 }, { 0 } };
+  for (uint32_t i = 0; i < local->dirty_count; i++)
+    {
+      uint32_t v = local->dirty[i];
+      bool same = upstreams[v].failure_domain == upstreams[u].failure_domain;
+      for (int s = 0; s < LT_HEALTH_STREAMS && v != u; s++)
+        {
+          all.trials[s] += local->shares_now[v].trials[s];
+          all.bad[s] += local->shares_now[v].bad[s];
+          apart.trials[s] += same ? 0 : local->shares_now[v].trials[s];
+          apart.bad[s] += same ? 0 : local->shares_now[v].bad[s];
+        }
+    }
+  return local->one_domain ? all : apart;
+}
+
 static void
-test_step (lt_health_local_t *local, uint32_t u,
-           const lt_health_share_t *share, const lt_health_share_t *total)
+test_step (lt_health_local_t *local, uint32_t u)
 {
+  const lt_health_share_t *share = &local->shares_now[u];
+  lt_health_share_t peers = step_peers (local, u);
   for (int s = 0; s < LT_HEALTH_STREAMS; s++)
     {
       lt_health_test_t *test = &local->items[u].tests[s];
-      lt_health_step_t step
-          = { .baseline = lt_health_shares_baseline (&local->shares, u, s,
-                                                     lt_health_prior (s)),
-              .trials = share->trials[s],
-              .bad = share->bad[s],
-              .peer_trials = total->trials[s] - share->trials[s],
-              .peer_bad = total->bad[s] - share->bad[s] };
+      lt_health_step_t step = { .baseline = lt_health_shares_apart (
+                                    &local->shares, local->pool, u, s),
+                                .trials = share->trials[s],
+                                .bad = share->bad[s],
+                                .peer_trials = peers.trials[s],
+                                .peer_bad = peers.bad[s] };
       lt_health_test_add (test, &step);
       for (uint32_t k = 0; k < LT_HEALTH_ALTERNATIVES; k++)
         if (test->score[k] <= 0)
@@ -288,29 +325,16 @@
 static void
 run_tests (lt_health_local_t *local, int64_t now_us)
 {
-  lt_health_share_t total = { { 0 }, { 0 } };
   lt_health_shares_advance (&local->shares, now_us);
   lt_health_sketches_advance (&local->sketches, now_us);
   for (uint32_t i = 0; i < local->dirty_count; i++)
-    {
-      lt_health_share_t share = step_share (local, local->dirty[i]);
-      for (int s = 0; s < LT_HEALTH_STREAMS; s++)
-        {
-          total.trials[s] += share.trials[s];
-          total.bad[s] += share.bad[s];
-        }
-    }
+    local->shares_now[local->dirty[i]] = step_share (local, local->dirty[i]);
   for (uint32_t i = 0; i < local->dirty_count; i++)
-    {
-      uint32_t u = local->dirty[i];
-      lt_health_share_t share = step_share (local, u);
-      test_step (local, u, &share, &total);
-    }
+    test_step (local, local->dirty[i]);
   for (uint32_t i = 0; i < local->dirty_count; i++)
     {
       uint32_t u = local->dirty[i];
-      lt_health_share_t share = step_share (local, u);
-      lt_health_shares_add (&local->shares, u, &share);
+      lt_health_shares_add (&local->shares, u, &local->shares_now[u]);
     }
   for (uint32_t i = 0; i < local->dirty_count; i++)
     {
--- a/packages/policy/src/health_test.c
+++ b/packages/policy/src/health_test.c
@@ -8,7 +8,7 @@
 
 /* Weight of the baseline, in trials, against the peers' share since the
    onset: few peer trials alone must not cancel evidence.  */
-#define PEER_PRIOR_TRIALS 10.0
+#define PEER_PRIOR_TRIALS 3.0
 
 double
 lt_health_llr (uint32_t k, double baseline, double trials, double bad)
--- a/packages/policy/src/health_window.c
+++ b/packages/policy/src/health_window.c
@@ -9,12 +9,10 @@
 /* Weights are scaled back before doubles lose the small counts.  */
 #define MOST_WEIGHT 1048576.0
 #define PRIOR_TRIALS 50.0
+/* With fewer responses from other failure domains all peers are compared.  */
+#define LEAST_APART 5.0
 #define MOST_BASELINE 0.99
-/* Slow means two buckets (a factor of 1.6 to 2) above the others' 90%
-   quantile, so that an upstream on hardware that is a fifth slower than its
-   peers does not count; a threefold latency still crosses it often.  */
 #define SLOW_QUANTILE 0.9
-#define SLOW_MARGIN_BUCKETS 2
 #define LEAST_RESPONSES 50.0
 
 /* Shares below these are normal operation: an upstream that fails one request
@@ -119,6 +117,16 @@
   memset (row, 0, sizeof *row);
 }
 
+static double
+baseline_of (const lt_health_shares_t *shares, lt_health_stream_t stream,
+             double trials, double bad, double prior)
+{
+  double weight = shares->weight * PRIOR_TRIALS;
+  double share
+      = (fmax (bad, 0) + weight * prior) / (fmax (trials, 0) + weight);
+  return fmin (fmax (share, least_baseline[stream]), MOST_BASELINE);
+}
+
 double
 lt_health_shares_baseline (const lt_health_shares_t *shares, uint32_t upstream,
                            lt_health_stream_t stream, double prior)
@@ -126,10 +134,28 @@
   const lt_health_share_t *row = &shares->rows[upstream];
   double trials = shares->total.trials[stream] - row->trials[stream];
   double bad = shares->total.bad[stream] - row->bad[stream];
-  double weight = shares->weight * PRIOR_TRIALS;
-  double share
-      = (fmax (bad, 0) + weight * prior) / (fmax (trials, 0) + weight);
-  return fmin (fmax (share, least_baseline[stream]), MOST_BASELINE);
+  return baseline_of (shares, stream, trials, bad, prior);
+}
+
+double
+lt_health_shares_apart (const lt_health_shares_t *shares,
+                        const lt_health_pool_t *pool, uint32_t upstream,
+                        lt_health_stream_t stream)
+{
+  uint32_t domain = pool->upstreams[upstream].failure_domain;
+  double prior = priors[stream];
+  double trials = 0;
+  double bad = 0;
+  for (uint32_t u = 0; u < shares->count; u++)
+    {
+      if (pool->upstreams[u].failure_domain == domain)
+        continue;
+      trials += shares->rows[u].trials[stream];
+      bad += shares->rows[u].bad[stream];
+    }
+  if (trials < LEAST_APART * shares->weight)
+    return lt_health_shares_baseline (shares, upstream, stream, prior);
+  return baseline_of (shares, stream, trials, bad, prior);
 }
 
 void
@@ -203,7 +229,7 @@
 
 uint32_t
 lt_health_sketches_slow (const lt_health_sketches_t *sketches,
-                         uint32_t upstream, uint32_t remote)
+                         uint32_t upstream, uint32_t remote, uint32_t margin)
 {
   const float *row = row_of (sketches, upstream, remote);
   double others[LT_HEALTH_BUCKETS];
@@ -219,5 +245,5 @@
   uint32_t bucket = 0;
   while (bucket < LT_HEALTH_BUCKETS && above > (1 - SLOW_QUANTILE) * sum)
     above -= others[bucket++];
-  return bucket + SLOW_MARGIN_BUCKETS;
+  return bucket + margin;
 }
--- a/packages/policy/src/health_window.h
+++ b/packages/policy/src/health_window.h
@@ -7,9 +7,10 @@
 
 #include "lt/policy/health.h"
 
-/** Upstream and peers have this half-life; longer ones hold on to a baseline
-    that a past fault of the whole service has raised.  */
-#define LT_HEALTH_HALF_LIFE_US 10000000LL
+/** Half-life of all counts.  Shorter ones estimate the baseline from too few
+    responses of one VM; longer ones hold on to a baseline that a past fault of
+    the whole service has raised.  */
+#define LT_HEALTH_HALF_LIFE_US 30000000LL
 
 #ifdef __cplusplus
 extern "C"
@@ -47,6 +48,12 @@
                                     lt_health_stream_t stream, double prior);
   /** Returns the first alternative that is tested in STREAM.  */
   uint32_t lt_health_first_alternative (lt_health_stream_t stream);
+  /** The same with the upstreams of other failure domains as the others, as
+      soon as they have enough responses: the own domain may fail as a whole.
+    */
+  double lt_health_shares_apart (const lt_health_shares_t *shares,
+                                 const lt_health_pool_t *pool,
+                                 uint32_t upstream, lt_health_stream_t stream);
   /** Returns the share assumed without any observation.  */
   double lt_health_prior (lt_health_stream_t stream);
 
@@ -73,10 +80,14 @@
                                uint32_t bucket, double responses);
   void lt_health_sketches_forget (lt_health_sketches_t *sketches,
                                   uint32_t upstream, bool remote);
-  /** Returns the first bucket that counts as slow for UPSTREAM, or
-      LT_HEALTH_BUCKETS when the others have too few responses to tell.  */
+  /** Returns the first bucket that counts as slow for UPSTREAM: MARGIN buckets
+      above the others' 90% quantile; LT_HEALTH_BUCKETS or more when the others
+      have too few responses to tell.  Two buckets are a factor of 1.6 to 2:
+      an upstream on hardware that is a fifth slower than its peers does not
+      count, a threefold latency still crosses it often.  */
   uint32_t lt_health_sketches_slow (const lt_health_sketches_t *sketches,
-                                    uint32_t upstream, uint32_t remote);
+                                    uint32_t upstream, uint32_t remote,
+                                    uint32_t margin);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/test/test_health.cc
+++ b/packages/policy/test/test_health.cc
@@ -394,6 +394,11 @@
         return lt_rng_below (r, 10) < 9 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
       },
       false, 0 },
+    { "a failure domain that fails as a whole is avoided", false,
+      [] (uint32_t u, int64_t *, lt_rng_t *) {
+        return u % 6 == 0 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
+      },
+      true, 2 },
     { "avoidance stops at the floor", false,
       [] (uint32_t u, int64_t *, lt_rng_t *) {
         return u < 5 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
@@ -615,6 +620,8 @@
       [] (uint32_t, uint32_t u) { return u == 3 ? 1 : 0.01; }, 0, 1 },
     { "a service that is bad as a whole loses nobody",
       [] (uint32_t, uint32_t) { return 0.9; }, 0, 6 },
+    { "a failure domain that fails for its own region only loses nobody",
+      [] (uint32_t, uint32_t u) { return u % 6 == 4 ? 1 : 0.01; }, 0, 6 },
     { "ejections stop at the floor",
       [] (uint32_t, uint32_t u) { return u < 5 ? 0.6 : 0.01; }, 3, 6 },
   };
