--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -12,7 +12,9 @@
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/node/config_controller.h"
 #include "lt/policy/retry.h"
+#include "membership_controller.h"
 #include "pools.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
@@ -132,6 +134,21 @@
   return lt_platform_http_create (node->loop, &options, &node->platform);
 }
 
+/* Membership comes after the configuration, whose knowledge its heartbeats
+   carry.  Without a peer address this VM is the whole fleet.  */
+static int
+add_controllers (lt_node_t *node)
+{
+  lt_node_add_controller (node, lt_config_controller_create (node));
+  if (node->settings->peer_listen.len == 0)
+    return 0;
+  lt_controller_t *membership = NULL;
+  int error = lt_membership_controller_create (node, &membership);
+  if (error == 0)
+    lt_node_add_controller (node, membership);
+  return error;
+}
+
 static int
 start_controllers (lt_node_t *node)
 {
@@ -180,6 +197,8 @@
   if (error == 0)
     error = lt_upstream_client_create (loop, settings->upstream_connections,
                                        &node->upstreams);
+  if (error == 0)
+    error = add_controllers (node);
   if (error == 0)
     error = start_controllers (node);
   if (error == 0 && settings->sheet.len > 0)
--- a/packages/node/src/sheet_file.c
+++ b/packages/node/src/sheet_file.c
@@ -7,6 +7,7 @@
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
+#include "lt/node/config_controller.h"
 
 enum
 {
@@ -40,6 +41,16 @@
   lt_buf_destroy (&text);
 }
 
+static void
+on_applied (void *user, const lt_apply_result_t *result)
+{
+  (void)user;
+  if (result->outcome != LT_APPLY_ACCEPTED)
+    lt_log (LT_LOG_ERROR, "daemon",
+            "msg=\"the sheet was not applied\" outcome=%s",
+            lt_apply_outcome_name (result->outcome));
+}
+
 int
 lt_sheet_file_apply (lt_node_t *node, str_t path)
 {
@@ -63,6 +74,6 @@
   lt_buf_destroy (&text);
   if (error != 0)
     return error;
-  snapshot->version = 1;
-  return lt_node_install_snapshot (node, snapshot);
+  return lt_config_controller_apply (node->config_controller, snapshot, 0,
+                                     STR_LIT ("sheet"), on_applied, NULL);
 }
--- a/packages/node/test/session.h
+++ b/packages/node/test/session.h
@@ -24,8 +24,10 @@
 #include "daemon.h"
 #include "lt/base/clock.h"
 #include "lt/config/sheet.h"
+#include "lt/node/config_controller.h"
 #include "lt/node/node.h"
 #include "lt/platform/memory.h"
+#include "lt/policy/freshness.h"
 #include "lt/standin/upstream.h"
 
 inline str_t
@@ -189,13 +191,32 @@
     lt_findings_destroy (&findings);
     if (error != 0)
       return result.empty () ? "refused" : result;
-    snapshot->version = version;
-    if (lt_node_install_snapshot (node, snapshot) != 0)
+    bool accepted = false;
+    if (lt_config_controller_apply (
+            node->config_controller, snapshot, version - 1,
+            STR_LIT ("session"),
+            [] (void *user, const lt_apply_result_t *applied) {
+              *static_cast<bool *> (user)
+                  = applied->outcome == LT_APPLY_ACCEPTED;
+            },
+            &accepted)
+        != 0)
+      return "busy";
+    turn (20);
+    if (!accepted)
       return "stale";
-    turn (5);
+    await_confirmation ();
     return result;
   }
 
+  // Lets the VM read the head record after the clock has moved.
+  void
+  await_confirmation ()
+  {
+    while (!lt_freshness_allows_keyed (node->freshness, clock.now_us))
+      ev_run (loop, EVRUN_ONCE);
+  }
+
   // Lets the loop run for a few turns without blocking.
   void
   turn (int turns)
