--- a/packages/node/src/sheet_file.c
+++ b/packages/node/src/sheet_file.c
@@ -42,11 +42,13 @@
 }
 
 static void
-log_outcome (void *user, const lt_apply_result_t *result)
+on_applied (void *user, const lt_apply_result_t *result)
 {
   (void)user;
-  lt_log (LT_LOG_INFO, "daemon", "msg=\"sheet of --sheet\" outcome=%s",
-          lt_apply_outcome_name (result->outcome));
+  if (result->outcome != LT_APPLY_ACCEPTED)
+    lt_log (LT_LOG_ERROR, "daemon",
+            "msg=\"the sheet was not applied\" outcome=%s",
+            lt_apply_outcome_name (result->outcome));
 }
 
 int
@@ -73,5 +75,5 @@
   if (error != 0)
     return error;
   return lt_config_controller_apply (node->config_controller, snapshot, 0,
-                                     STR_LIT ("--sheet"), log_outcome, node);
+                                     STR_LIT ("sheet"), on_applied, NULL);
 }
