Check rows before msgpack-c decodes them

Change: a row must be a short array of scalars that lie within the input; the workspaces of a route are one text.

--- a/packages/config/src/patch_codec.c
+++ b/packages/config/src/patch_codec.c
@@ -82,9 +82,15 @@
   msgpack_pack_int32 (pk, route->row.timeout_ms);
   msgpack_pack_int64 (pk, route->row.max_body_bytes);
   put_bool (pk, route->row.all_workspaces);
-  msgpack_pack_array (pk, route->workspace_count);
+  lt_buf_t list = { 0 };
   for (uint32_t i = 0; i < route->workspace_count; i++)
-    put_str (pk, route->workspaces[i]);
+    {
+      if (i > 0)
+        lt_buf_append (&list, "|", 1);
+      lt_buf_append_str (&list, route->workspaces[i]);
+    }
+  put_str (pk, lt_buf_str (&list));
+  lt_buf_destroy (&list);
 }
 
 static void
@@ -221,21 +227,22 @@
     f->failed = true;
 }
 
+/* Names hold no '|', so a list of them is one text.  */
 static void
 take_workspaces (fields_t *f, lt_patch_t *patch, lt_patch_route_t *route)
 {
-  const msgpack_object *o = take (f, MSGPACK_OBJECT_ARRAY);
-  if (f->failed)
+  str_t list = take_str (f);
+  if (f->failed || list.len == 0)
     return;
-  uint32_t count = o->via.array.size;
+  uint32_t count = 1;
+  for (size_t i = 0; i < list.len; i++)
+    count += list.data[i] == '|';
   route->workspace_count = count;
   route->row.workspace_count = count;
   route->workspaces
       = lt_arena_alloc (patch->arena, (size_t)count * sizeof (str_t));
-  fields_t names = { o->via.array.ptr, count, 0, false };
   for (uint32_t i = 0; i < count; i++)
-    route->workspaces[i] = take_str (&names);
-  f->failed = names.failed;
+    route->workspaces[i] = str_split (list, '|', &list);
 }
 
 static void
@@ -340,6 +347,50 @@
   return (uint32_t)take_int (f, 0, UINT32_MAX);
 }
 
+/* Returns the length of the integer, boolean, text or bytes at P, or 0 for
+   anything else.  */
+static size_t
+scalar_length (const unsigned char *p, size_t left)
+{
+  if (left == 0)
+    return 0;
+  unsigned char b = p[0];
+  if (b <= 0x7f || b >= 0xe0 || b == 0xc2 || b == 0xc3)
+    return 1;
+  if (b >= 0xa0 && b <= 0xbf)
+    return 1 + (size_t)(b & 0x1f);
+  if ((b >= 0xcc && b <= 0xcf) || (b >= 0xd0 && b <= 0xd3))
+    return 1 + ((size_t)1 << (b & 3));
+  bool text = b >= 0xd9 && b <= 0xdb;
+  if (!text && (b < 0xc4 || b > 0xc6))
+    return 0;
+  size_t width = (size_t)1 << (text ? b - 0xd9 : b - 0xc4);
+  size_t len = 0;
+  for (size_t i = 1; i <= width && i < left; i++)
+    len = len << 8 | p[i];
+  return 1 + width + len;
+}
+
+/* msgpack-c allocates an array before it reads its items, so a damaged count
+   would ask for up to 100 GB.  Rows are short arrays of scalars.  */
+static bool
+row_is_plain (str_t bytes, size_t offset)
+{
+  const unsigned char *p = (const unsigned char *)bytes.data;
+  if (offset >= bytes.len || (p[offset] & 0xf0) != 0x90)
+    return false;
+  size_t count = p[offset] & 0x0f;
+  size_t at = offset + 1;
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t len = scalar_length (p + at, bytes.len - at);
+      if (len == 0 || len > bytes.len - at)
+        return false;
+      at += len;
+    }
+  return true;
+}
+
 static int
 decode_objects (str_t bytes, msgpack_zone *zone, lt_patch_t *patch)
 {
@@ -348,6 +399,8 @@
   for (uint64_t i = 0; i < expected; i++)
     {
       msgpack_object object;
+      if (!row_is_plain (bytes, offset))
+        return -LT_EPROTO;
       msgpack_zone_clear (zone);
       msgpack_unpack_return got
           = msgpack_unpack (bytes.data, bytes.len, &offset, zone, &object);
--- a/packages/config/test/test_diff.cc
+++ b/packages/config/test/test_diff.cc
@@ -132,6 +132,41 @@
   EXPECT_EQ (nullptr, got);
 }
 
+// Guards against damaged deltas that lead to reads out of bounds or to a
+// snapshot that cannot be encoded.
+TEST (Delta, SurvivesRandomDamage)
+{
+  lt_snapshot_t *a = parse_example ("small");
+  lt_snapshot_t *b = parse_example ("kovacic");
+  lt_buf_t buf = {};
+  lt_delta_encode (a, b, &buf);
+  std::string delta = take (&buf);
+  lt_rng_t rng;
+  lt_rng_init (&rng, 3);
+  int accepted = 0;
+  for (int i = 0; i < 5000; i++)
+    {
+      std::string damaged = delta;
+      damaged[lt_rng_below (&rng, delta.size ())]
+          = (char)lt_rng_below (&rng, 256);
+      lt_snapshot_t *got = nullptr;
+      str_t bytes = str_make (damaged.data (), damaged.size ());
+      if (lt_delta_apply (a, bytes, &got) != 0)
+        continue;
+      accepted++;
+      std::string encoded = encode (got);
+      lt_snapshot_t *again = nullptr;
+      EXPECT_EQ (0, lt_snapshot_decode (
+                        str_make (encoded.data (), encoded.size ()), &again))
+          << i;
+      lt_snapshot_destroy (again);
+      lt_snapshot_destroy (got);
+    }
+  EXPECT_GT (accepted, 0);
+  lt_snapshot_destroy (a);
+  lt_snapshot_destroy (b);
+}
+
 // Guards against random edits after which VMs that got deltas differ from VMs
 // that got whole snapshots.
 TEST (Delta, FollowsRandomEdits)
--- a/packages/config/test/test_sheet.cc
+++ b/packages/config/test/test_sheet.cc
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "lt/base/error.h"
+#include "lt/base/rng.h"
 #include "lt/config/diff.h"
 #include "lt/config/sheet.h"
 
@@ -233,6 +234,32 @@
   tzset ();
 }
 
+// Guards against reading past damaged text, and against damage that is
+// accepted by the checks but not by the snapshot.
+TEST (Sheet, SurvivesRandomDamage)
+{
+  const char bytes[] = "\",;|\t\r\n 0-:./*\xff";
+  std::string sources[]
+      = { read_file (LT_TEST_DIR "/golden/good-messy.csv"),
+          read_file (LT_SOURCE_DIR "/examples/kovacic.csv") };
+  lt_rng_t rng;
+  lt_rng_init (&rng, 5);
+  int accepted = 0;
+  for (int i = 0; i < 3000; i++)
+    {
+      std::string text = sources[i % 2];
+      for (uint64_t n = lt_rng_below (&rng, 3); n <= 2; n++)
+        text[lt_rng_below (&rng, text.size ())]
+            = bytes[lt_rng_below (&rng, sizeof (bytes))];
+      std::string got = transcript (text, 20);
+      EXPECT_EQ (std::string::npos, got.find ("rows that are consistent"))
+          << i << got;
+      accepted += got.find (" added, ") != std::string::npos;
+    }
+  EXPECT_GT (accepted, 0);
+  EXPECT_LT (accepted, 3000);
+}
+
 // Guards against a column that docs/reference.md does not explain.
 TEST (Sheet, ReferenceListsEveryColumn)
 {
