Add the operators' API to the daemon

Change: the daemon adds the API to its admin server. The config controller is not created by the daemon yet; until then changes are refused with no-config-controller. Conclusion: the API is complete once the daemon creates the controller.

--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -13,6 +13,7 @@
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/node/admin_api.h"
 #include "lt/policy/retry.h"
 #include "pools.h"
 #include "sheet_file.h"
@@ -188,6 +189,8 @@
     error = lt_sheet_file_apply (node, settings->sheet);
   if (error == 0)
     error = lt_admin_create (node, &daemon->admin);
+  if (error == 0)
+    lt_admin_add_api (daemon->admin);
   if (error == 0)
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
