--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -212,6 +212,8 @@
     error = lt_sheet_file_apply (node, settings->sheet);
   if (error == 0)
     error = lt_admin_create (node, &daemon->admin);
+  if (error == 0)
+    lt_admin_add_api (daemon->admin);
   if (error == 0)
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
