Drive claims and the quarantine in the node

The claim filter claims never-repeat actions in the table before the dispatcher may send; the dispatcher asks for permission right before the first byte.

lt_transfer_vtable_t.on_send now returns whether the request may be sent, and message 17 carries the lost upstreams and the clearing of a suspicion.

--- a/packages/node/bench/bench_proxy.c
+++ b/packages/node/bench/bench_proxy.c
@@ -90,10 +90,11 @@
   return true;
 }
 
-static void
+static bool
 on_send (void *owner)
 {
   (void)owner;
+  return true;
 }
 
 static void
--- /dev/null
+++ b/packages/node/include/lt/node/quarantine_controller.h
@@ -0,0 +1,36 @@
+/** @file
+    Drives the quarantine of requests that crash upstreams
+    (policy/quarantine.h): losses come from observations, notices go to all VMs
+    (message type 17).  */
+#ifndef LT_NODE_QUARANTINE_CONTROLLER_H
+#define LT_NODE_QUARANTINE_CONTROLLER_H
+
+#include "lt/node/request.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  struct lt_node;
+  struct lt_controller;
+  typedef struct lt_quarantine_controller lt_quarantine_controller_t;
+
+  /** Also sets NODE's quarantine_controller.  */
+  struct lt_controller *lt_quarantine_controller_create (struct lt_node *node);
+  /** Returns whether REQUEST, by its fingerprint, must not run now.
+      RETRY_AFTER_MS may be NULL.  */
+  bool
+  lt_quarantine_controller_refuses (lt_quarantine_controller_t *controller,
+                                    const lt_request_t *request,
+                                    int64_t *retry_after_ms);
+  /** The same for a retry; false without a controller.  */
+  bool lt_quarantine_refuses (const lt_request_t *request);
+  /** Time in which a notice reaches all VMs; 0 without other VMs.  */
+  int64_t lt_quarantine_notice_us (const struct lt_node *node);
+
+#ifdef __cplusplus
+}
+#endif
+
+#endif
--- /dev/null
+++ b/packages/node/src/claim_table.c
@@ -0,0 +1,323 @@
+#include "claim_table.h"
+
+#include <ev.h>
+#include <stdlib.h>
+
+#include "lt/base/clock.h"
+#include "lt/base/error.h"
+#include "lt/base/hash.h"
+#include "lt/policy/claim_batch.h"
+
+enum
+{
+  OPS_MAX = 100,
+  CALL_TIMEOUT_MS = 1000
+};
+
+typedef struct call call_t;
+
+struct claim_table
+{
+  struct ev_loop *loop;
+  lt_table_t *table;
+  lt_claim_batch_t *batch;
+  lt_counter_t *writes;
+  lt_counter_t *items;
+  call_t *calls; /* All open calls. */
+  int submitted; /* Calls of the platform that have not completed. */
+  bool dead;
+};
+
+struct call
+{
+  call_t *prev;
+  call_t *next;
+  claim_table_t *table;
+  claim_call_t about;
+  lt_buf_t bytes; /* Key, then value. */
+  ev_timer delay;
+  bool submitted; /* The platform holds it. */
+};
+
+typedef struct transaction
+{
+  claim_table_t *table;
+  size_t count;
+  lt_claim_batch_op_t ops[OPS_MAX];
+} transaction_t;
+
+static void flush (claim_table_t *table);
+
+static void
+call_unlink (call_t *call)
+{
+  claim_table_t *table = call->table;
+  if (call->prev != NULL)
+    call->prev->next = call->next;
+  else
+    table->calls = call->next;
+  if (call->next != NULL)
+    call->next->prev = call->prev;
+}
+
+static void
+call_free (call_t *call)
+{
+  ev_timer_stop (call->table->loop, &call->delay);
+  call_unlink (call);
+  lt_buf_destroy (&call->bytes);
+  free (call);
+}
+
+static void
+call_report (call_t *call, lt_claim_outcome_t outcome,
+             const lt_table_item_t *item)
+{
+  claim_call_t about = call->about;
+  if (item == NULL)
+    {
+      call_free (call);
+      about.done (about.user, about.kind, outcome, NULL);
+      return;
+    }
+  about.done (about.user, about.kind, outcome, item);
+  call_free (call);
+}
+
+static lt_claim_outcome_t
+outcome_of (const lt_table_result_t *result)
+{
+  if (result->outcome == LT_OUTCOME_DONE)
+    return LT_CLAIM_DONE;
+  if (result->outcome == LT_OUTCOME_REFUSED)
+    return LT_CLAIM_REFUSED;
+  return result->error == -LT_EUNAVAILABLE ? LT_CLAIM_NOT_ACCEPTED
+                                           : LT_CLAIM_UNKNOWN;
+}
+
+/* Returns true when the table is gone and the completion must do nothing.  */
+static bool
+complete (claim_table_t *table)
+{
+  table->submitted--;
+  if (!table->dead)
+    return false;
+  if (table->submitted == 0)
+    free (table);
+  return true;
+}
+
+static void
+on_read (void *user, const lt_table_result_t *result)
+{
+  call_t *call = user;
+  claim_table_t *table = call->table;
+  if (table->dead)
+    call_free (call);
+  if (complete (table))
+    return;
+  bool read = result->outcome == LT_OUTCOME_DONE && result->count == 1;
+  call_report (call, outcome_of (result), read ? &result->items[0] : NULL);
+}
+
+static void
+transaction_drop (transaction_t *t)
+{
+  for (size_t i = 0; i < t->count; i++)
+    call_free (t->ops[i].user);
+  free (t);
+}
+
+static void
+on_written (void *user, const lt_table_result_t *result)
+{
+  transaction_t *t = user;
+  claim_table_t *table = t->table;
+  if (table->dead)
+    transaction_drop (t);
+  if (complete (table))
+    return;
+  bool refused
+      = result->outcome == LT_OUTCOME_REFUSED && result->failed_op < t->count;
+  for (size_t i = 0; i < t->count; i++)
+    ((call_t *)t->ops[i].user)->submitted = false;
+  if (refused)
+    {
+      lt_claim_batch_refused (table->batch, t->ops, t->count,
+                              result->failed_op);
+      call_report (t->ops[result->failed_op].user, LT_CLAIM_REFUSED, NULL);
+    }
+  else
+    {
+      lt_claim_batch_end (table->batch);
+      for (size_t i = 0; i < t->count; i++)
+        call_report (t->ops[i].user, outcome_of (result), NULL);
+    }
+  free (t);
+  flush (table);
+}
+
+static lt_table_op_t
+make_op (const call_t *call)
+{
+  const claim_call_t *about = &call->about;
+  lt_table_op_t op = { .kind = LT_TABLE_PUT,
+                       .key = about->key,
+                       .expected_version = about->version,
+                       .value = about->value,
+                       .expires_wall_s = about->expires_wall_s };
+  if (about->kind == LT_CLAIM_ACTION_READ)
+    op.kind = LT_TABLE_GET;
+  else if (about->kind == LT_CLAIM_ACTION_RELEASE)
+    op.kind = LT_TABLE_DELETE;
+  else if (about->kind == LT_CLAIM_ACTION_INSERT)
+    {
+      op.expected_version = LT_VERSION_ABSENT;
+      op.new_version = about->version;
+    }
+  return op;
+}
+
+static void
+submit_transaction (claim_table_t *table, transaction_t *t)
+{
+  lt_table_op_t ops[OPS_MAX];
+  for (size_t i = 0; i < t->count; i++)
+    {
+      call_t *call = t->ops[i].user;
+      call->submitted = true;
+      ops[i] = make_op (call);
+    }
+  table->writes->value++;
+  table->items->value += t->count;
+  table->submitted++;
+  if (table->table->vtable->submit (table->table, ops, t->count,
+                                    CALL_TIMEOUT_MS, on_written, t)
+      != 0)
+    on_written (t, &(lt_table_result_t){ .outcome = LT_OUTCOME_UNKNOWN,
+                                         .error = -LT_EUNAVAILABLE });
+}
+
+static void
+flush (claim_table_t *table)
+{
+  while (lt_claim_batch_waiting (table->batch) > 0)
+    {
+      transaction_t *t = lt_alloc (sizeof (*t));
+      t->table = table;
+      t->count = lt_claim_batch_take (table->batch, t->ops);
+      if (t->count == 0)
+        {
+          free (t);
+          return;
+        }
+      submit_transaction (table, t);
+    }
+}
+
+static void
+submit_read (call_t *call)
+{
+  claim_table_t *table = call->table;
+  lt_table_op_t op = make_op (call);
+  call->submitted = true;
+  table->submitted++;
+  if (table->table->vtable->submit (table->table, &op, 1, CALL_TIMEOUT_MS,
+                                    on_read, call)
+      != 0)
+    on_read (call, &(lt_table_result_t){ .outcome = LT_OUTCOME_UNKNOWN,
+                                         .error = -LT_EUNAVAILABLE });
+}
+
+static void
+on_delay (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  call_t *call = timer->data;
+  claim_table_t *table = call->table;
+  if (call->about.kind == LT_CLAIM_ACTION_READ)
+    {
+      submit_read (call);
+      return;
+    }
+  lt_claim_batch_op_t op = { .key = lt_hash64 (call->about.key),
+                             .bytes = call->bytes.len,
+                             .user = call };
+  if (lt_claim_batch_add (table->batch, &op) != 0)
+    {
+      call_report (call, LT_CLAIM_NOT_ACCEPTED, NULL);
+      return;
+    }
+  flush (table);
+}
+
+claim_table_t *
+claim_table_create (struct ev_loop *loop, lt_table_t *table,
+                    lt_metrics_t *metrics)
+{
+  claim_table_t *self = lt_alloc (sizeof (*self));
+  lt_claim_batch_options_t options = LT_CLAIM_BATCH_OPTIONS_DEFAULT;
+  options.ops_max = OPS_MAX;
+  self->loop = loop;
+  self->table = table;
+  self->batch = lt_claim_batch_create (&options);
+  self->writes
+      = lt_metrics_counter (metrics, "lavendertrack_claim_writes_total",
+                            "Table writes of claims.", "");
+  self->items
+      = lt_metrics_counter (metrics, "lavendertrack_claim_write_items_total",
+                            "Records in table writes of claims.", "");
+  return self;
+}
+
+/* Calls that the platform still holds are freed by their completions.  */
+void
+claim_table_destroy (claim_table_t *table)
+{
+  if (table == NULL)
+    return;
+  lt_claim_batch_destroy (table->batch);
+  table->batch = NULL;
+  table->dead = true;
+  call_t *call = table->calls;
+  while (call != NULL)
+    {
+      call_t *next = call->next;
+      if (!call->submitted)
+        call_free (call);
+      call = next;
+    }
+  if (table->submitted == 0)
+    free (table);
+}
+
+void
+claim_table_submit (claim_table_t *table, const claim_call_t *about)
+{
+  call_t *call = lt_alloc (sizeof (*call));
+  call->table = table;
+  call->about = *about;
+  lt_buf_append_str (&call->bytes, about->key);
+  lt_buf_append_str (&call->bytes, about->value);
+  call->about.key = str_make (call->bytes.data, about->key.len);
+  call->about.value
+      = str_make (call->bytes.data + about->key.len, about->value.len);
+  call->next = table->calls;
+  if (call->next != NULL)
+    call->next->prev = call;
+  table->calls = call;
+  ev_timer_init (&call->delay, on_delay, (double)about->delay_us / LT_US_PER_S,
+                 0.0);
+  call->delay.data = call;
+  if (about->delay_us > 0)
+    ev_timer_start (table->loop, &call->delay);
+  else
+    ev_feed_event (table->loop, &call->delay, EV_TIMER);
+}
+
+size_t
+claim_table_waiting (const claim_table_t *table)
+{
+  return lt_claim_batch_waiting (table->batch);
+}
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -12,6 +12,8 @@
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/node/claim_controller.h"
+#include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "pools.h"
 #include "sheet_file.h"
@@ -114,6 +116,8 @@
   lt_node_add_filter (node, lt_filter_authenticate_create ());
   lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
+  lt_node_add_filter (node, lt_filter_quarantine_create ());
+  lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
 
@@ -132,6 +136,13 @@
   return lt_platform_http_create (node->loop, &options, &node->platform);
 }
 
+static void
+add_controllers (lt_node_t *node)
+{
+  lt_node_add_controller (node, lt_claim_controller_create (node));
+  lt_node_add_controller (node, lt_quarantine_controller_create (node));
+}
+
 static int
 start_controllers (lt_node_t *node)
 {
@@ -177,6 +188,8 @@
   lt_node_t *node = &daemon->node;
   create_node (daemon, loop, clock, settings);
   int error = create_platform (node);
+  if (error == 0)
+    add_controllers (node);
   if (error == 0)
     error = lt_upstream_client_create (loop, settings->upstream_connections,
                                        &node->upstreams);
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -4,7 +4,9 @@
 #include "dispatch.h"
 #include "filters.h"
 #include "lt/base/error.h"
+#include "lt/node/claim_controller.h"
 #include "lt/node/node.h"
+#include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "outgoing.h"
 #include "pools.h"
@@ -46,7 +48,9 @@
   lt_buf_t target;
   uint64_t service_hash;
   uint64_t workspace_hash;
-  bool timed_out; /* The last attempt ran into the deadline. */
+  bool timed_out;  /* The last attempt ran into the deadline. */
+  bool last_reset; /* The last attempt lost its connection. */
+  bool no_retry;   /* The retry timer only delays the refusal. */
   ev_timer retry_timer;
   ev_timer hedge_timer;
 };
@@ -234,12 +238,16 @@
   return true;
 }
 
-static void
+static bool
 on_send (void *owner)
 {
   attempt_t *attempt = owner;
+  lt_request_t *request = attempt->dispatch->request;
+  if (!lt_claim_permits (request))
+    return false;
   attempt->byte_sent = true;
-  attempt->dispatch->request->byte_sent = true;
+  request->byte_sent = true;
+  return true;
 }
 
 static lt_attempt_outcome_t
@@ -292,6 +300,14 @@
   lt_request_finish (request);
 }
 
+static lt_filter_result_t
+refuse (lt_request_t *request, lt_refusal_t refusal)
+{
+  if (lt_claim_holds_refusal (request, refusal))
+    return LT_FILTER_WAIT;
+  return lt_request_refuse (request, refusal);
+}
+
 /* No answer is in use and no attempt is open.  */
 static void
 refuse_after_attempts (lt_dispatch_t *dispatch)
@@ -299,11 +315,30 @@
   lt_request_t *request = dispatch->request;
   if (dispatch->timed_out
       || lt_node_now_us (request->node) >= request->deadline_us)
-    lt_request_refuse (request, LT_REFUSE_DEADLINE);
+    refuse (request, LT_REFUSE_DEADLINE);
   else if (!request->byte_sent)
-    lt_request_refuse (request, LT_REFUSE_NO_UPSTREAM);
+    refuse (request, LT_REFUSE_NO_UPSTREAM);
   else
-    lt_request_refuse (request, LT_REFUSE_UPSTREAM_FAILED);
+    refuse (request, LT_REFUSE_UPSTREAM_FAILED);
+}
+
+static void
+start_retry_timer (lt_dispatch_t *dispatch, int64_t delay_us)
+{
+  struct ev_loop *loop = dispatch->request->node->loop;
+  ev_timer_stop (loop, &dispatch->retry_timer);
+  ev_timer_set (&dispatch->retry_timer, (double)delay_us / LT_US_PER_S, 0.0);
+  ev_timer_start (loop, &dispatch->retry_timer);
+}
+
+/* A request that may have crashed its upstream is repeated, and its caller
+   told, only after the other VMs have heard of it.  */
+static int64_t
+notice_delay_us (const lt_dispatch_t *dispatch)
+{
+  return dispatch->last_reset
+             ? lt_quarantine_notice_us (dispatch->request->node)
+             : 0;
 }
 
 static lt_retry_failure_t
@@ -331,8 +366,16 @@
   (void)loop;
   (void)events;
   lt_dispatch_t *dispatch = watcher->data;
-  if (!start_attempt (dispatch) && !has_open_attempt (dispatch))
-    refuse_after_attempts (dispatch);
+  lt_request_t *request = dispatch->request;
+  bool retries = !dispatch->no_retry;
+  if (retries && dispatch->last_reset && lt_quarantine_refuses (request))
+    {
+      lt_request_refuse (request, LT_REFUSE_QUARANTINED);
+      return;
+    }
+  if (retries && (start_attempt (dispatch) || has_open_attempt (dispatch)))
+    return;
+  refuse_after_attempts (dispatch);
 }
 
 static void
@@ -356,9 +399,9 @@
 {
   attempt_t *attempt = owner;
   lt_dispatch_t *dispatch = attempt->dispatch;
-  struct ev_loop *loop = dispatch->request->node->loop;
   close_attempt (attempt, attempt_outcome (attempt, result));
   dispatch->timed_out = result->end == LT_TRANSFER_TIMEOUT;
+  dispatch->last_reset = result->end == LT_TRANSFER_RESET;
   if (dispatch->winner == attempt)
     {
       finish_answer (dispatch, result);
@@ -368,15 +411,20 @@
       = attempt->decided
             ? attempt->decision
             : decide_retry (dispatch, attempt, retry_failure (result->end));
+  int64_t delay_us = notice_delay_us (dispatch);
   if (decision.retry)
     {
-      ev_timer_stop (loop, &dispatch->retry_timer);
-      ev_timer_set (&dispatch->retry_timer,
-                    (double)decision.delay_us / LT_US_PER_S, 0.0);
-      ev_timer_start (loop, &dispatch->retry_timer);
+      start_retry_timer (dispatch, decision.delay_us > delay_us
+                                       ? decision.delay_us
+                                       : delay_us);
       return;
     }
-  if (!has_open_attempt (dispatch) && !ev_is_active (&dispatch->retry_timer))
+  if (has_open_attempt (dispatch) || ev_is_active (&dispatch->retry_timer))
+    return;
+  dispatch->no_retry = true;
+  if (delay_us > 0)
+    start_retry_timer (dispatch, delay_us);
+  else
     refuse_after_attempts (dispatch);
 }
 
@@ -488,9 +536,9 @@
   lt_pools_t *pools = filter->node->pools;
   lt_snapshot_ref_t *config = pools->vtable->config (pools);
   if (config == NULL)
-    return lt_request_refuse (request, LT_REFUSE_NO_CONFIG);
+    return refuse (request, LT_REFUSE_NO_CONFIG);
   if (lt_node_now_us (filter->node) >= request->deadline_us)
-    return lt_request_refuse (request, LT_REFUSE_DEADLINE);
+    return refuse (request, LT_REFUSE_DEADLINE);
   lt_dispatch_t *dispatch = lt_alloc (sizeof (*dispatch));
   request->dispatch = dispatch;
   dispatch->request = request;
@@ -498,7 +546,7 @@
   lt_outgoing_target (request, &dispatch->target);
   init_retry (dispatch);
   if (find_service (dispatch) != 0 || !start_attempt (dispatch))
-    return lt_request_refuse (request, LT_REFUSE_NO_UPSTREAM);
+    return refuse (request, LT_REFUSE_NO_UPSTREAM);
   start_hedge_timer (dispatch);
   return LT_FILTER_WAIT;
 }
--- a/packages/node/src/filters.h
+++ b/packages/node/src/filters.h
@@ -22,6 +22,10 @@
   lt_filter_t *lt_filter_freshness_create (void);
   /** Sets the deadline: X-Deadline-Ms, capped by the route's timeout.  */
   lt_filter_t *lt_filter_deadline_create (void);
+  /** Refuses requests that crashed upstreams.  */
+  lt_filter_t *lt_filter_quarantine_create (void);
+  /** Claims never-repeat actions.  */
+  lt_filter_t *lt_filter_claim_create (void);
   /** Sends the request to an upstream; the last filter.  */
   lt_filter_t *lt_filter_dispatch_create (void);
 
--- /dev/null
+++ b/packages/node/src/quarantine_controller.c
@@ -0,0 +1,236 @@
+#include "lt/node/quarantine_controller.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lt/base/hash.h"
+#include "lt/base/log.h"
+#include "lt/node/node.h"
+#include "lt/policy/membership.h"
+#include "lt/policy/quarantine.h"
+#include "lt/wire/frame.h"
+#include "lt/wire/message.h"
+
+#define COUNT_TABLE(X)                                                        \
+  X (COUNT_LOSS, "loss")                                                      \
+  X (COUNT_QUARANTINED, "quarantined")                                        \
+  X (COUNT_CLEARED, "cleared")                                                \
+  X (COUNT_REFUSED, "refused")                                                \
+  X (COUNT_NOTICE_SENT, "notice-sent")                                        \
+  X (COUNT_NOTICE_RECEIVED, "notice-received")                                \
+  X (COUNT_NOTICE_MALFORMED, "notice-malformed")
+
+#define COUNT_ENUM(name, text) name,
+typedef enum count
+{
+  COUNT_TABLE (COUNT_ENUM) COUNTS
+} count_t;
+
+#define COUNT_NAME(name, text) (text),
+static const char *const count_names[] = { COUNT_TABLE (COUNT_NAME) };
+
+struct lt_quarantine_controller
+{
+  lt_controller_t base;
+  lt_quarantine_t *quarantine;
+  lt_quarantine_options_t options;
+  lt_counter_t *counts[COUNTS];
+};
+
+static void
+send_notice (lt_quarantine_controller_t *controller,
+             const lt_quarantine_notice_t *notice)
+{
+  lt_node_t *node = controller->base.node;
+  lt_wire_quarantine_t message = {
+    .fingerprint
+    = str_make ((const char *)notice->fingerprint.bytes, LT_DIGEST_BYTES),
+    .left_us = notice->remaining_us,
+    .round = notice->level,
+    .cleared = notice->cleared,
+    .count = notice->loss_count,
+  };
+  memcpy (message.upstreams, notice->upstreams, sizeof (message.upstreams));
+  lt_buf_t payload = { 0 };
+  lt_wire_quarantine_encode (&message, &payload);
+  size_t members
+      = node->membership == NULL ? 0 : lt_membership_count (node->membership);
+  for (size_t i = 0; i < members; i++)
+    {
+      lt_member_view_t view = lt_membership_at (node->membership, i);
+      if (!view.self
+          && lt_node_send (node, view.last.id, LT_MESSAGE_QUARANTINE, 0,
+                           lt_buf_str (&payload))
+                 == 0)
+        controller->counts[COUNT_NOTICE_SENT]->value++;
+    }
+  lt_buf_destroy (&payload);
+}
+
+static void
+on_observation (lt_controller_t *base, const lt_observation_event_t *event,
+                int64_t now_us)
+{
+  static const lt_digest_t none = { { 0 } };
+  lt_quarantine_controller_t *controller = (lt_quarantine_controller_t *)base;
+  lt_quarantine_notice_t notice;
+  bool send = false;
+  if (lt_digest_equal (&event->fingerprint, &none))
+    return;
+  switch (event->outcome)
+    {
+    case LT_ATTEMPT_RESET:
+      controller->counts[COUNT_LOSS]->value++;
+      send = lt_quarantine_on_loss (
+          controller->quarantine, &event->fingerprint,
+          lt_hash64 (event->snapshot->upstreams[event->upstream].name), now_us,
+          &notice);
+      break;
+    case LT_ATTEMPT_OK:
+    case LT_ATTEMPT_FAILED:
+    case LT_ATTEMPT_TRUNCATED:
+      send = lt_quarantine_on_response (controller->quarantine,
+                                        &event->fingerprint, now_us, &notice);
+      controller->counts[COUNT_CLEARED]->value += send;
+      break;
+    default:
+      break;
+    }
+  if (!send)
+    return;
+  if (notice.level > 0 && !notice.cleared)
+    {
+      controller->counts[COUNT_QUARANTINED]->value++;
+      lt_log (LT_LOG_WARN, "quarantine",
+              "msg=\"request quarantined\" upstreams_lost=%u round=%u "
+              "seconds=%lld",
+              notice.loss_count, notice.level,
+              (long long)(notice.remaining_us / LT_US_PER_S));
+    }
+  send_notice (controller, &notice);
+}
+
+static void
+on_frame (lt_controller_t *base, const lt_peer_message_t *message,
+          int64_t now_us)
+{
+  lt_quarantine_controller_t *controller = (lt_quarantine_controller_t *)base;
+  lt_wire_quarantine_t wire;
+  if (lt_wire_quarantine_decode (message->payload, &wire) != 0)
+    {
+      controller->counts[COUNT_NOTICE_MALFORMED]->value++;
+      return;
+    }
+  controller->counts[COUNT_NOTICE_RECEIVED]->value++;
+  lt_quarantine_notice_t received = { .level = wire.round,
+                                      .remaining_us = wire.left_us,
+                                      .cleared = wire.cleared,
+                                      .loss_count = wire.count };
+  memcpy (received.fingerprint.bytes, wire.fingerprint.data, LT_DIGEST_BYTES);
+  memcpy (received.upstreams, wire.upstreams, sizeof (received.upstreams));
+  lt_quarantine_notice_t merged;
+  if (lt_quarantine_on_notice (controller->quarantine, &received, now_us,
+                               &merged))
+    {
+      controller->counts[COUNT_QUARANTINED]->value++;
+      send_notice (controller, &merged);
+    }
+}
+
+static void
+tick (lt_controller_t *base, int64_t now_us)
+{
+  lt_quarantine_controller_t *controller = (lt_quarantine_controller_t *)base;
+  lt_quarantine_tick (controller->quarantine, now_us);
+}
+
+bool
+lt_quarantine_controller_refuses (lt_quarantine_controller_t *controller,
+                                  const lt_request_t *request,
+                                  int64_t *retry_after_ms)
+{
+  lt_quarantine_check_result_t check
+      = lt_quarantine_check (controller->quarantine, &request->fingerprint,
+                             lt_node_now_us (request->node));
+  if (check.verdict != LT_QUARANTINE_REFUSED)
+    return false;
+  controller->counts[COUNT_REFUSED]->value++;
+  if (retry_after_ms != NULL)
+    *retry_after_ms = check.retry_after_us / LT_US_PER_MS;
+  return true;
+}
+
+bool
+lt_quarantine_refuses (const lt_request_t *request)
+{
+  lt_quarantine_controller_t *controller
+      = request->node->quarantine_controller;
+  return controller != NULL
+         && lt_quarantine_controller_refuses (controller, request, NULL);
+}
+
+int64_t
+lt_quarantine_notice_us (const lt_node_t *node)
+{
+  if (node->quarantine_controller == NULL || node->peers == NULL)
+    return 0;
+  return node->quarantine_controller->options.notice_us;
+}
+
+static json_t *
+status (lt_controller_t *base)
+{
+  const lt_quarantine_controller_t *controller
+      = (lt_quarantine_controller_t *)base;
+  int64_t now_us = lt_node_now_us (base->node);
+  json_t *json = json_pack (
+      "{s:I, s:I}", "active",
+      (json_int_t)lt_quarantine_active (controller->quarantine, now_us),
+      "entries", (json_int_t)lt_quarantine_entries (controller->quarantine));
+  for (int i = 0; i < COUNTS; i++)
+    json_object_set_new (
+        json, count_names[i],
+        json_integer ((json_int_t)controller->counts[i]->value));
+  return json;
+}
+
+static void
+destroy (lt_controller_t *base)
+{
+  lt_quarantine_controller_t *controller = (lt_quarantine_controller_t *)base;
+  lt_quarantine_destroy (controller->quarantine);
+  base->node->quarantine_controller = NULL;
+  free (controller);
+}
+
+static const lt_controller_vtable_t vtable
+    = { .name = "quarantine",
+        .types = LT_TYPE_BIT (LT_MESSAGE_QUARANTINE),
+        .tick = tick,
+        .on_frame = on_frame,
+        .on_observation = on_observation,
+        .status = status,
+        .destroy = destroy };
+
+lt_controller_t *
+lt_quarantine_controller_create (lt_node_t *node)
+{
+  lt_quarantine_controller_t *controller = lt_alloc (sizeof (*controller));
+  controller->base.vtable = &vtable;
+  controller->base.node = node;
+  controller->options = LT_QUARANTINE_OPTIONS_DEFAULT;
+  controller->options.vm = lt_hash64 (node->settings->vm_id);
+  controller->quarantine = lt_quarantine_create (&controller->options);
+  for (int i = 0; i < COUNTS; i++)
+    {
+      char labels[64];
+      snprintf (labels, sizeof (labels), "event=\"%s\"", count_names[i]);
+      controller->counts[i] = lt_metrics_counter (
+          node->metrics, "lavendertrack_quarantine_total",
+          "Events of the quarantine.", labels);
+    }
+  node->quarantine_controller = controller;
+  return &controller->base;
+}
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -279,8 +279,9 @@
   lt_transfer_t *transfer = cls;
   if (transfer->owner == NULL || transfer->sends > 0)
     return CURL_PREREQFUNC_ABORT;
+  if (!transfer->vtable->on_send (transfer->owner))
+    return CURL_PREREQFUNC_ABORT;
   transfer->sends++;
-  transfer->vtable->on_send (transfer->owner);
   return CURL_PREREQFUNC_OK;
 }
 
--- a/packages/node/src/upstream_client.h
+++ b/packages/node/src/upstream_client.h
@@ -43,8 +43,9 @@
     bool (*on_body) (void *owner, str_t data);
     /** The last call; the transfer is gone afterwards.  */
     void (*on_done) (void *owner, const lt_transfer_result_t *result);
-    /** The request is about to be written to a connection.  */
-    void (*on_send) (void *owner);
+    /** The request is about to be written to a connection.  Returns false to
+        keep it from being sent.  */
+    bool (*on_send) (void *owner);
   } lt_transfer_vtable_t;
 
   typedef struct lt_transfer_options
--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -72,7 +72,7 @@
   typedef enum lt_quarantine_verdict
   {
     LT_QUARANTINE_CLEAN,
-    LT_QUARANTINE_SUSPECT, /**< Runs; no hedge. */
+    LT_QUARANTINE_SUSPECT, /**< Runs. */
     LT_QUARANTINE_REFUSED
   } lt_quarantine_verdict_t;
 
@@ -85,7 +85,7 @@
   lt_quarantine_t *
   lt_quarantine_create (const lt_quarantine_options_t *options);
   void lt_quarantine_destroy (lt_quarantine_t *quarantine);
-  /** PATH is without the query.  */
+  /** PATH is with the query.  */
   lt_digest_t lt_quarantine_fingerprint (str_t workspace, str_t route,
                                          str_t method, str_t path,
                                          const lt_digest_t *body);
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -141,13 +141,17 @@
 
 /** Length of a quarantine fingerprint.  */
 #define LT_WIRE_FINGERPRINT_BYTES 32
+/** Bound of the upstreams lost to one fingerprint.  */
+#define LT_WIRE_LOSSES_MAX 4
 
   typedef struct lt_wire_quarantine
   {
     str_t fingerprint; /**< LT_WIRE_FINGERPRINT_BYTES bytes. */
-    uint32_t count;    /**< Upstreams lost to it. */
-    int64_t left_us;   /**< Time until the quarantine ends; 0: only suspect. */
-    uint32_t round;    /**< How often it was quarantined. */
+    int64_t left_us;   /**< Time until the quarantine or suspicion ends. */
+    uint32_t round;    /**< How often it was quarantined; 0: only suspect. */
+    bool cleared;      /**< It got a response: no longer suspect. */
+    uint64_t upstreams[LT_WIRE_LOSSES_MAX]; /**< Lost, by name hash. */
+    uint32_t count;
   } lt_wire_quarantine_t;
 
   void lt_wire_quarantine_encode (const lt_wire_quarantine_t *message,
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -14,7 +14,7 @@
   SNAPSHOT_GET_FIELDS = 2,
   SNAPSHOT_DATA_FIELDS = 4,
   DRAIN_FIELDS = 3,
-  QUARANTINE_FIELDS = 4,
+  QUARANTINE_FIELDS = 5,
   MEMBER_STATE_MAX = 3,
   PAGE_MAX = 3,
   DRAIN_STATE_MAX = 2,
@@ -263,9 +263,12 @@
 {
   lt_pack_array (out, QUARANTINE_FIELDS);
   lt_pack_bin (out, message->fingerprint);
-  lt_pack_u64 (out, message->count);
   lt_pack_i64 (out, message->left_us);
   lt_pack_u64 (out, message->round);
+  lt_pack_bool (out, message->cleared);
+  lt_pack_array (out, message->count);
+  for (uint32_t i = 0; i < message->count; i++)
+    lt_pack_u64 (out, message->upstreams[i]);
 }
 
 int
@@ -275,9 +278,12 @@
   lt_unpack_init (&in, payload);
   lt_unpack_array (&in, QUARANTINE_FIELDS, QUARANTINE_FIELDS);
   message->fingerprint = lt_unpack_bin (&in, LT_WIRE_FINGERPRINT_BYTES);
-  message->count = (uint32_t)lt_unpack_u64 (&in, COUNT_MAX);
   message->left_us = unpack_count (&in);
   message->round = (uint32_t)lt_unpack_u64 (&in, ROUND_MAX);
+  message->cleared = lt_unpack_bool (&in);
+  message->count = lt_unpack_array (&in, 0, LT_WIRE_LOSSES_MAX);
+  for (uint32_t i = 0; i < message->count; i++)
+    message->upstreams[i] = lt_unpack_u64 (&in, UINT64_MAX);
   if (message->fingerprint.len != LT_WIRE_FINGERPRINT_BYTES)
     return -LT_EPROTO;
   return lt_unpack_end (&in);
--- a/packages/wire/test/test_wire.cc
+++ b/packages/wire/test/test_wire.cc
@@ -325,7 +325,12 @@
   lt_wire_snapshot_data_t data = { 12, 10, 20, STR_LIT ("0123456789") };
   lt_wire_drain_t drain = { STR_LIT ("up-1"), 2, 44 };
   lt_wire_quarantine_t quarantine
-      = { STR_LIT ("0123456789abcdef0123456789abcdef"), 2, 60000000, 1 };
+      = { STR_LIT ("0123456789abcdef0123456789abcdef"),
+          60000000,
+          1,
+          false,
+          { 7, UINT64_MAX },
+          2 };
   switch (kind)
     {
     case 0:
