--- a/packages/policy/src/claim.c
+++ b/packages/policy/src/claim.c
@@ -162,7 +162,7 @@
   bool known = found->state >= LT_CLAIM_RECORD_CLAIMED
                && found->state <= LT_CLAIM_RECORD_LOST;
   if (known && !lt_digest_equal (&found->fingerprint, &options->fingerprint))
-    act_reply (s, LT_CLAIM_REPLY_KEY_REUSED, LT_CLAIM_RAN_UNKNOWN);
+    act_reply (s, LT_CLAIM_REPLY_KEY_REUSED, LT_CLAIM_RAN_NOT);
   else if (found->state == LT_CLAIM_RECORD_ANSWERED)
     act_reply (s, LT_CLAIM_REPLY_RECORDED, LT_CLAIM_RAN_YES);
   else if (found->state == LT_CLAIM_RECORD_CLAIMED
