--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -16,6 +16,8 @@
 #include "lt/node/admin_api.h"
 #include "lt/node/config_controller.h"
 #include "lt/node/health_controller.h"
+#include "lt/node/claim_controller.h"
+#include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
 #include "sheet_file.h"
@@ -119,6 +121,8 @@
   lt_node_add_filter (node, lt_filter_authenticate_create ());
   lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
+  lt_node_add_filter (node, lt_filter_quarantine_create ());
+  lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
 
@@ -154,6 +158,8 @@
   lt_node_add_controller (
       node, lt_health_controller_create (node, alone ? NULL : &hooks));
   node->pools = lt_health_controller_pools (node->health_controller);
+  lt_node_add_controller (node, lt_claim_controller_create (node));
+  lt_node_add_controller (node, lt_quarantine_controller_create (node));
   return 0;
 }
 
@@ -218,8 +224,6 @@
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
   daemon->tick.data = daemon;
-  if (error == 0)
-    lt_admin_add_api (daemon->admin);
   if (error != 0)
     {
       lt_daemon_destroy (daemon);
