Count requests, retry decisions and their failures

Cause: /metrics had refusals only; a retry or hedge left no trace. Change: one counter for each retry reason and failure, requests by status class, a latency histogram and a gauge of requests in flight.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -13,6 +13,7 @@
 #include "lt/node/refusal.h"
 #include "lt/node/settings.h"
 #include "lt/platform/platform.h"
+#include "lt/policy/retry.h"
 
 #ifdef __cplusplus
 extern "C"
@@ -97,6 +98,11 @@
     struct lt_pools *pools;
     struct lt_retry *retry;
     lt_counter_t *refused[LT_REFUSAL_COUNT];
+    lt_counter_t *retry_decisions[LT_RETRY_REASONS];
+    lt_counter_t *retry_failures[LT_RETRY_FAILURES];
+    lt_counter_t *answered[6]; /**< By status class; 0: never answered. */
+    lt_histogram_t *request_time;
+    lt_gauge_t *in_flight_gauge;
     uint64_t next_sequence;
     int64_t in_flight; /**< Requests of callers. */
     bool leaving;
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -2,7 +2,6 @@
 
 #include <ev.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "bus.h"
@@ -20,6 +19,7 @@
 #include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
+#include "node_counters.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -97,20 +97,6 @@
     continue_drain (daemon, now_us);
 }
 
-static void
-create_counters (lt_node_t *node)
-{
-  for (int i = 0; i < LT_REFUSAL_COUNT; i++)
-    {
-      char labels[96];
-      snprintf (labels, sizeof (labels), "reason=\"%s\"",
-                lt_refusal_get ((lt_refusal_t)i)->reason);
-      node->refused[i]
-          = lt_metrics_counter (node->metrics, "lavendertrack_refused_total",
-                                "Requests refused, by reason.", labels);
-    }
-}
-
 static void
 add_filters (lt_node_t *node)
 {
@@ -195,7 +181,7 @@
   node->bus = lt_bus_create (node);
   lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
   node->retry = lt_retry_create (&retry_options, &node->rng);
-  create_counters (node);
+  lt_node_counters_create (node);
   add_filters (node);
 }
 
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -160,7 +160,12 @@
   lt_node_t *node = dispatch->request->node;
   lt_retry_attempt_t description
       = describe_attempt (dispatch, attempt, failure);
-  return lt_retry_decide (node->retry, &description, lt_node_now_us (node));
+  lt_retry_decision_t decision
+      = lt_retry_decide (node->retry, &description, lt_node_now_us (node));
+  node->retry_decisions[decision.reason]->value++;
+  if (decision.retry)
+    node->retry_failures[failure]->value++;
+  return decision;
 }
 
 static bool
@@ -390,7 +395,10 @@
     return;
   lt_retry_attempt_t open
       = describe_attempt (dispatch, &dispatch->attempts[0], LT_RETRY_TIMEOUT);
-  if (lt_retry_hedge (node->retry, &open, lt_node_now_us (node)).retry)
+  lt_retry_decision_t decision
+      = lt_retry_hedge (node->retry, &open, lt_node_now_us (node));
+  node->retry_decisions[decision.reason]->value++;
+  if (decision.retry)
     start_attempt (dispatch);
 }
 
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -7,6 +7,7 @@
 
 #include "lt/base/error.h"
 #include "lt/node/node.h"
+#include "node_counters.h"
 
 lt_request_t *
 lt_request_create (lt_node_t *node)
@@ -21,6 +22,7 @@
     request->snapshot = request->config->snapshot;
   request->answer.length = -1;
   node->in_flight++;
+  node->in_flight_gauge->value = (double)node->in_flight;
   return request;
 }
 
@@ -32,6 +34,7 @@
     return;
   request->ended = true;
   lt_node_t *node = request->node;
+  lt_node_counters_request (node, request);
   for (int i = request->next_filter - 1; i >= 0; i--)
     if (node->filters[i]->vtable->done != NULL)
       node->filters[i]->vtable->done (node->filters[i], request);
@@ -59,7 +62,9 @@
   if (request == NULL)
     return;
   request_end (request);
-  request->node->in_flight--;
+  lt_node_t *node = request->node;
+  node->in_flight--;
+  node->in_flight_gauge->value = (double)node->in_flight;
   lt_header_list_destroy (&request->headers);
   lt_header_list_destroy (&request->answer.headers);
   lt_buf_destroy (&request->body);
