Give leaving upstreams no new work

Cause: planned stops of the sheet had no effect, and an upstream that closes its connections while it drains went on getting work.

--- a/packages/base/include/lt/base/clock.h
+++ b/packages/base/include/lt/base/clock.h
@@ -21,7 +21,8 @@
     /** Monotonic microseconds; counts time in which the machine is suspended,
         so that a paused lease holder sees the whole pause.  */
     int64_t (*now_us) (lt_clock_t *clock);
-    /** Microseconds since 1970-01-01 UTC; for records, never for decisions. */
+    /** Microseconds since 1970-01-01 UTC; for records and for
+        planned stops, which are given as times of day. */
     int64_t (*wall_us) (lt_clock_t *clock);
   } lt_clock_vtable_t;
 
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -74,6 +74,8 @@
     lt_digest_t fingerprint; /**< Of the request. */
     uint32_t workspace;
     bool byte_sent;
+    bool answered; /**< A header was received. */
+    bool closing;  /**< The upstream closes the connection by itself. */
   } lt_observation_event_t;
 
 #define LT_CONTROLLER_MAX 16
@@ -111,6 +113,7 @@
     struct lt_config_controller *config_controller;
     struct lt_freshness *freshness;
     struct lt_health_controller *health_controller;
+    struct lt_drain_controller *drain_controller;
     struct lt_membership *membership;
     struct lt_limit_controller *limit_controller;
     struct lt_claim_controller *claim_controller;
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -6,6 +6,7 @@
 
 #include "bus.h"
 #include "caller_server.h"
+#include "drain_controller.h"
 #include "filter_record.h"
 #include "filters.h"
 #include "lt/base/error.h"
@@ -144,6 +145,7 @@
   lt_node_add_controller (
       node, lt_health_controller_create (node, alone ? NULL : &hooks));
   node->pools = lt_health_controller_pools (node->health_controller);
+  lt_node_add_controller (node, lt_drain_controller_create (node));
   lt_node_add_controller (node, lt_claim_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
   return 0;
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -31,6 +31,7 @@
   int status;
   int64_t retry_after_ms;
   bool byte_sent;
+  bool closing;
   bool paused;
   bool decided; /* DECISION was taken when the header came. */
   lt_retry_decision_t decision;
@@ -92,6 +93,8 @@
     .fingerprint = request->fingerprint,
     .workspace = request->workspace,
     .byte_sent = attempt->byte_sent,
+    .answered = attempt->header_us != 0,
+    .closing = attempt->closing,
   };
   lt_node_observe (request->node, &event);
 }
@@ -199,6 +202,9 @@
   lt_dispatch_t *dispatch = attempt->dispatch;
   attempt->status = status;
   attempt->header_us = lt_node_now_us (dispatch->request->node);
+  attempt->closing = str_equal_nocase (
+      str_trim (lt_header_list_get (headers, STR_LIT ("Connection"))),
+      STR_LIT ("close"));
   int64_t retry_after_s = 0;
   str_t retry_after = lt_header_list_get (headers, STR_LIT ("Retry-After"));
   if (retry_after.data != NULL
--- /dev/null
+++ b/packages/policy/test/test_drain.cc
@@ -0,0 +1,129 @@
+// Leaving upstreams: planned stops and announcements.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "lt/policy/drain.h"
+
+static const int64_t kSecond = 1000000;
+
+class Drain : public testing::Test
+{
+protected:
+  void
+  SetUp () override
+  {
+    lt_drain_options_t options = LT_DRAIN_OPTIONS_DEFAULT;
+    drain = lt_drain_create (&options);
+    configure ();
+  }
+
+  void
+  TearDown () override
+  {
+    lt_drain_destroy (drain);
+  }
+
+  void
+  configure ()
+  {
+    lt_drain_config_t config = {};
+    config.upstreams = upstreams.data ();
+    config.upstream_count = static_cast<uint32_t> (upstreams.size ());
+    config.services = &service;
+    config.service_count = 1;
+    config.stops = stops.data ();
+    config.stop_count = static_cast<uint32_t> (stops.size ());
+    lt_drain_configure (drain, &config);
+  }
+
+  // Returns the changes as text: "+1" starts to leave, "-1" ends.
+  std::string
+  update (int64_t wall_us)
+  {
+    lt_drain_change_t changes[8];
+    uint32_t count = lt_drain_update (drain, wall_us, changes, 8);
+    std::string text;
+    for (uint32_t i = 0; i < count; i++)
+      text += (changes[i].leaving ? "+" : "-")
+              + std::to_string (changes[i].upstream);
+    return text;
+  }
+
+  std::vector<lt_drain_upstream_t> upstreams = { { 11, 0, 3, false },
+                                                 { 12, 0, 3, false },
+                                                 { 13, 0, 3, false },
+                                                 { 14, 0, 3, false } };
+  lt_drain_service_t service = { 50, 10 * kSecond };
+  std::vector<lt_drain_stop_t> stops;
+  lt_drain_t *drain;
+};
+
+// Guards against a planned stop that cuts requests sent just before it (I10),
+// and against new work during the stop (I9).
+TEST_F (Drain, PlannedStopEndsNewWorkBeforeItStarts)
+{
+  stops = { { 2, 100 * kSecond, 200 * kSecond } };
+  configure ();
+  struct
+  {
+    int64_t wall_s;
+    const char *changes;
+  } cases[] = { { 89, "" },  { 90, "+2" },  { 150, "" },
+                { 199, "" }, { 200, "-2" }, { 300, "" } };
+  for (const auto &c : cases)
+    EXPECT_EQ (c.changes, update (c.wall_s * kSecond)) << c.wall_s;
+}
+
+// Guards against new work for an upstream that announced its end (I9), and
+// against one that never comes back.
+TEST_F (Drain, AnnouncementHoldsUntilProbesAreGood)
+{
+  lt_drain_on_answer (drain, 1, false, 0);
+  EXPECT_TRUE (lt_drain_on_answer (drain, 1, true, 0));
+  EXPECT_FALSE (lt_drain_on_answer (drain, 1, true, 0));
+  EXPECT_EQ ("+1", update (0));
+  EXPECT_EQ (UINT32_MAX, lt_drain_probe_due (drain, kSecond));
+  EXPECT_EQ (1u, lt_drain_probe_due (drain, 2 * kSecond));
+  EXPECT_EQ (UINT32_MAX, lt_drain_probe_due (drain, 2 * kSecond));
+  for (bool ok : { true, false, true })
+    lt_drain_on_probe (drain, 1, ok);
+  EXPECT_EQ ("", update (0));
+  lt_drain_on_probe (drain, 1, true);
+  EXPECT_EQ ("-1", update (0));
+}
+
+// Guards against servers that close every connection being taken for leaving.
+TEST_F (Drain, AlwaysClosingIsNoAnnouncement)
+{
+  for (int i = 0; i < 10; i++)
+    EXPECT_FALSE (lt_drain_on_answer (drain, 0, true, i));
+  EXPECT_EQ ("", update (0));
+}
+
+// Guards against announcements that take a service below its floor (I1).
+TEST_F (Drain, AnnouncementsStopAtTheFloor)
+{
+  for (uint32_t u = 0; u < 4; u++)
+    lt_drain_on_answer (drain, u, false, 0);
+  EXPECT_TRUE (lt_drain_on_answer (drain, 0, true, 0));
+  EXPECT_TRUE (lt_drain_on_notice (drain, 12, 0));
+  EXPECT_FALSE (lt_drain_on_answer (drain, 2, true, 0));
+  EXPECT_FALSE (lt_drain_on_notice (drain, 14, 0));
+  EXPECT_EQ ("+0+1", update (0));
+}
+
+// Guards against a change of configuration that sends new work to a leaving
+// upstream whose index moved.
+TEST_F (Drain, AnnouncementsFollowTheNameAcrossConfigurations)
+{
+  lt_drain_on_answer (drain, 3, false, 0);
+  EXPECT_TRUE (lt_drain_on_answer (drain, 3, true, 0));
+  EXPECT_EQ ("+3", update (0));
+  upstreams.erase (upstreams.begin ());
+  upstreams[0].drained = true;
+  configure ();
+  EXPECT_EQ ("+0+2", update (0));
+  EXPECT_TRUE (lt_drain_leaving (drain, 2));
+}
