--- a/packages/node/test/test_drain_node.cc
+++ b/packages/node/test/test_drain_node.cc
@@ -37,12 +37,12 @@
 // Guards against new work for an upstream in a planned stop (I9, I10).
 TEST_F (DrainNode, PlannedStopGetsNoNewWork)
 {
-  // The clock of the test starts 11 days after the epoch.
+  vm.clock.wall_us = 1796389200000000; // 2026-12-04T13:00:00Z
   size_t columns = static_cast<size_t> (std::count (
       sheet.begin (), sheet.begin () + static_cast<long> (sheet.find ('\n')),
       ','));
   std::string row = "stop" + std::string (columns - 2, ',')
-                    + "q1,1970-01-12 00:00 +00:00,1970-01-13 00:00 +00:00\n";
+                    + "q1,2026-12-04T12:00Z,2026-12-04T14:00Z\n";
   sheet.replace (sheet.find ("2026-12-04,15"), 13, "2026-12-04,16");
   ASSERT_EQ ("", vm.install (sheet + row, 1));
   send (10);
