Lend from one VM per region, with batches valid for 250 ms

Cause: only the home lent, from 12.5% of a workspace, so workspaces whose share per VM is under a few requests starved; and a batch valid for 2 s counts against the burst for 2 s, so a lender whose burst is one second of its rate could lend less than half of it. Change: the first VM of each region by rendezvous hash holds a reserve and lends from it; a borrower asks the nearest lender first. A VM takes a share of its own only when its demand needs a burst of four requests or more, and returns idle parts by itself.

--- a/packages/policy/bench/bench_limit.c
+++ b/packages/policy/bench/bench_limit.c
@@ -34,6 +34,7 @@
   tally_t tally[WORLD_SPACES];
   double load[WORLD_SPACES]; /* Demand as a part of the rate. */
   double weight[VMS];        /* Part of the arrivals. */
+  bool leaving[VMS];         /* Draining, and known to be. */
   lt_histogram_t waits;
   int64_t view_due_us;
   int64_t measured_from_us;
@@ -88,30 +89,39 @@
   (void)space;
 }
 
-/* The home that VM sees: rendezvous over the VMs it reaches.  */
+/* The first VM by rendezvous that VM reaches, of REGION unless that is -1.  */
+static int
+first_vm (const bench_t *b, int vm, int space, int region)
+{
+  const world_t *w = &b->w;
+  int best = -1;
+  uint64_t best_weight = 0;
+  str_t key = str_make ((const char *)&space, sizeof (space));
+  for (int i = 0; i < w->vm_count; i++)
+    {
+      if (!w->vms[i].alive || b->leaving[i] || !world_reaches (w, vm, i)
+          || (region >= 0 && w->vms[i].region != region))
+        continue;
+      uint64_t weight = lt_rendezvous (key, str_from (w->vms[i].name.id));
+      if (best >= 0 && weight <= best_weight)
+        continue;
+      best = i;
+      best_weight = weight;
+    }
+  return best;
+}
+
 static void
 update_view (bench_t *b, int vm)
 {
-  world_t *w = &b->w;
-  for (int space = 0; space < w->space_count; space++)
+  int own = b->w.vms[vm].region;
+  for (int space = 0; space < b->w.space_count; space++)
     {
-      int best = -1;
-      uint64_t best_weight = 0;
-      for (int i = 0; i < w->vm_count; i++)
-        {
-          if (!w->vms[i].alive || !world_reaches (w, vm, i))
-            continue;
-          uint64_t weight
-              = lt_rendezvous (str_make ((const char *)&space, sizeof (space)),
-                               str_from (w->vms[i].name.id));
-          if (best < 0 || weight > best_weight)
-            {
-              best = i;
-              best_weight = weight;
-            }
-        }
-      if (best != w->vms[vm].home_view[space])
-        world_set_view (w, vm, space, best);
+      int lenders[WORLD_REGIONS];
+      for (int i = 0; i < WORLD_REGIONS; i++)
+        lenders[i] = first_vm (b, vm, space, (own + i) % WORLD_REGIONS);
+      world_set_view (&b->w, vm, space, first_vm (b, vm, space, -1), lenders,
+                      WORLD_REGIONS);
     }
 }
 
@@ -345,19 +355,20 @@
     {
       double weight = b->weight[vm];
       b->weight[vm] = 0;
+      b->leaving[vm] = true;
+      update_views (b);
       for (int step = 0; step < 30; step++)
         {
           lt_limit_actions_t actions = { 0 };
           lt_limit_holder_drain (w->vms[vm].holder, world_clock (w, vm),
                                  &actions);
-          for (int i = 0; i < w->space_count; i++)
-            lt_limit_home_set_role (w->vms[vm].homes[i], false);
           world_carry_out (w, vm, &actions);
           offer (b, 0.1);
         }
       world_stop (w, vm);
       world_start (w, vm, true);
       b->weight[vm] = weight;
+      b->leaving[vm] = false;
       update_views (b);
       offer (b, 7);
     }
--- a/packages/policy/include/lt/policy/limit.h
+++ b/packages/policy/include/lt/policy/limit.h
@@ -55,7 +55,7 @@
 #define LT_LIMIT_TIMES_DEFAULT                                                \
   ((lt_limit_times_t){ .validity_us = 6 * 3600 * 1000000LL,                   \
                        .lease_us = 10 * 1000000LL,                            \
-                       .batch_us = 2 * 1000000LL })
+                       .batch_us = 250000LL })
 
   typedef enum lt_limit_message_type
   {
@@ -89,19 +89,21 @@
 
   typedef enum lt_limit_action_type
   {
-    LT_LIMIT_SEND,      /**< Send message to vm. */
-    LT_LIMIT_SEND_HOME, /**< Send message to the home of group. */
-    LT_LIMIT_WAKE,      /**< Call spend again for the waiting requests of
-                           workspace (message.workspace). */
-    LT_LIMIT_READ,      /**< Read the record of group. */
-    LT_LIMIT_WRITE      /**< Write the home's draft if the version of the
-                           record of group is still expected_version. */
+    LT_LIMIT_SEND,        /**< Send message to vm. */
+    LT_LIMIT_SEND_HOME,   /**< Send message to the home of group. */
+    LT_LIMIT_SEND_LENDER, /**< Send message to lender number rank of group. */
+    LT_LIMIT_WAKE,        /**< Call spend again for the waiting requests of
+                             workspace (message.workspace). */
+    LT_LIMIT_READ,        /**< Read the record of group. */
+    LT_LIMIT_WRITE        /**< Write the home's draft if the version of the
+                             record of group is still expected_version. */
   } lt_limit_action_type_t;
 
   typedef struct lt_limit_action
   {
     lt_limit_action_type_t type;
     uint32_t group;
+    uint32_t rank; /**< 0: the nearest lender. */
     lt_limit_vm_t vm;
     lt_limit_message_t message;
     int64_t expected_version;
--- a/packages/policy/include/lt/policy/limit_holder.h
+++ b/packages/policy/include/lt/policy/limit_holder.h
@@ -18,14 +18,17 @@
   {
     int64_t incarnation;
     lt_limit_times_t times;
-    int32_t reserve_ppm; /**< Share that the home VM keeps for lending. */
+    int32_t reserve_ppm; /**< Share that a lender takes while nobody else
+                            asks for it. */
+    int32_t keep_ppm;    /**< Share that a lender keeps on a recall. */
     int64_t ask_us;      /**< Least time between asks; doubles unanswered. */
   } lt_limit_holder_options_t;
 
 #define LT_LIMIT_HOLDER_OPTIONS_DEFAULT                                       \
   ((lt_limit_holder_options_t){ .incarnation = 1,                             \
                                 .times = LT_LIMIT_TIMES_DEFAULT,              \
-                                .reserve_ppm = 125000,                        \
+                                .reserve_ppm = 330000,                        \
+                                .keep_ppm = 40000,                            \
                                 .ask_us = 500000 })
 
   typedef enum lt_limit_verdict
@@ -42,12 +45,13 @@
     int64_t retry_after_us;
   } lt_limit_spend_t;
 
-  typedef enum lt_limit_home_place
+  /** Where the home of a group is.  */
+  typedef enum lt_limit_place
   {
-    LT_LIMIT_HOME_NONE,
-    LT_LIMIT_HOME_OTHER,
-    LT_LIMIT_HOME_SELF
-  } lt_limit_home_place_t;
+    LT_LIMIT_PLACE_NONE,
+    LT_LIMIT_PLACE_OTHER,
+    LT_LIMIT_PLACE_SELF
+  } lt_limit_place_t;
 
   /** State of one workspace, for the status page and tests.  */
   typedef struct lt_limit_holder_state
@@ -72,7 +76,12 @@
   /** Says where the home of GROUP is; the caller routes
       LT_LIMIT_SEND_HOME.  */
   void lt_limit_holder_set_home (lt_limit_holder_t *holder, uint32_t group,
-                                 lt_limit_home_place_t place);
+                                 lt_limit_place_t place);
+  /** Says how many other lenders GROUP has, which the caller orders from the
+      nearest, and whether this VM is a lender: the first VM of each region by
+      rendezvous hash.  */
+  void lt_limit_holder_set_lenders (lt_limit_holder_t *holder, uint32_t group,
+                                    uint32_t others, bool self);
   /** Spends one token of the workspace with index WORKSPACE.  REPEAT says that
       the request was already counted as demand (called after a wake).  */
   lt_limit_spend_t lt_limit_holder_spend (lt_limit_holder_t *holder,
--- a/packages/policy/src/limit_holder.c
+++ b/packages/policy/src/limit_holder.c
@@ -11,15 +11,17 @@
 /** Asks aim above the measured demand, recalls leave less headroom.  */
 #define ASK_HEADROOM 1.10
 #define KEEP_HEADROOM 1.05
+#define RETURN_HEADROOM 1.25
 /** Grants come in steps of at least this size, so that small changes of
     demand write no record.  */
 #define STEP_PPM 5000
+#define LENDERS_MAX 3
 #define ASK_WAIT_MAX_US (16 * 1000000LL)
-#define BORROW_TIMEOUT_US 300000
+#define BORROW_TIMEOUT_US 100000
 /** Time that a borrowed batch covers at the measured demand.  */
-#define BORROW_COVER_S 0.3
-#define DENY_WAIT_US 100000
-#define DENY_WAIT_MAX_US 3200000
+#define BORROW_COVER_S 0.1
+#define DENY_WAIT_US 50000
+#define DENY_WAIT_MAX_US 1000000
 #define RETRY_AFTER_MIN_US 1000
 #define RETURN_WAIT_MAX_US (8 * 1000000LL)
 /** A share is renewed after this part of its validity.  */
@@ -40,6 +42,8 @@
   lt_limit_share_t **removed; /**< Shares being returned. */
   size_t removed_count;
   unsigned char home[LT_LIMIT_GROUPS];
+  unsigned char lenders[LT_LIMIT_GROUPS]; /**< Others. */
+  bool lends[LT_LIMIT_GROUPS];
   bool draining;
 };
 
@@ -193,16 +197,33 @@
 
 void
 lt_limit_holder_set_home (lt_limit_holder_t *holder, uint32_t group,
-                          lt_limit_home_place_t place)
+                          lt_limit_place_t place)
 {
   if (group < LT_LIMIT_GROUPS)
     holder->home[group] = (unsigned char)place;
 }
 
-static lt_limit_home_place_t
+void
+lt_limit_holder_set_lenders (lt_limit_holder_t *holder, uint32_t group,
+                             uint32_t others, bool self)
+{
+  if (group >= LT_LIMIT_GROUPS)
+    return;
+  holder->lenders[group]
+      = (unsigned char)(others < LENDERS_MAX ? others : LENDERS_MAX);
+  holder->lends[group] = self;
+}
+
+static bool
+lends (const lt_limit_holder_t *holder, uint64_t workspace)
+{
+  return holder->lends[lt_limit_group (workspace)];
+}
+
+static lt_limit_place_t
 home_of (const lt_limit_holder_t *holder, const lt_limit_share_t *share)
 {
-  return (lt_limit_home_place_t)
+  return (lt_limit_place_t)
       holder->home[lt_limit_group (share->rate.workspace)];
 }
 
@@ -278,7 +299,7 @@
 
 static void
 send_tokens_ask (const lt_limit_holder_t *holder, lt_limit_share_t *share,
-                 int64_t now_us, lt_limit_actions_t *actions)
+                 uint32_t rank, int64_t now_us, lt_limit_actions_t *actions)
 {
   double own = 0;
   if (lt_limit_share_valid (share, now_us))
@@ -292,8 +313,30 @@
   message.transfer = ++share->borrow_number;
   message.tokens = batch * LT_LIMIT_TOKEN;
   share->borrow_open = true;
+  share->borrow_rank = rank;
   share->borrow_sent_us = now_us;
-  send_home (actions, &message);
+  lt_limit_action_t action = { .type = LT_LIMIT_SEND_LENDER,
+                               .group = lt_limit_group (message.workspace),
+                               .rank = rank,
+                               .message = message };
+  lt_limit_actions_add (actions, &action);
+}
+
+/* The open tokens_ask got nothing: asks the next lender, and gives up for a
+   while after the last.  */
+static void
+ask_next_lender (const lt_limit_holder_t *holder, lt_limit_share_t *share,
+                 int64_t now_us, lt_limit_actions_t *actions)
+{
+  share->borrow_open = false;
+  uint32_t next = share->borrow_rank + 1;
+  if (next < holder->lenders[lt_limit_group (share->rate.workspace)])
+    {
+      send_tokens_ask (holder, share, next, now_us, actions);
+      return;
+    }
+  deny (share, now_us);
+  wake (actions, share);
 }
 
 lt_limit_spend_t
@@ -310,12 +353,12 @@
   lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
   if (lt_limit_share_take (share, now_us))
     return (lt_limit_spend_t){ LT_LIMIT_GRANTED, 0 };
-  if (home_of (holder, share) != LT_LIMIT_HOME_OTHER || holder->draining
-      || now_us < share->denied_until_us)
+  if (holder->draining || now_us < share->denied_until_us
+      || holder->lenders[lt_limit_group (share->rate.workspace)] == 0)
     return (lt_limit_spend_t){ LT_LIMIT_REFUSED, retry_after (share, now_us) };
   share->waiting++;
   if (!share->borrow_open)
-    send_tokens_ask (holder, share, now_us, actions);
+    send_tokens_ask (holder, share, 0, now_us, actions);
   return (lt_limit_spend_t){ LT_LIMIT_WAIT, 0 };
 }
 
@@ -340,15 +383,17 @@
   share->ask_open = false;
 }
 
+/* Parts that stay here on a recall.  */
 static int32_t
-needed_ppm (const lt_limit_holder_t *holder, const lt_limit_share_t *share,
-            double headroom)
+kept_ppm (const lt_limit_holder_t *holder, const lt_limit_share_t *share)
 {
-  int32_t need = lt_limit_share_need (share, headroom);
-  bool self = home_of (holder, share) == LT_LIMIT_HOME_SELF;
-  if (self && !share->removed && need < holder->options.reserve_ppm)
-    need = holder->options.reserve_ppm;
-  return need;
+  int32_t need = lt_limit_share_need (share, KEEP_HEADROOM);
+  if (share->removed || !lends (holder, share->rate.workspace))
+    return need;
+  int32_t least = lt_limit_min_ppm (&share->rate);
+  if (least < holder->options.keep_ppm)
+    least = holder->options.keep_ppm;
+  return need > least ? need : least;
 }
 
 static void
@@ -356,7 +401,7 @@
            const lt_limit_message_t *message, int64_t now_us,
            lt_limit_actions_t *actions)
 {
-  int32_t spare = share->ppm - needed_ppm (holder, share, KEEP_HEADROOM);
+  int32_t spare = share->ppm - kept_ppm (holder, share);
   int32_t give = spare < message->ppm ? spare : message->ppm;
   if (give < STEP_PPM && give < share->ppm)
     return;
@@ -395,16 +440,16 @@
   if (!share->borrow_open || message->transfer != share->borrow_number
       || message->sent_us != share->borrow_sent_us)
     return;
-  share->borrow_open = false;
-  if (message->tokens > 0)
+  if (message->tokens == 0)
     {
-      lt_limit_share_borrow (
-          share, message->tokens,
-          share->borrow_sent_us + holder->options.times.batch_us, now_us);
-      share->deny_wait_us = DENY_WAIT_US;
+      ask_next_lender (holder, share, now_us, actions);
+      return;
     }
-  else
-    deny (share, now_us);
+  share->borrow_open = false;
+  share->deny_wait_us = DENY_WAIT_US;
+  lt_limit_share_borrow (
+      share, message->tokens,
+      share->borrow_sent_us + holder->options.times.batch_us, now_us);
   wake (actions, share);
 }
 
@@ -435,6 +480,25 @@
     on_tokens_lend (holder, share, message, now_us, actions);
 }
 
+/* Returns the parts to ask for.  Sets *SPARE when they are for lending only,
+   so that nobody is asked to return any.  */
+static int32_t
+wanted_ppm (const lt_limit_holder_t *holder, const lt_limit_share_t *share,
+            bool *spare)
+{
+  *spare = false;
+  int32_t want = lt_limit_share_need (share, ASK_HEADROOM) - share->ppm;
+  /* Borrowing covers small shortfalls without a write of the record.  */
+  int32_t least = share->ppm / 4 > STEP_PPM ? share->ppm / 4 : STEP_PPM;
+  if (share->ppm > 0 && want < least)
+    want = 0;
+  if (want > 0 || share->removed || !lends (holder, share->rate.workspace))
+    return want > 0 ? want : 0;
+  *spare = true;
+  want = holder->options.reserve_ppm - share->ppm;
+  return want >= STEP_PPM ? want : 0;
+}
+
 /* Sends an ask, a renewal, or the repetition of an unanswered one.  */
 static void
 ask_if_due (lt_limit_holder_t *holder, lt_limit_share_t *share, int64_t now_us,
@@ -443,20 +507,17 @@
   if (now_us < share->ask_next_us || holder->draining)
     return;
   int64_t validity_us = holder->options.times.validity_us;
-  int32_t want = needed_ppm (holder, share, ASK_HEADROOM) - share->ppm;
-  bool wants = want >= STEP_PPM || (want > 0 && share->ppm == 0);
+  bool spare;
+  int32_t want = wanted_ppm (holder, share, &spare);
   bool renew = share->ppm > 0 && !share->removed
                && share->valid_until_us - now_us
                       < validity_us - validity_us / RENEW_PART;
-  if (!wants && !renew && !share->ask_open)
+  if (want == 0 && !renew && !share->ask_open)
     return;
+  bool ask = want > 0 && !spare;
   lt_limit_message_t message = share_message (
-      holder, share, wants ? LT_LIMIT_SHARE_ASK : LT_LIMIT_SHARE_RENEW,
-      now_us);
-  if (wants)
-    message.ppm = want < STEP_PPM ? STEP_PPM : want;
-  if (message.ppm > LT_LIMIT_WHOLE_PPM)
-    message.ppm = LT_LIMIT_WHOLE_PPM;
+      holder, share, ask ? LT_LIMIT_SHARE_ASK : LT_LIMIT_SHARE_RENEW, now_us);
+  message.ppm = want > 0 && want < STEP_PPM ? STEP_PPM : want;
   share->ask_open = true;
   share->ask_sent_us = now_us;
   share->ask_next_us = now_us + share->ask_wait_us;
@@ -466,6 +527,19 @@
   send_home (actions, &message);
 }
 
+/* Returns parts that demand has left, without being asked.  */
+static void
+return_idle (lt_limit_holder_t *holder, lt_limit_share_t *share,
+             int64_t now_us, lt_limit_actions_t *actions)
+{
+  int32_t kept = (int32_t)(kept_ppm (holder, share) * RETURN_HEADROOM);
+  if (lends (holder, share->rate.workspace)
+      || share->ppm < 2 * kept + STEP_PPM)
+    return;
+  if (lt_limit_share_give (share, share->ppm - kept, now_us))
+    send_return (holder, share, now_us, actions);
+}
+
 static void
 tick_share (lt_limit_holder_t *holder, lt_limit_share_t *share, int64_t now_us,
             lt_limit_actions_t *actions)
@@ -473,12 +547,8 @@
   lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
   lt_limit_share_measure (share, now_us);
   if (share->borrow_open && now_us - share->borrow_sent_us > BORROW_TIMEOUT_US)
-    {
-      share->borrow_open = false;
-      deny (share, now_us);
-      wake (actions, share);
-    }
-  if (home_of (holder, share) == LT_LIMIT_HOME_NONE)
+    ask_next_lender (holder, share, now_us, actions);
+  if (home_of (holder, share) == LT_LIMIT_PLACE_NONE)
     return;
   if (share->pending.ppm > 0
       && now_us - share->pending.sent_us >= share->pending.wait_us)
@@ -491,6 +561,7 @@
   if ((holder->draining || share->removed) && share->ppm > 0
       && lt_limit_share_give (share, share->ppm, now_us))
     send_return (holder, share, now_us, actions);
+  return_idle (holder, share, now_us, actions);
   ask_if_due (holder, share, now_us, actions);
 }
 
@@ -501,11 +572,8 @@
   for (uint32_t i = 0; i < holder->count; i++)
     {
       slot_t *slot = &holder->slots[i];
-      lt_limit_home_place_t place
-          = (lt_limit_home_place_t)
-                holder->home[lt_limit_group (slot->rate.workspace)];
-      if (slot->share == NULL && place == LT_LIMIT_HOME_SELF
-          && !holder->draining && holder->options.reserve_ppm > 0)
+      if (slot->share == NULL && !holder->draining
+          && lends (holder, slot->rate.workspace))
         use_share (holder, slot, now_us);
       if (slot->share == NULL)
         continue;
--- a/packages/policy/src/limit_home.c
+++ b/packages/policy/src/limit_home.c
@@ -12,7 +12,7 @@
 #define INBOX_DEDUPE 256
 /** Smallest grant, other than the rest of the pool.  */
 #define STEP_PPM 5000
-#define RECALL_WAIT_MAX_US (32 * LT_US_PER_S)
+#define RECALL_WAIT_MAX_US (8 * LT_US_PER_S)
 #define READ_RETRY_US LT_US_PER_S
 
 typedef struct pool
@@ -292,6 +292,15 @@
   add_reply (home, letter, entry, LT_LIMIT_SHARE_GRANT, size, tokens);
 }
 
+/* Notes what an ask did not get.  A renewal takes only what is left.  */
+static void
+add_unmet (pool_t *pool, const lt_limit_message_t *message, int32_t size)
+{
+  if (pool != NULL && message->type == LT_LIMIT_SHARE_ASK
+      && message->ppm > size)
+    pool->unmet += message->ppm - size;
+}
+
 /* Handles an ask of a holder without entry.  Returns whether the draft must be
    written.  */
 static bool
@@ -301,8 +310,7 @@
   int32_t size = 0;
   if (pool != NULL && letter->message.ppm > 0)
     size = grant_size (home, pool, letter->message.ppm, 0);
-  if (pool != NULL && letter->message.ppm > size)
-    pool->unmet += letter->message.ppm - size;
+  add_unmet (pool, &letter->message, size);
   if (size == 0)
     {
       add_gone (home, letter);
@@ -325,8 +333,7 @@
   int32_t size = 0;
   if (pool != NULL && letter->message.ppm > 0)
     size = grant_size (home, pool, letter->message.ppm, entry->ppm);
-  if (pool != NULL && letter->message.ppm > size)
-    pool->unmet += letter->message.ppm - size;
+  add_unmet (pool, &letter->message, size);
   if (size > 0)
     {
       record_grant (home, letter, pool, entry, size, now_us);
@@ -336,7 +343,7 @@
      for confirmation as well.  */
   int64_t age_ms = home->draft.clock_ms - entry->acked_ms;
   bool confirm
-      = letter->message.type == LT_LIMIT_SHARE_RENEW
+      = letter->message.ppm == 0
         || age_ms * LT_US_PER_MS > home->options.times.validity_us / 8;
   if (confirm)
     entry->acked_ms = home->draft.clock_ms;
--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -4,9 +4,11 @@
 #include <string.h>
 
 /** Time constant of the demand estimate.  */
-#define DEMAND_TAU_S 5.0
+#define DEMAND_TAU_S 3.0
 /** Demand below this counts as none.  */
 #define DEMAND_IDLE_PER_S 0.02
+/** Least burst of a share that is held for the VM's own demand.  */
+#define HOLD_REQUESTS 4
 #define UNUSED_AFTER_US (60 * 1000000LL)
 #define RETURN_WAIT_US 500000
 
@@ -71,14 +73,15 @@
 bool
 lt_limit_share_take (lt_limit_share_t *share, int64_t now_us)
 {
-  if (lt_limit_share_valid (share, now_us) && share->tokens >= LT_LIMIT_TOKEN)
+  /* Borrowed tokens first, because they expire.  */
+  if (share->borrowed >= LT_LIMIT_TOKEN && now_us < share->borrowed_until_us)
     {
-      share->tokens -= LT_LIMIT_TOKEN;
+      share->borrowed -= LT_LIMIT_TOKEN;
       return true;
     }
-  if (share->borrowed >= LT_LIMIT_TOKEN && now_us < share->borrowed_until_us)
+  if (lt_limit_share_valid (share, now_us) && share->tokens >= LT_LIMIT_TOKEN)
     {
-      share->borrowed -= LT_LIMIT_TOKEN;
+      share->tokens -= LT_LIMIT_TOKEN;
       return true;
     }
   return false;
@@ -223,9 +226,10 @@
     return 0;
   double need = headroom * share->demand_per_s * 1000.0 * LT_LIMIT_WHOLE_PPM
                 / (double)share->rate.rate_milli_per_s;
-  double least = lt_limit_min_ppm (&share->rate);
-  if (need < least)
-    need = least;
+  /* A share of few requests is mostly empty; borrowing serves better.  */
+  double least = HOLD_REQUESTS / 2.0 * lt_limit_min_ppm (&share->rate);
+  if (need < (share->ppm > 0 ? least / 2 : least))
+    return 0;
   return need < LT_LIMIT_WHOLE_PPM ? (int32_t)need : LT_LIMIT_WHOLE_PPM;
 }
 
--- a/packages/policy/src/limit_share.h
+++ b/packages/policy/src/limit_share.h
@@ -41,6 +41,7 @@
   int64_t borrow_number;
   int64_t borrow_sent_us;
   bool borrow_open;
+  uint32_t borrow_rank; /**< Lender that the open ask went to. */
   int64_t waiting;
   int64_t denied_until_us;
   int64_t deny_wait_us;
--- a/packages/policy/test/limit_world.h
+++ b/packages/policy/test/limit_world.h
@@ -41,7 +41,7 @@
   lt_limit_record_t *record; // Owned by the event.
   lt_limit_outcome_t outcome;
   int64_t expected;
-  int64_t request; // Arrival or give-up: index of the request.
+  int64_t request; // Give-up: number of the waiting request.
 } world_event_t;
 
 typedef struct world_vm
@@ -56,18 +56,25 @@
   int64_t offset_us;
   lt_limit_holder_t *holder;
   lt_limit_home_t *homes[WORLD_SPACES];
-  int home_view[WORLD_SPACES]; // VM slot, or -1.
+  int home_view[WORLD_SPACES];              // VM slot, or -1.
+  int lenders[WORLD_SPACES][WORLD_REGIONS]; // VM slots of the others.
+  int lender_count[WORLD_SPACES];
 } world_vm_t;
 
 typedef struct world_waiting
 {
-  int vm;
-  int life;
-  int space;
   int64_t arrived_us;
-  bool open;
+  uint64_t number;
 } world_waiting_t;
 
+// Waiting requests of one workspace on one VM.
+typedef struct world_queue
+{
+  world_waiting_t *items;
+  size_t count;
+  size_t cap;
+} world_queue_t;
+
 typedef struct world
 {
   int64_t now_us;
@@ -88,9 +95,7 @@
   double lost_response, late_write; // Probabilities per write.
   int64_t late_us;
   int64_t near_us, far_us, store_us, wait_us;
-  world_waiting_t *waiting;
-  size_t waiting_count;
-  size_t waiting_cap;
+  world_queue_t waiting[WORLD_VMS][WORLD_SPACES];
   uint64_t messages, writes, reads;
   void *user;
   // Called for each admission, and for each final refusal.
@@ -266,6 +271,12 @@
           if (to >= 0)
             world_send (w, vm, to, &action->message);
         }
+      else if (action->type == LT_LIMIT_SEND_LENDER)
+        {
+          int to = w->vms[vm].lenders[action->group][action->rank];
+          if (to >= 0)
+            world_send (w, vm, to, &action->message);
+        }
       else if (action->type == LT_LIMIT_WAKE)
         world_respend (w, vm, action->message.workspace);
       else
@@ -290,20 +301,29 @@
 }
 
 static void
-world_respend (world_t *w, int vm, uint64_t space)
+world_wait (world_t *w, int vm, int space, world_waiting_t waiting)
 {
-  for (size_t i = 0; i < w->waiting_count; i++)
+  world_queue_t *queue = &w->waiting[vm][space];
+  if (queue->count == queue->cap)
     {
-      world_waiting_t *waiting = &w->waiting[i];
-      if (!waiting->open || waiting->vm != vm
-          || waiting->life != w->vms[vm].life
-          || (uint64_t)waiting->space != space)
-        continue;
-      waiting->open = false;
-      if (world_spend (w, vm, waiting->space, true, waiting->arrived_us)
-          == LT_LIMIT_WAIT)
-        w->waiting[i].open = true;
+      queue->cap = queue->cap == 0 ? 16 : 2 * queue->cap;
+      queue->items = (world_waiting_t *)lt_realloc (
+          queue->items, queue->cap * sizeof (*queue->items));
     }
+  queue->items[queue->count++] = waiting;
+}
+
+static void
+world_respend (world_t *w, int vm, uint64_t space)
+{
+  world_queue_t woken = w->waiting[vm][space];
+  world_queue_t empty = { NULL, 0, 0 };
+  w->waiting[vm][space] = empty;
+  for (size_t i = 0; i < woken.count; i++)
+    if (world_spend (w, vm, (int)space, true, woken.items[i].arrived_us)
+        == LT_LIMIT_WAIT)
+      world_wait (w, vm, (int)space, woken.items[i]);
+  free (woken.items);
 }
 
 static void
@@ -318,26 +338,33 @@
     }
   if (world_spend (w, vm, space, false, w->now_us) != LT_LIMIT_WAIT)
     return;
-  while (w->waiting_count > 0 && !w->waiting[w->waiting_count - 1].open)
-    w->waiting_count--;
-  if (w->waiting_count == w->waiting_cap)
-    {
-      w->waiting_cap = w->waiting_cap == 0 ? 64 : 2 * w->waiting_cap;
-      w->waiting = (world_waiting_t *)lt_realloc (
-          w->waiting, w->waiting_cap * sizeof (*w->waiting));
-    }
-  world_waiting_t waiting = { vm, w->vms[vm].life, space, w->now_us, true };
-  w->waiting[w->waiting_count] = waiting;
+  world_waiting_t waiting = { w->now_us, w->order };
+  world_wait (w, vm, space, waiting);
   world_event_t event;
   memset (&event, 0, sizeof (event));
   event.kind = WORLD_GIVE_UP;
   event.vm = vm;
-  event.life = waiting.life;
+  event.life = w->vms[vm].life;
+  event.space = space;
   event.at_us = w->now_us + w->wait_us;
-  event.request = (int64_t)w->waiting_count++;
+  event.request = (int64_t)waiting.number;
   world_push (w, event);
 }
 
+static void
+world_give_up (world_t *w, const world_event_t *event)
+{
+  world_queue_t *queue = &w->waiting[event->vm][event->space];
+  for (size_t i = 0; i < queue->count; i++)
+    {
+      if (queue->items[i].number != (uint64_t)event->request)
+        continue;
+      queue->items[i] = queue->items[--queue->count];
+      w->refused (w, event->vm, event->space);
+      return;
+    }
+}
+
 static void
 world_apply (world_t *w, world_event_t *event)
 {
@@ -426,11 +453,7 @@
       world_arrive (w, event->vm, event->space);
       break;
     case WORLD_GIVE_UP:
-      if (w->waiting[event->request].open)
-        {
-          w->waiting[event->request].open = false;
-          w->refused (w, event->vm, w->waiting[event->request].space);
-        }
+      world_give_up (w, event);
       break;
     case WORLD_APPLY:
       break;
@@ -452,8 +475,7 @@
           continue;
         }
       const world_vm_t *vm = &w->vms[event.vm];
-      bool stale = event.life != vm->life && event.kind != WORLD_ARRIVAL
-                   && event.kind != WORLD_GIVE_UP;
+      bool stale = event.life != vm->life && event.kind != WORLD_ARRIVAL;
       if (stale)
         continue;
       if (vm->paused_until_us > w->now_us)
@@ -479,6 +501,7 @@
     {
       lt_limit_home_destroy (v->homes[i]);
       v->homes[i] = NULL;
+      w->waiting[vm][i].count = 0;
     }
 }
 
@@ -513,6 +536,7 @@
       lt_limit_home_configure (v->homes[i], &w->rates[i], 1,
                                world_clock (w, vm));
       v->home_view[i] = -1;
+      v->lender_count[i] = 0;
     }
   world_event_t event;
   memset (&event, 0, sizeof (event));
@@ -523,18 +547,29 @@
   world_push (w, event);
 }
 
-// Makes VM believe that the home of SPACE is the VM in slot HOME.
+// Makes VM believe that the home of SPACE is the VM in slot HOME and that the
+// lenders are the VMs in the slots of LENDERS, which may name VM itself.
 static void
-world_set_view (world_t *w, int vm, int space, int home)
+world_set_view (world_t *w, int vm, int space, int home, const int *lenders,
+                int count)
 {
   world_vm_t *v = &w->vms[vm];
   if (!v->alive)
     return;
+  bool self = false;
   v->home_view[space] = home;
+  v->lender_count[space] = 0;
+  for (int i = 0; i < count; i++)
+    if (lenders[i] == vm)
+      self = true;
+    else if (lenders[i] >= 0)
+      v->lenders[space][v->lender_count[space]++] = lenders[i];
   lt_limit_holder_set_home (v->holder, (uint32_t)space,
-                            home == vm  ? LT_LIMIT_HOME_SELF
-                            : home >= 0 ? LT_LIMIT_HOME_OTHER
-                                        : LT_LIMIT_HOME_NONE);
+                            home == vm  ? LT_LIMIT_PLACE_SELF
+                            : home >= 0 ? LT_LIMIT_PLACE_OTHER
+                                        : LT_LIMIT_PLACE_NONE);
+  lt_limit_holder_set_lenders (v->holder, (uint32_t)space,
+                               (uint32_t)v->lender_count[space], self);
   lt_limit_home_set_role (v->homes[space], home == vm);
 }
 
@@ -567,7 +602,9 @@
   for (int i = 0; i < WORLD_SPACES; i++)
     lt_limit_record_destroy (&w->table[i]);
   free (w->events);
-  free (w->waiting);
+  for (int vm = 0; vm < WORLD_VMS; vm++)
+    for (int i = 0; i < WORLD_SPACES; i++)
+      free (w->waiting[vm][i].items);
 }
 
 #endif
--- a/packages/policy/test/test_limit.cc
+++ b/packages/policy/test/test_limit.cc
@@ -82,8 +82,14 @@
   void
   home (int space, int vm)
   {
+    int lenders[] = { 0, 1, 2 };
     for (int i = 0; i < w.vm_count; i++)
-      world_set_view (&w, i, space, vm);
+      {
+        lenders[0] = i % 3;
+        lenders[1] = (i + 1) % 3;
+        lenders[2] = (i + 2) % 3;
+        world_set_view (&w, i, space, vm, lenders, 3);
+      }
   }
 
   // Offers PER_S requests a second per VM for SECONDS, all of them to VM HOT
@@ -127,6 +133,8 @@
   int vm = (int)lt_rng_below (&w->rng, (uint64_t)w->vm_count);
   int space = (int)lt_rng_below (&w->rng, (uint64_t)w->space_count);
   int region = (int)lt_rng_below (&w->rng, WORLD_REGIONS);
+  auto any
+      = [w] { return (int)lt_rng_below (&w->rng, (uint64_t)w->vm_count); };
   switch (lt_rng_below (&w->rng, 10))
     {
     case 0:
@@ -148,11 +156,11 @@
     case 4:
     case 5: // Each VM picks its own home; two may believe they are.
       for (int i = 0; i < w->vm_count; i++)
-        world_set_view (
-            w, i, space,
-            (int)lt_rng_below (&w->rng, 2) == 0
-                ? vm
-                : (int)lt_rng_below (&w->rng, (uint64_t)w->vm_count));
+        {
+          int lenders[] = { any (), any () - 1 };
+          world_set_view (w, i, space, any () % 2 == 0 ? vm : any (), lenders,
+                          2);
+        }
       break;
     case 6:
       world.home (space, vm);
