Size shares by demand over 10 s and watch a foreign lease closely

Cause: with a time constant of 3 s the noise of small demands moved parts back and forth (10.6 record writes a second), and a new home read the record only every 2.5 s while it waited for a release, longer than a planned stop gives the old VM to return its parts.

--- a/packages/policy/src/limit_home.c
+++ b/packages/policy/src/limit_home.c
@@ -586,7 +586,7 @@
   if (!may_own (home, now_us))
     {
       home->inbox.count = 0;
-      if (now_us - home->record_us >= home->options.times.lease_us / 4)
+      if (now_us - home->record_us >= home->options.times.lease_us / 30)
         send_read (home, actions);
       return;
     }
--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 /** Time constant of the demand estimate.  */
-#define DEMAND_TAU_S 3.0
+#define DEMAND_TAU_S 10.0
 /** Demand below this counts as none.  */
 #define DEMAND_IDLE_PER_S 0.02
 /** Least burst of a share that is held for the VM's own demand.  */
