--- a/packages/policy/include/lt/policy/admission.h
+++ b/packages/policy/include/lt/policy/admission.h
@@ -2,7 +2,8 @@
     Admission to one service on one VM: a bound on requests in progress, and a
     queue that is fair between workspaces (start-time fair queueing, Goyal,
     Vin and Cheng 1996).  A request that is expected to wait past its deadline
-    is refused when it arrives.  */
+    is refused when it arrives (admission by expected wait: Ramkumar, "Making
+    the Most of Serverless Accelerators", UCB/EECS-2022-88).  */
 #ifndef LT_POLICY_ADMISSION_H
 #define LT_POLICY_ADMISSION_H
 
@@ -77,8 +78,10 @@
   /** Takes queued requests into progress while there are free slots.  */
   size_t lt_admission_next (lt_admission_t *admission, int64_t now_us,
                             uint64_t *started, size_t cap);
-  /** Removes queued requests whose deadline has passed; returns how many were
-      written to EXPIRED.  */
+  /** Removes queued requests that cannot finish before their deadline (with
+      refuse_early; else those whose deadline has passed).  Call it before
+      lt_admission_release, so that none of them is started.  Returns how many
+      were written to EXPIRED.  */
   size_t lt_admission_expire (lt_admission_t *admission, int64_t now_us,
                               uint64_t *expired, size_t cap);
   /** Removes REQUEST from the queue.  Returns 0, or -LT_ENOTFOUND when it is
