--- /dev/null
+++ b/packages/node/src/filter_dispatch.c
@@ -0,0 +1,601 @@
+#include <ev.h>
+#include <stdlib.h>
+
+#include "dispatch.h"
+#include "filters.h"
+#include "lt/base/error.h"
+#include "lt/node/claim_controller.h"
+#include "lt/node/node.h"
+#include "lt/node/quarantine_controller.h"
+#include "lt/policy/retry.h"
+#include "outgoing.h"
+#include "pools.h"
+#include "upstream_client.h"
+
+enum
+{
+  ATTEMPTS_MAX = 4,
+  ANSWER_BUFFER_BYTES = 64 * 1024,
+  /* Answers of never-repeat actions are held back whole up to this size, so
+     that the outcome is recorded before the caller sees it.  */
+  ANSWER_HELD_BYTES = 1024 * 1024
+};
+
+typedef struct attempt
+{
+  lt_dispatch_t *dispatch;
+  lt_transfer_t *transfer; /* NULL when the attempt is not open. */
+  uint32_t upstream;
+  int64_t started_us;
+  int64_t header_us;
+  int status;
+  int64_t retry_after_ms;
+  bool byte_sent;
+  bool paused;
+  bool decided; /* DECISION was taken when the header came. */
+  lt_retry_decision_t decision;
+} attempt_t;
+
+struct lt_dispatch
+{
+  lt_request_t *request;
+  lt_snapshot_ref_t *config; /* What the upstream indexes refer to. */
+  uint32_t service;
+  attempt_t attempts[ATTEMPTS_MAX];
+  uint32_t tried[ATTEMPTS_MAX];
+  uint32_t attempt_count;
+  attempt_t *winner; /* The attempt whose answer is used. */
+  lt_buf_t target;
+  uint64_t service_hash;
+  uint64_t workspace_hash;
+  bool timed_out;  /* The last attempt ran into the deadline. */
+  bool last_reset; /* The last attempt lost its connection. */
+  bool no_retry;   /* The retry timer only delays the refusal. */
+  ev_timer retry_timer;
+  ev_timer hedge_timer;
+};
+
+static bool start_attempt (lt_dispatch_t *dispatch);
+
+static lt_pools_t *
+dispatch_pools (lt_dispatch_t *dispatch)
+{
+  return dispatch->request->node->pools;
+}
+
+static bool
+has_open_attempt (const lt_dispatch_t *dispatch)
+{
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    if (dispatch->attempts[i].transfer != NULL)
+      return true;
+  return false;
+}
+
+static void
+close_attempt (attempt_t *attempt, lt_attempt_outcome_t outcome)
+{
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  lt_request_t *request = dispatch->request;
+  lt_pools_t *pools = dispatch_pools (dispatch);
+  int64_t end_us = attempt->header_us != 0 ? attempt->header_us
+                                           : lt_node_now_us (request->node);
+  attempt->transfer = NULL;
+  pools->vtable->end (pools, dispatch->config->snapshot, attempt->upstream);
+  lt_observation_event_t event = {
+    .upstream = attempt->upstream,
+    .snapshot = dispatch->config->snapshot,
+    .outcome = outcome,
+    .status = attempt->status,
+    .latency_us = end_us - attempt->started_us,
+    .retry_after_ms = attempt->retry_after_ms,
+    .fingerprint = request->fingerprint,
+    .workspace = request->workspace,
+    .byte_sent = attempt->byte_sent,
+  };
+  lt_node_observe (request->node, &event);
+}
+
+static void
+cancel_attempt (attempt_t *attempt)
+{
+  if (attempt->transfer == NULL)
+    return;
+  lt_transfer_cancel (attempt->transfer);
+  close_attempt (attempt, LT_ATTEMPT_CANCELED);
+}
+
+static void
+cancel_others (lt_dispatch_t *dispatch, const attempt_t *keep)
+{
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    if (&dispatch->attempts[i] != keep)
+      cancel_attempt (&dispatch->attempts[i]);
+}
+
+static bool
+is_never_repeat (const lt_dispatch_t *dispatch)
+{
+  return dispatch->request->route->action == LT_ACTION_NEVER_REPEAT;
+}
+
+static bool
+is_idempotent (const lt_dispatch_t *dispatch)
+{
+  return dispatch->request->route->action == LT_ACTION_IDEMPOTENT;
+}
+
+static bool
+other_upstream_exists (lt_dispatch_t *dispatch)
+{
+  lt_pools_t *pools = dispatch_pools (dispatch);
+  int64_t now_us = lt_node_now_us (dispatch->request->node);
+  return pools->vtable->pick (pools, dispatch->service, dispatch->tried,
+                              dispatch->attempt_count, now_us)
+         >= 0;
+}
+
+static lt_retry_attempt_t
+describe_attempt (lt_dispatch_t *dispatch, const attempt_t *attempt,
+                  lt_retry_failure_t failure)
+{
+  return (lt_retry_attempt_t){
+    .service = dispatch->service_hash,
+    .workspace = dispatch->workspace_hash,
+    .failure = failure,
+    .idempotent = is_idempotent (dispatch),
+    .byte_sent = attempt->byte_sent,
+    .response_started = dispatch->winner != NULL,
+    .other_upstream = dispatch->attempt_count < ATTEMPTS_MAX
+                      && other_upstream_exists (dispatch),
+    .attempts = (int)dispatch->attempt_count,
+    .deadline_us = dispatch->request->deadline_us,
+  };
+}
+
+static lt_retry_decision_t
+decide_retry (lt_dispatch_t *dispatch, const attempt_t *attempt,
+              lt_retry_failure_t failure)
+{
+  lt_node_t *node = dispatch->request->node;
+  lt_retry_attempt_t description
+      = describe_attempt (dispatch, attempt, failure);
+  lt_retry_decision_t decision
+      = lt_retry_decide (node->retry, &description, lt_node_now_us (node));
+  node->retry_decisions[decision.reason]->value++;
+  if (decision.retry)
+    node->retry_failures[failure]->value++;
+  return decision;
+}
+
+static bool
+is_failure_status (int status)
+{
+  return status == 500 || status == 502 || status == 503 || status == 504;
+}
+
+static void
+use_answer (attempt_t *attempt, int status, lt_header_list_t *headers)
+{
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  lt_request_t *request = dispatch->request;
+  lt_answer_t *answer = &request->answer;
+  struct ev_loop *loop = request->node->loop;
+  dispatch->winner = attempt;
+  ev_timer_stop (loop, &dispatch->retry_timer);
+  ev_timer_stop (loop, &dispatch->hedge_timer);
+  cancel_others (dispatch, attempt);
+  answer->status = status;
+  lt_outgoing_answer_headers (headers, &answer->headers, &answer->length);
+  if (is_never_repeat (dispatch))
+    return;
+  answer->header_ready = true;
+}
+
+static bool
+on_header (void *owner, int status, lt_header_list_t *headers)
+{
+  attempt_t *attempt = owner;
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  attempt->status = status;
+  attempt->header_us = lt_node_now_us (dispatch->request->node);
+  int64_t retry_after_s = 0;
+  str_t retry_after = lt_header_list_get (headers, STR_LIT ("Retry-After"));
+  if (retry_after.data != NULL
+      && str_to_i64 (str_trim (retry_after), &retry_after_s) == 0)
+    attempt->retry_after_ms = retry_after_s * 1000;
+  if (attempt == &dispatch->attempts[0])
+    lt_retry_on_latency (dispatch->request->node->retry,
+                         dispatch->service_hash,
+                         attempt->header_us - attempt->started_us);
+  if (is_failure_status (status))
+    {
+      bool shed = status == 503 && attempt->retry_after_ms > 0;
+      attempt->decision = decide_retry (
+          dispatch, attempt, shed ? LT_RETRY_SHED : LT_RETRY_STATUS_FAILED);
+      attempt->decided = true;
+      if (attempt->decision.retry)
+        return false;
+    }
+  use_answer (attempt, status, headers);
+  return true;
+}
+
+static bool
+on_body (void *owner, str_t data)
+{
+  attempt_t *attempt = owner;
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  lt_request_t *request = dispatch->request;
+  lt_answer_t *answer = &request->answer;
+  bool held = !answer->header_ready;
+  size_t limit = held ? ANSWER_HELD_BYTES : ANSWER_BUFFER_BYTES;
+  if (answer->body.len > 0 && answer->body.len + data.len > limit)
+    {
+      attempt->paused = true;
+      answer->header_ready = true;
+      request->sink->wake (request->sink_data, request);
+      return false;
+    }
+  lt_buf_append_str (&answer->body, data);
+  if (answer->header_ready)
+    request->sink->wake (request->sink_data, request);
+  return true;
+}
+
+static bool
+on_send (void *owner)
+{
+  attempt_t *attempt = owner;
+  lt_request_t *request = attempt->dispatch->request;
+  if (!lt_claim_permits (request))
+    return false;
+  attempt->byte_sent = true;
+  request->byte_sent = true;
+  return true;
+}
+
+static lt_attempt_outcome_t
+attempt_outcome (const attempt_t *attempt, const lt_transfer_result_t *result)
+{
+  switch (result->end)
+    {
+    case LT_TRANSFER_REFUSED:
+      return LT_ATTEMPT_REFUSED;
+    case LT_TRANSFER_RESET:
+      return LT_ATTEMPT_RESET;
+    case LT_TRANSFER_TRUNCATED:
+      return LT_ATTEMPT_TRUNCATED;
+    case LT_TRANSFER_TIMEOUT:
+      return LT_ATTEMPT_TIMEOUT;
+    case LT_TRANSFER_COMPLETE:
+    case LT_TRANSFER_ABORTED:
+      break;
+    }
+  if (attempt->status == 503 && attempt->retry_after_ms > 0)
+    return LT_ATTEMPT_SHED;
+  return attempt->status >= 500 ? LT_ATTEMPT_FAILED : LT_ATTEMPT_OK;
+}
+
+/* The answer in use ended.  */
+static void
+finish_answer (lt_dispatch_t *dispatch, const lt_transfer_result_t *result)
+{
+  lt_request_t *request = dispatch->request;
+  lt_answer_t *answer = &request->answer;
+  if (result->end == LT_TRANSFER_COMPLETE)
+    {
+      bool held = !answer->header_ready;
+      answer->complete = true;
+      if (held)
+        lt_request_answer_ready (request);
+      else
+        lt_request_finish (request);
+      return;
+    }
+  if (!answer->started
+      && (answer->length < 0 || (int64_t)answer->body.len < answer->length))
+    {
+      /* Nothing was shown yet, so the caller gets a clear refusal in place of
+         a broken connection.  */
+      lt_request_refuse (request, LT_REFUSE_UPSTREAM_FAILED);
+      return;
+    }
+  answer->failed = true;
+  lt_request_finish (request);
+}
+
+static lt_filter_result_t
+refuse (lt_request_t *request, lt_refusal_t refusal)
+{
+  if (lt_claim_holds_refusal (request, refusal))
+    return LT_FILTER_WAIT;
+  return lt_request_refuse (request, refusal);
+}
+
+/* No answer is in use and no attempt is open.  */
+static void
+refuse_after_attempts (lt_dispatch_t *dispatch)
+{
+  lt_request_t *request = dispatch->request;
+  if (dispatch->timed_out
+      || lt_node_now_us (request->node) >= request->deadline_us)
+    refuse (request, LT_REFUSE_DEADLINE);
+  else if (!request->byte_sent)
+    refuse (request, LT_REFUSE_NO_UPSTREAM);
+  else
+    refuse (request, LT_REFUSE_UPSTREAM_FAILED);
+}
+
+static void
+start_retry_timer (lt_dispatch_t *dispatch, int64_t delay_us)
+{
+  struct ev_loop *loop = dispatch->request->node->loop;
+  ev_timer_stop (loop, &dispatch->retry_timer);
+  ev_timer_set (&dispatch->retry_timer, (double)delay_us / LT_US_PER_S, 0.0);
+  ev_timer_start (loop, &dispatch->retry_timer);
+}
+
+/* A request that may have crashed its upstream is repeated, and its caller
+   told, only after the other VMs have heard of it.  */
+static int64_t
+notice_delay_us (const lt_dispatch_t *dispatch)
+{
+  return dispatch->last_reset
+             ? lt_quarantine_notice_us (dispatch->request->node)
+             : 0;
+}
+
+static lt_retry_failure_t
+retry_failure (lt_transfer_end_t end)
+{
+  switch (end)
+    {
+    case LT_TRANSFER_REFUSED:
+      return LT_RETRY_CONNECT_FAILED;
+    case LT_TRANSFER_TIMEOUT:
+      return LT_RETRY_TIMEOUT;
+    case LT_TRANSFER_TRUNCATED:
+      return LT_RETRY_TRUNCATED;
+    case LT_TRANSFER_RESET:
+    case LT_TRANSFER_ABORTED:
+    case LT_TRANSFER_COMPLETE:
+      break;
+    }
+  return LT_RETRY_RESET;
+}
+
+static void
+on_retry_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  lt_dispatch_t *dispatch = watcher->data;
+  lt_request_t *request = dispatch->request;
+  bool retries = !dispatch->no_retry;
+  if (retries && dispatch->last_reset && lt_quarantine_refuses (request))
+    {
+      lt_request_refuse (request, LT_REFUSE_QUARANTINED);
+      return;
+    }
+  if (retries && (start_attempt (dispatch) || has_open_attempt (dispatch)))
+    return;
+  refuse_after_attempts (dispatch);
+}
+
+static void
+on_hedge_timer (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  lt_dispatch_t *dispatch = watcher->data;
+  lt_node_t *node = dispatch->request->node;
+  if (dispatch->winner != NULL || dispatch->attempt_count != 1
+      || dispatch->attempts[0].transfer == NULL)
+    return;
+  lt_retry_attempt_t open
+      = describe_attempt (dispatch, &dispatch->attempts[0], LT_RETRY_TIMEOUT);
+  lt_retry_decision_t decision
+      = lt_retry_hedge (node->retry, &open, lt_node_now_us (node));
+  node->retry_decisions[decision.reason]->value++;
+  if (decision.retry)
+    start_attempt (dispatch);
+}
+
+static void
+on_done (void *owner, const lt_transfer_result_t *result)
+{
+  attempt_t *attempt = owner;
+  lt_dispatch_t *dispatch = attempt->dispatch;
+  close_attempt (attempt, attempt_outcome (attempt, result));
+  dispatch->timed_out = result->end == LT_TRANSFER_TIMEOUT;
+  dispatch->last_reset = result->end == LT_TRANSFER_RESET;
+  if (dispatch->winner == attempt)
+    {
+      finish_answer (dispatch, result);
+      return;
+    }
+  lt_retry_decision_t decision
+      = attempt->decided
+            ? attempt->decision
+            : decide_retry (dispatch, attempt, retry_failure (result->end));
+  int64_t delay_us = notice_delay_us (dispatch);
+  if (decision.retry)
+    {
+      start_retry_timer (dispatch, decision.delay_us > delay_us
+                                       ? decision.delay_us
+                                       : delay_us);
+      return;
+    }
+  if (has_open_attempt (dispatch) || ev_is_active (&dispatch->retry_timer))
+    return;
+  dispatch->no_retry = true;
+  if (delay_us > 0)
+    start_retry_timer (dispatch, delay_us);
+  else
+    refuse_after_attempts (dispatch);
+}
+
+static const lt_transfer_vtable_t transfer_vtable = { .on_header = on_header,
+                                                      .on_body = on_body,
+                                                      .on_done = on_done,
+                                                      .on_send = on_send };
+
+static lt_transfer_t *
+send_attempt (lt_dispatch_t *dispatch, attempt_t *attempt)
+{
+  lt_request_t *request = dispatch->request;
+  lt_header_list_t headers = { 0 };
+  lt_outgoing_headers (request, attempt->started_us, &headers);
+  int64_t remaining_ms
+      = lt_request_remaining_ms (request, attempt->started_us);
+  lt_transfer_options_t options = {
+    .address
+    = dispatch->config->snapshot->upstreams[attempt->upstream].address,
+    .method = str_from (request->method),
+    .target = lt_buf_str (&dispatch->target),
+    .headers = &headers,
+    .body = lt_buf_str (&request->body),
+    .timeout_ms = remaining_ms > 0 ? remaining_ms : 1,
+    .fresh_connection = is_never_repeat (dispatch),
+  };
+  lt_transfer_t *transfer = lt_upstream_client_send (
+      request->node->upstreams, &options, &transfer_vtable, attempt);
+  lt_header_list_destroy (&headers);
+  return transfer;
+}
+
+/* Returns false when no upstream can take the request.  */
+static bool
+start_attempt (lt_dispatch_t *dispatch)
+{
+  lt_pools_t *pools = dispatch_pools (dispatch);
+  int64_t now_us = lt_node_now_us (dispatch->request->node);
+  int64_t picked
+      = pools->vtable->pick (pools, dispatch->service, dispatch->tried,
+                             dispatch->attempt_count, now_us);
+  if (picked < 0)
+    return false;
+  uint32_t index = dispatch->attempt_count;
+  attempt_t *attempt = &dispatch->attempts[index];
+  *attempt = (attempt_t){ .dispatch = dispatch,
+                          .upstream = (uint32_t)picked,
+                          .started_us = now_us };
+  attempt->transfer = send_attempt (dispatch, attempt);
+  if (attempt->transfer == NULL)
+    return false;
+  dispatch->tried[index] = attempt->upstream;
+  dispatch->attempt_count++;
+  pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
+  return true;
+}
+
+/* The pools may stand on a newer snapshot than the request; the service is
+   then found by its name.  */
+static int
+find_service (lt_dispatch_t *dispatch)
+{
+  const lt_request_t *request = dispatch->request;
+  const lt_snapshot_t *snapshot = dispatch->config->snapshot;
+  dispatch->service = request->route->service;
+  if (snapshot == request->snapshot)
+    return 0;
+  str_t name = request->snapshot->services[request->route->service].name;
+  dispatch->service = lt_snapshot_find_service (snapshot, name);
+  return dispatch->service == LT_NO_INDEX ? -LT_ENOTFOUND : 0;
+}
+
+static void
+init_retry (lt_dispatch_t *dispatch)
+{
+  const lt_request_t *request = dispatch->request;
+  const lt_snapshot_t *snapshot = request->snapshot;
+  lt_node_t *node = request->node;
+  dispatch->service_hash
+      = lt_hash64 (snapshot->services[request->route->service].name);
+  if (request->workspace != LT_NO_INDEX)
+    dispatch->workspace_hash
+        = lt_hash64 (snapshot->workspaces[request->workspace].name);
+  lt_retry_on_request (node->retry, dispatch->service_hash,
+                       dispatch->workspace_hash, lt_node_now_us (node));
+  ev_timer_init (&dispatch->retry_timer, on_retry_timer, 0.0, 0.0);
+  ev_timer_init (&dispatch->hedge_timer, on_hedge_timer, 0.0, 0.0);
+  dispatch->retry_timer.data = dispatch;
+  dispatch->hedge_timer.data = dispatch;
+}
+
+static void
+start_hedge_timer (lt_dispatch_t *dispatch)
+{
+  lt_node_t *node = dispatch->request->node;
+  if (!dispatch->request->route->hedge || !is_idempotent (dispatch))
+    return;
+  int64_t delay_us
+      = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
+  if (delay_us < 0)
+    return;
+  ev_timer_set (&dispatch->hedge_timer, (double)delay_us / LT_US_PER_S, 0.0);
+  ev_timer_start (node->loop, &dispatch->hedge_timer);
+}
+
+static lt_filter_result_t
+filter_request (lt_filter_t *filter, lt_request_t *request)
+{
+  lt_pools_t *pools = filter->node->pools;
+  lt_snapshot_ref_t *config = pools->vtable->config (pools);
+  if (config == NULL)
+    return refuse (request, LT_REFUSE_NO_CONFIG);
+  if (lt_node_now_us (filter->node) >= request->deadline_us)
+    return refuse (request, LT_REFUSE_DEADLINE);
+  lt_dispatch_t *dispatch = lt_alloc (sizeof (*dispatch));
+  request->dispatch = dispatch;
+  dispatch->request = request;
+  dispatch->config = lt_snapshot_ref_acquire (config);
+  lt_outgoing_target (request, &dispatch->target);
+  init_retry (dispatch);
+  if (find_service (dispatch) != 0 || !start_attempt (dispatch))
+    return refuse (request, LT_REFUSE_NO_UPSTREAM);
+  start_hedge_timer (dispatch);
+  return LT_FILTER_WAIT;
+}
+
+static void
+filter_done (lt_filter_t *filter, lt_request_t *request)
+{
+  (void)filter;
+  lt_dispatch_t *dispatch = request->dispatch;
+  if (dispatch == NULL)
+    return;
+  ev_timer_stop (request->node->loop, &dispatch->retry_timer);
+  ev_timer_stop (request->node->loop, &dispatch->hedge_timer);
+  cancel_others (dispatch, NULL);
+  request->dispatch = NULL;
+  lt_snapshot_ref_release (dispatch->config);
+  lt_buf_destroy (&dispatch->target);
+  free (dispatch);
+}
+
+void
+lt_dispatch_consumed (lt_request_t *request)
+{
+  lt_dispatch_t *dispatch = request->dispatch;
+  if (dispatch == NULL || dispatch->winner == NULL)
+    return;
+  attempt_t *winner = dispatch->winner;
+  if (!winner->paused || winner->transfer == NULL
+      || request->answer.body.len > ANSWER_BUFFER_BYTES / 2)
+    return;
+  winner->paused = false;
+  lt_transfer_unpause (winner->transfer);
+}
+
+static const lt_filter_vtable_t vtable = { .name = "dispatch",
+                                           .request = filter_request,
+                                           .done = filter_done,
+                                           .destroy = lt_filter_free };
+
+lt_filter_t *
+lt_filter_dispatch_create (void)
+{
+  return lt_filter_plain_create (&vtable);
+}
