--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -7,15 +7,19 @@
 
 #include "bus.h"
 #include "caller_server.h"
+#include "filter_record.h"
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/node/admin_api.h"
 #include "lt/node/claim_controller.h"
+#include "lt/node/config_controller.h"
+#include "lt/node/health_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
-#include "pools.h"
+#include "membership_controller.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -111,6 +115,7 @@
 add_filters (lt_node_t *node)
 {
   lt_node_add_filter (node, lt_filter_request_id_create ());
+  lt_node_add_filter (node, lt_filter_record_create ());
   lt_node_add_filter (node, lt_filter_route_create ());
   lt_node_add_filter (node, lt_filter_size_create ());
   lt_node_add_filter (node, lt_filter_authenticate_create ());
@@ -136,11 +141,26 @@
   return lt_platform_http_create (node->loop, &options, &node->platform);
 }
 
-static void
+static int
 add_controllers (lt_node_t *node)
 {
+  lt_node_add_controller (node, lt_config_controller_create (node));
+  if (node->settings->peer_listen.len > 0)
+    {
+      lt_controller_t *membership = NULL;
+      int error = lt_membership_controller_create (node, &membership);
+      if (error != 0)
+        return error;
+      lt_node_add_controller (node, membership);
+    }
+  lt_health_hooks_t hooks = lt_health_hooks_membership (node);
+  bool alone = node->membership == NULL;
+  lt_node_add_controller (
+      node, lt_health_controller_create (node, alone ? NULL : &hooks));
+  node->pools = lt_health_controller_pools (node->health_controller);
   lt_node_add_controller (node, lt_claim_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
+  return 0;
 }
 
 static int
@@ -173,7 +193,6 @@
   node->incarnation = (uint64_t)lt_clock_wall_us (clock);
   lt_rng_init (&node->rng, seed);
   node->bus = lt_bus_create (node);
-  node->pools = lt_pools_round_robin_create (node);
   lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
   node->retry = lt_retry_create (&retry_options, &node->rng);
   create_counters (node);
@@ -188,11 +207,11 @@
   lt_node_t *node = &daemon->node;
   create_node (daemon, loop, clock, settings);
   int error = create_platform (node);
-  if (error == 0)
-    add_controllers (node);
   if (error == 0)
     error = lt_upstream_client_create (loop, settings->upstream_connections,
                                        &node->upstreams);
+  if (error == 0)
+    error = add_controllers (node);
   if (error == 0)
     error = start_controllers (node);
   if (error == 0 && settings->sheet.len > 0)
@@ -203,6 +222,8 @@
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
   daemon->tick.data = daemon;
+  if (error == 0)
+    lt_admin_add_api (daemon->admin);
   if (error != 0)
     {
       lt_daemon_destroy (daemon);
@@ -237,7 +258,6 @@
   for (int i = node->filter_count - 1; i >= 0; i--)
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
-  lt_pools_round_robin_destroy (node->pools);
   lt_retry_destroy (node->retry);
   lt_platform_destroy (&node->platform);
   lt_bus_destroy (node->bus);
--- a/packages/node/test/test_claim.cc
+++ b/packages/node/test/test_claim.cc
@@ -336,6 +336,8 @@
                lt_sheet_parse (view (sheet), &options, &findings, &snapshot));
     lt_findings_destroy (&findings);
     snapshot->version = 1;
+    // The store holds no head here, so nothing could confirm the snapshot.
+    lt_daemon_node (daemons[i])->freshness = nullptr;
     ASSERT_EQ (
         0, lt_node_install_snapshot (lt_daemon_node (daemons[i]), snapshot));
   }
--- a/packages/policy/test/test_health.cc
+++ b/packages/policy/test/test_health.cc
@@ -394,6 +394,11 @@
         return lt_rng_below (r, 10) < 9 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
       },
       false, 0 },
+    { "a failure domain that fails as a whole is avoided", false,
+      [] (uint32_t u, int64_t *, lt_rng_t *) {
+        return u % 6 == 0 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
+      },
+      true, 2 },
     { "avoidance stops at the floor", false,
       [] (uint32_t u, int64_t *, lt_rng_t *) {
         return u < 5 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
@@ -432,6 +437,24 @@
   EXPECT_EQ (1U, vm.avoided ());
 }
 
+/* Guards against a restarted process whose first answers count: refused
+   connections count, the answers after them do not.  */
+TEST (HealthLocal, RestartIsNoticed)
+{
+  Pool p (12, 50);
+  Vm vm (p, 5);
+  vm.run (30, [] (uint32_t, int64_t *, lt_rng_t *) { return LT_HEALTH_OK; });
+  for (int i = 0; i < 3; i++)
+    {
+      lt_health_observation_t o = { 0, LT_HEALTH_REFUSED, false, 0 };
+      lt_health_observe (vm.local, &o, vm.now);
+    }
+  vm.run (9, [] (uint32_t u, int64_t *, lt_rng_t *) {
+    return u == 0 ? LT_HEALTH_FAILED : LT_HEALTH_OK;
+  });
+  EXPECT_EQ (0U, vm.avoided ());
+}
+
 /* Guards against an avoided upstream that comes back by time alone, and
    against avoidance that never ends.  */
 TEST (HealthLocal, OnlyProbesEndAnAvoidance)
@@ -597,6 +620,8 @@
       [] (uint32_t, uint32_t u) { return u == 3 ? 1 : 0.01; }, 0, 1 },
     { "a service that is bad as a whole loses nobody",
       [] (uint32_t, uint32_t) { return 0.9; }, 0, 6 },
+    { "a failure domain that fails for its own region only loses nobody",
+      [] (uint32_t, uint32_t u) { return u % 6 == 4 ? 1 : 0.01; }, 0, 6 },
     { "ejections stop at the floor",
       [] (uint32_t, uint32_t u) { return u < 5 ? 0.6 : 0.01; }, 3, 6 },
   };
