--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -16,6 +16,7 @@
 #include "lt/node/config_controller.h"
 #include "lt/node/health_controller.h"
 #include "lt/node/claim_controller.h"
+#include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
@@ -108,6 +109,7 @@
   lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
   lt_node_add_filter (node, lt_filter_quarantine_create ());
+  lt_node_add_filter (node, lt_filter_limit_create ());
   lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
@@ -144,6 +146,7 @@
   lt_node_add_controller (
       node, lt_health_controller_create (node, alone ? NULL : &hooks));
   node->pools = lt_health_controller_pools (node->health_controller);
+  lt_node_add_controller (node, lt_limit_controller_create (node));
   lt_node_add_controller (node, lt_claim_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
   return 0;
--- /dev/null
+++ b/packages/node/src/filter_limit.c
@@ -0,0 +1,31 @@
+#include "filters.h"
+#include "lt/node/limit_controller.h"
+#include "lt/node/node.h"
+#include "lt/node/request.h"
+
+static lt_filter_result_t
+filter_request (lt_filter_t *filter, lt_request_t *request)
+{
+  lt_limit_controller_t *controller = filter->node->limit_controller;
+  if (controller == NULL || request->workspace == LT_NO_INDEX)
+    return LT_FILTER_CONTINUE;
+  return lt_limit_controller_spend (controller, request, filter->slot);
+}
+
+static void
+filter_done (lt_filter_t *filter, lt_request_t *request)
+{
+  lt_limit_controller_forget (filter->node->limit_controller, request,
+                              filter->slot);
+}
+
+static const lt_filter_vtable_t vtable = { .name = "limit",
+                                           .request = filter_request,
+                                           .done = filter_done,
+                                           .destroy = lt_filter_free };
+
+lt_filter_t *
+lt_filter_limit_create (void)
+{
+  return lt_filter_plain_create (&vtable);
+}
--- a/packages/node/src/filters.h
+++ b/packages/node/src/filters.h
@@ -24,6 +24,10 @@
   lt_filter_t *lt_filter_deadline_create (void);
   /** Refuses requests that crashed upstreams.  */
   lt_filter_t *lt_filter_quarantine_create (void);
+  /** Spends one token of the workspace's rate.  */
+  lt_filter_t *lt_filter_limit_create (void);
+  /** Queues requests fairly by workspace in front of each service.  */
+  lt_filter_t *lt_filter_admission_create (void);
   /** Claims never-repeat actions.  */
   lt_filter_t *lt_filter_claim_create (void);
   /** Sends the request to an upstream; the last filter.  */
--- a/packages/policy/src/admission.c
+++ b/packages/policy/src/admission.c
@@ -88,13 +88,8 @@
   uint32_t kept = 0;
   for (uint32_t i = 0; i < admission->flow_count; i++)
     {
-      flow_t *flow = &admission->flows[i];
-      if (flow->count == 0 && flow->finish <= admission->virtual_time)
-        {
-          free (flow->items);
-          flow->items = NULL;
-        }
-      else
+      const flow_t *flow = &admission->flows[i];
+      if (flow->count > 0 || flow->finish > admission->virtual_time)
         admission->flows[kept++] = *flow;
     }
   admission->flow_count = kept;
@@ -143,6 +138,11 @@
   memmove (&flow->items[at], &flow->items[at + 1],
            (flow->count - at) * sizeof (*flow->items));
   admission->queued--;
+  if (flow->count > 0)
+    return;
+  free (flow->items);
+  flow->items = NULL;
+  flow->cap = 0;
 }
 
 /* Queued requests that would start before a new one of WORKSPACE: of each
