Name VMs that have not reported, and print the status as tables

Cause: a change returned as in force as soon as every VM that had already reported had it. A VM that had just started, known only from the seeds, the platform's list or gossip, was not waited for. The status printed the state of the controllers as raw JSON.

The members, services and excluded upstreams with their evidence are tables; any other controller is printed by its members.

--- a/packages/ctl/src/change.c
+++ b/packages/ctl/src/change.c
@@ -69,8 +69,9 @@
   return status;
 }
 
-/* Appends the names of VMs that are heard of and do not have VERSION yet.
-   Returns their count.  */
+/* Appends the names of VMs that may serve and do not have VERSION yet, as far
+   as known.  Returns their count.  A VM that has been silent for long cannot
+   serve keyed requests.  */
 static size_t
 vms_behind (const json_t *status, int64_t version, lt_buf_t *names)
 {
@@ -90,18 +91,37 @@
 }
 
 static size_t
-vms_silent (const json_t *status)
+vms_silent (const json_t *status, lt_buf_t *names)
 {
   size_t i;
   size_t silent = 0;
   json_t *vm;
   json_array_foreach (json_object_get (status, "vms"), i, vm)
   {
-    silent += json_is_true (json_object_get (vm, "silent"));
+    if (!json_is_true (json_object_get (vm, "silent")))
+      continue;
+    if (silent < VMS_NAMED)
+      lt_buf_printf (names, " %s", lt_ctl_text (vm, "vm_id"));
+    silent++;
   }
   return silent;
 }
 
+static void
+print_in_force (lt_ctl_t *ctl, const json_t *status, int64_t version)
+{
+  lt_buf_t names = { 0 };
+  size_t count = json_array_size (json_object_get (status, "vms"));
+  size_t silent = vms_silent (status, &names);
+  fprintf (ctl->err, "version %lld is in force on %zu VMs", (long long)version,
+           count - silent);
+  if (silent > 0)
+    fprintf (ctl->err, "; not confirmed by %zu silent VMs:%.*s", silent,
+             STR_ARG (names));
+  fputc ('\n', ctl->err);
+  lt_buf_destroy (&names);
+}
+
 int
 lt_ctl_wait_in_force (lt_ctl_t *ctl, int64_t version)
 {
@@ -120,12 +140,7 @@
       size_t count = json_array_size (json_object_get (status, "vms"));
       if (behind == 0 && count > 0)
         {
-          size_t silent = vms_silent (status);
-          fprintf (ctl->err, "version %lld is in force on %zu VMs",
-                   (long long)version, count - silent);
-          if (silent > 0)
-            fprintf (ctl->err, "; %zu VMs are silent", silent);
-          fputc ('\n', ctl->err);
+          print_in_force (ctl, status, version);
           json_decref (status);
           lt_buf_destroy (&names);
           return LT_CTL_DONE;
--- a/packages/ctl/src/command_status.c
+++ b/packages/ctl/src/command_status.c
@@ -1,15 +1,18 @@
 #include <jansson.h>
-#include <stdlib.h>
 
 #include "client.h"
 #include "commands.h"
 #include "output.h"
+#include "status_tables.h"
 
-static const lt_ctl_usage_t usage
-    = { NULL,
-        "Shows the configuration in force and what each VM last reported.\v"
-        "Example:\n\n  lavenderctl --admin 10.0.0.1:18081 status\n",
-        0, 0, 0 };
+static const lt_ctl_usage_t usage = {
+  NULL,
+  "Shows the configuration in force, what each VM last reported, and the "
+  "state of this VM: store, members, upstreams out of service with "
+  "their evidence, shares, claims, quarantines.\v"
+  "Example:\n\n  lavenderctl --admin 10.0.0.1:18081 status\n",
+  0, 0, 0
+};
 
 static void
 print_status (lt_ctl_t *ctl, const json_t *status)
@@ -28,14 +31,7 @@
            (long long)lt_ctl_number (status, "known_version"));
   lt_ctl_print_table (ctl, json_object_get (status, "vms"), columns,
                       sizeof (columns) / sizeof (columns[0]));
-  const char *name;
-  json_t *state;
-  json_object_foreach (json_object_get (status, "controllers"), name, state)
-  {
-    char *text = json_dumps (state, JSON_COMPACT | JSON_ENCODE_ANY);
-    fprintf (ctl->out, "%s: %s\n", name, text == NULL ? "" : text);
-    free (text);
-  }
+  lt_ctl_print_controllers (ctl, json_object_get (status, "controllers"));
 }
 
 int
--- a/packages/ctl/test/test_ctl.cc
+++ b/packages/ctl/test/test_ctl.cc
@@ -213,6 +213,24 @@
 static const char BEHIND[]
     = R"({"version":5,"vms":[{"vm_id":"vm-1","version":5,"silent":false},)"
       R"({"vm_id":"vm-2","version":4,"silent":false}]})";
+static const char FLEET[]
+    = R"({"version":5,"known_version":5,"author":"ana","vms":[)"
+      R"({"vm_id":"vm-1","version":5,"confirm_age_ms":300,"heard_age_ms":0,)"
+      R"("silent":false},{"vm_id":"vm-2","version":0,"confirm_age_ms":null,)"
+      R"("heard_age_ms":null,"silent":false}],"controllers":{"config":{)"
+      R"("store_down":true,"serves_keyed":true},"membership":{"live":2,)"
+      R"("members":[{"vm":"vm-1","state":"alive","region":"vest",)"
+      R"("failure_domain":"vest-a","one_way":false}]},"health":{"services":[)"
+      R"({"service":"quotes","usable_share":0.5,"floor_percent":50,)"
+      R"("aggregator":"vm-1","record_version":7,"record_age_ms":900,)"
+      R"("ejections":[{"upstream":"q1","state":"ejected","repeats":2,)"
+      R"("hold_ms":60000,"evidence":{"reason":"failed","share":0.5,)"
+      R"("baseline":0.01,"score":14.5,"responses":80,"failure_domains":2}}],)"
+      R"("avoided_here":[{"upstream":"q2","evidence":{"reason":"slow",)"
+      R"("share":0.3,"baseline":0.02,"score":12,"responses":40,)"
+      R"("failure_domains":1}}],"out":["q3"]}]},"limit":{"groups":1,)"
+      R"("shares":[{"workspace":"demo","ppm":1000000}]},)"
+      R"("quarantine":{"active":1,"entries":2}}})";
 static const char FINDINGS[]
     = R"({"reason":"findings","status":422,"findings":[{"severity":"error",)"
       R"("source":"sheet","row":3,"column":"burst","value":"0",)"
@@ -269,6 +287,7 @@
       { { 504, UNKNOWN }, { 200, SAME } } },
     { "apply --base x small.csv", {} },
     { "status", { { 200, IN_FORCE } } },
+    { "status", { { 200, FLEET } } },
     { "status", { { 401, R"({"reason":"operator-key-invalid"})" } } },
     { "key list", { { 200, KEYS } } },
     { "key add demo k", { { 201, NEW_KEY }, { 200, IN_FORCE } } },
--- a/packages/node/include/lt/node/config_controller.h
+++ b/packages/node/include/lt/node/config_controller.h
@@ -89,8 +89,12 @@
     int64_t applied_version;
     int64_t confirm_age_us; /**< At HEARD_US; -1: never confirmed. */
     int64_t heard_us;       /**< Monotonic time of the report. */
+    bool unheard; /**< Gossip named it at HEARD_US; it has not reported. */
   } lt_vm_version_t;
 
+  /** Gossip says that VM_ID is alive.  */
+  void lt_config_controller_note_member (lt_config_controller_t *controller,
+                                         str_t vm_id, int64_t now_us);
   /** Number of VMs heard of, this one included.  */
   size_t
   lt_config_controller_vm_count (const lt_config_controller_t *controller);
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -106,6 +106,7 @@
     struct lt_freshness *freshness;
     struct lt_health_controller *health_controller;
     struct lt_membership *membership;
+    struct lt_named_vms *named_vms;
     struct lt_limit_controller *limit_controller;
     struct lt_claim_controller *claim_controller;
     struct lt_quarantine_controller *quarantine_controller;
--- a/packages/node/src/admin_status.c
+++ b/packages/node/src/admin_status.c
@@ -3,6 +3,8 @@
 
 #include "admin_common.h"
 #include "lt/node/config_controller.h"
+#include "lt/policy/membership.h"
+#include "named_vms.h"
 
 enum
 {
@@ -13,10 +15,21 @@
   HISTORY_DEFAULT = 20
 };
 
+/* A VM that is known and has not said which version it has.  */
+static json_t *
+unheard_json (str_t name, int64_t known_ms)
+{
+  return json_pack ("{s:o, s:I, s:n, s:n, s:b}", "vm_id", lt_admin_str (name),
+                    "version", (json_int_t)0, "confirm_age_ms", "heard_age_ms",
+                    "silent", known_ms > SILENT_AFTER_MS);
+}
+
 static json_t *
 vm_json (const lt_vm_version_t *vm, int64_t now_us)
 {
   int64_t heard_ms = (now_us - vm->heard_us) / US_PER_MS;
+  if (vm->unheard)
+    return unheard_json (vm->vm_id, heard_ms);
   json_t *confirmed
       = vm->confirm_age_us < 0
             ? json_null ()
@@ -28,6 +41,24 @@
                     heard_ms > SILENT_AFTER_MS);
 }
 
+/* VMs that the seeds or the platform's list name may serve already, although
+   they have not reported here.  */
+static void
+append_unheard (json_t *vms, const lt_node_t *node, int64_t now_us)
+{
+  if (node->membership == NULL || node->named_vms == NULL)
+    return;
+  for (size_t i = 0; i < node->named_vms->count; i++)
+    {
+      const lt_named_vm_t *vm = &node->named_vms->items[i];
+      if (lt_named_vm_is_member (vm, node->membership))
+        continue;
+      str_t name = str_from (vm->id[0] != '\0' ? vm->id : vm->address);
+      json_array_append_new (
+          vms, unheard_json (name, (now_us - vm->first_us) / US_PER_MS));
+    }
+}
+
 static json_t *
 vms_json (lt_node_t *node, int64_t version)
 {
@@ -36,7 +67,10 @@
   const lt_config_controller_t *controller = node->config_controller;
   if (controller == NULL)
     {
-      lt_vm_version_t own = { node->settings->vm_id, version, -1, now_us };
+      lt_vm_version_t own = { .vm_id = node->settings->vm_id,
+                              .applied_version = version,
+                              .confirm_age_us = -1,
+                              .heard_us = now_us };
       json_array_append_new (vms, vm_json (&own, now_us));
       return vms;
     }
@@ -46,6 +80,7 @@
       lt_vm_version_t vm = lt_config_controller_vm_at (controller, i);
       json_array_append_new (vms, vm_json (&vm, now_us));
     }
+  append_unheard (vms, node, now_us);
   return vms;
 }
 
--- a/packages/node/src/config_controller.c
+++ b/packages/node/src/config_controller.c
@@ -257,6 +257,21 @@
   entry->applied = report->applied_version;
   entry->confirm_age_us = report->confirm_age_us;
   entry->heard_us = now_us;
+  entry->unheard = false;
+}
+
+void
+lt_config_controller_note_member (lt_config_controller_t *c, str_t vm_id,
+                                  int64_t now_us)
+{
+  lt_freshness_report_t none = { .confirm_age_us = -1 };
+  for (size_t i = 0; i < c->vm_count; i++)
+    if (str_equal (str_from (c->vms[i].vm_id), vm_id))
+      return;
+  note_vm (c, vm_id, now_us, &none);
+  vm_entry_t *entry = vm_slot (c, vm_id, now_us);
+  if (entry != NULL)
+    entry->unheard = true;
 }
 
 void
@@ -308,7 +323,8 @@
   return (lt_vm_version_t){ .vm_id = str_from (entry->vm_id),
                             .applied_version = entry->applied,
                             .confirm_age_us = entry->confirm_age_us,
-                            .heard_us = entry->heard_us };
+                            .heard_us = entry->heard_us,
+                            .unheard = entry->unheard };
 }
 
 int64_t
--- a/packages/node/src/config_internal.h
+++ b/packages/node/src/config_internal.h
@@ -83,6 +83,7 @@
   int64_t applied;
   int64_t confirm_age_us;
   int64_t heard_us;
+  bool unheard;
 } vm_entry_t;
 
 struct lt_config_controller
--- a/packages/node/src/membership_controller.c
+++ b/packages/node/src/membership_controller.c
@@ -5,9 +5,11 @@
 
 #include "heartbeat.h"
 #include "lt/base/log.h"
+#include "lt/node/config_controller.h"
 #include "lt/policy/membership.h"
 #include "lt/wire/frame.h"
 #include "lt/wire/message.h"
+#include "named_vms.h"
 #include "peer_transport.h"
 
 enum
@@ -24,6 +26,7 @@
   lt_controller_t base;
   lt_membership_t *membership;
   lt_peer_transport_t *transport;
+  lt_named_vms_t named;
   struct list_call *call; /* Open call of the VM list. */
   int64_t next_list_us;
   int64_t left_us; /* 0: not leaving. */
@@ -58,6 +61,7 @@
     {
       str_t seed = str_trim (str_split (rest, ',', &rest));
       lt_membership_add_hint (c->membership, now_us, str_make (NULL, 0), seed);
+      lt_named_vms_add_seed (&c->named, seed, now_us);
     }
 }
 
@@ -73,10 +77,17 @@
   if (result->outcome != LT_OUTCOME_DONE)
     return;
   int64_t now_us = lt_node_now_us (c->base.node);
+  lt_named_vms_begin_list (&c->named);
   for (size_t i = 0; i < result->count; i++)
-    if (!result->vms[i].leaving)
+    {
+      if (result->vms[i].leaving)
+        continue;
       lt_membership_add_hint (c->membership, now_us, result->vms[i].id,
                               result->vms[i].peer_address);
+      lt_named_vms_add_listed (&c->named, result->vms[i].id,
+                               result->vms[i].peer_address, now_us);
+    }
+  lt_named_vms_end_list (&c->named);
 }
 
 /* The platform's list lags; it only names VMs to try.  */
@@ -152,6 +163,9 @@
         lt_log (LT_LOG_INFO, "membership",
                 "msg=\"member changed\" vm=%.*s state=%s", STR_ARG (action.id),
                 lt_member_state_name (action.state));
+        if (action.state == LT_MEMBER_ALIVE && node->config_controller != NULL)
+          lt_config_controller_note_member (node->config_controller, action.id,
+                                            lt_node_now_us (node));
         break;
       case LT_MEMBERSHIP_PAUSED:
         c->pauses->value++;
@@ -238,6 +252,8 @@
     c->call->controller = NULL;
   lt_peer_transport_destroy (c->transport);
   controller->node->membership = NULL;
+  controller->node->named_vms = NULL;
+  lt_named_vms_destroy (&c->named);
   lt_membership_destroy (c->membership);
   free (c);
 }
@@ -280,6 +296,8 @@
   c->pauses = lt_metrics_counter (node->metrics, "lavendertrack_pauses_total",
                                   "Pauses of this VM that it noticed.", "");
   node->membership = c->membership;
+  node->named_vms = &c->named;
+  add_seeds (c, lt_node_now_us (node));
   *result = &c->base;
   return 0;
 }
--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -106,7 +106,8 @@
     std::unique_ptr<Process> process;
   };
 
-  explicit Fleet (int vm_count)
+  // STARTED is the number of VMs that run at first; -1: all.
+  explicit Fleet (int vm_count, int started = -1)
   {
     static const int sodium = sodium_init ();
     (void)sodium;
@@ -131,7 +132,7 @@
                                   free_port (), free_port (), free_port (),
                                   nullptr });
       }
-    for (int i = 0; i < vm_count; i++)
+    for (int i = 0; i < (started < 0 ? vm_count : started); i++)
       start_vm (i);
   }
 
--- a/packages/node/test/test_fleet.cc
+++ b/packages/node/test/test_fleet.cc
@@ -93,3 +93,27 @@
   for (int i = 0; i < 2; i++)
     EXPECT_EQ (200, fleet.request (i, "GET", "/quotes/1", { key }).status);
 }
+
+// Guards against a change reported as in force before a VM that is only known
+// from the seeds has reported.
+TEST (Fleet, NamesVmsThatHaveNotReported)
+{
+  Fleet fleet (2, 1);
+  for (const char *name : { "q1", "q2", "o1" })
+    fleet.start_upstream (name);
+  ASSERT_TRUE (fleet.wait_alive (0));
+  CommandResult applied = fleet.ctl (0, { "--timeout", "2", "apply", "--day",
+                                          "any", fleet.sheet ("basic.csv") });
+  EXPECT_NE (std::string::npos,
+             applied.output.find (local (fleet.vms[1].peer_port)))
+      << applied.output;
+  EXPECT_EQ (std::string::npos, applied.output.find ("in force on 2 VMs"));
+  // The VM gets the change when it comes, and is then confirmed by its id.
+  fleet.start_vm (1);
+  ASSERT_TRUE (fleet.wait_ready (1));
+  ASSERT_TRUE (fleet.wait_members (0, 2));
+  CommandResult drained = fleet.ctl (0, { "upstream", "drain", "q1" });
+  EXPECT_EQ (0, drained.status) << drained.output;
+  EXPECT_NE (std::string::npos, drained.output.find ("in force on 2 VMs"))
+      << drained.output;
+}
