--- a/packages/policy/src/membership.c
+++ b/packages/policy/src/membership.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "lt/base/hash.h"
 
@@ -103,23 +104,33 @@
   m->count--;
   memmove (&m->members[at], &m->members[at + 1],
            (m->count - at) * sizeof (member_t *));
-  if (member->gossip_left > 0)
-    m->gossiping--;
+  lt_membership_set_gossip (m, member, 0);
   m->digest ^= digest_part (member);
   member_destroy (member);
 }
 
 /* Repeats of an update that reach every VM with high probability: three times
-   the logarithm of the fleet's size.  */
+   the logarithm of the fleet's size.  A VM that has just started does not know
+   that size.  */
 static int
 gossip_repeats (size_t count)
 {
-  int log2 = 1;
+  int log2 = 6;
   while (count >> log2 > 0)
     log2++;
   return 3 * log2;
 }
 
+void
+lt_membership_set_gossip (lt_membership_t *m, member_t *member, int left)
+{
+  if (member->gossip_left > 0)
+    DL_DELETE (m->gossip[member->gossip_left], member);
+  member->gossip_left = left < MEMBER_GOSSIP_MAX ? left : MEMBER_GOSSIP_MAX;
+  if (member->gossip_left > 0)
+    DL_APPEND (m->gossip[member->gossip_left], member);
+}
+
 void
 lt_membership_set (lt_membership_t *m, int64_t now_us, member_t *member,
                    uint64_t incarnation, lt_member_state_t state)
@@ -135,9 +146,7 @@
     member->dead_at_us = now_us + m->options.suspect_us;
   if (state == LT_MEMBER_DEAD)
     member->phase = PROBE_NONE;
-  if (member->gossip_left == 0)
-    m->gossiping++;
-  member->gossip_left = gossip_repeats (m->count);
+  lt_membership_set_gossip (m, member, gossip_repeats (m->count));
   bool is_live = member_is_live (member);
   if (was_live != is_live)
     {
@@ -176,6 +185,7 @@
   m->rng = rng;
   m->last_tick_us = INT64_MIN;
   m->next_slot_us = INT64_MIN;
+  m->last_sync_us = INT64_MIN / 2;
   m->self = lt_membership_add (m, options->id);
   m->self->self = true;
   lt_member_update_t self = { .address = options->address,
--- a/packages/policy/src/membership_gossip.c
+++ b/packages/policy/src/membership_gossip.c
@@ -7,13 +7,15 @@
   /* A different view is normal while gossip is under way; only after this is
      the whole list exchanged.  */
   MISMATCH_BEFORE_SYNC_S = 10,
-  SYNC_INTERVAL_S = 60,
+  SYNC_INTERVAL_S = 20,
+  JOIN_INTERVAL_S = 3,
   SYNC_RETRY_S = 3,
   PAGE_INTERVAL_S = 1,
   PAGE_NONE = 0,
   PAGE_ASKED = 1,
   PAGE_MORE = 2,
   PAGE_LAST = 3,
+  GOSSIP_SENT_MAX = 32,
   /* Encoded size of an update without its texts.  */
   UPDATE_BYTES = 16
 };
@@ -49,9 +51,13 @@
                 && state_rank (update->state) > state_rank (self->state)));
   if (wrong || update->incarnation > self->incarnation)
     lt_membership_set (m, now_us, self, update->incarnation + 1, self->state);
+  else if (state_is_bad (update->state) && self->gossip_left == 0)
+    /* Refuted already, but the refutation got lost, as behind a one-way
+       partition.  */
+    lt_membership_set (m, now_us, self, self->incarnation, self->state);
 }
 
-void
+bool
 lt_membership_learn (lt_membership_t *m, int64_t now_us,
                      const lt_member_update_t *update)
 {
@@ -59,26 +65,32 @@
   if (member == m->self)
     {
       refute (m, now_us, update);
-      return;
+      return false;
     }
   if (member == NULL)
     {
       /* A VM that is only known to be dead is of no use.  */
       if (update->state == LT_MEMBER_DEAD || update->address.len == 0)
-        return;
+        return false;
       member = lt_membership_add (m, update->id);
       lt_membership_describe (member, update);
       lt_membership_set (m, now_us, member, update->incarnation,
                          update->state);
-      return;
+      return true;
     }
   bool newer = update->incarnation > member->incarnation;
   bool same = update->incarnation == member->incarnation;
+  /* Others see a VM live that is dead here, as after a healed partition.  Only
+     that VM can settle it: it is told, and refutes.  */
+  if (same && member->state == LT_MEMBER_DEAD
+      && update->state == LT_MEMBER_ALIVE)
+    lt_membership_heartbeat (m, now_us, member);
   if (!newer
       && !(same && state_rank (update->state) > state_rank (member->state)))
-    return;
+    return false;
   lt_membership_describe (member, update);
   lt_membership_set (m, now_us, member, update->incarnation, update->state);
+  return true;
 }
 
 member_t *
@@ -119,22 +131,7 @@
                      + update->failure_domain.len);
 }
 
-static member_t *
-most_urgent (const lt_membership_t *m)
-{
-  member_t *best = NULL;
-  for (size_t i = 0; i < m->count; i++)
-    {
-      member_t *member = m->members[i];
-      if (member->gossip_left > 0
-          && (best == NULL || member->gossip_left > best->gossip_left))
-        best = member;
-    }
-  return best;
-}
-
-/* Fills in the updates that were sent the fewest times.  A member sent in this
-   message is marked by a negative count, so that it is not sent twice.  */
+/* Fills in updates, those sent the fewest times first.  */
 static void
 fill_gossip (lt_membership_t *m, str_t to, lt_membership_message_t *message)
 {
@@ -143,27 +140,25 @@
   member_t *receiver = lt_membership_get (m, to);
   if (receiver != NULL && state_is_bad (receiver->state))
     bytes += append_update (message, receiver, true);
-  member_t *sent[16];
-  size_t sent_count = 0;
-  while (m->gossiping > sent_count && bytes < m->options.gossip_bytes
-         && sent_count < sizeof (sent) / sizeof (sent[0]))
+  member_t *sent[GOSSIP_SENT_MAX];
+  size_t count = 0;
+  bool full = false;
+  for (int level = MEMBER_GOSSIP_MAX; level > 0 && !full; level--)
     {
-      member_t *member = most_urgent (m);
-      bool brief = member != NULL && state_is_bad (member->state);
-      int32_t size
-          = member == NULL ? 0 : append_update (message, member, brief);
-      if (size == 0)
-        break;
-      bytes += size;
-      sent[sent_count++] = member;
-      member->gossip_left = -member->gossip_left;
-    }
-  for (size_t i = 0; i < sent_count; i++)
-    {
-      sent[i]->gossip_left = -sent[i]->gossip_left - 1;
-      if (sent[i]->gossip_left == 0)
-        m->gossiping--;
+      member_t *member = m->gossip[level];
+      for (; member != NULL && !full; member = member->next)
+        {
+          bool brief = state_is_bad (member->state);
+          int32_t size = append_update (message, member, brief);
+          bytes += size;
+          if (size > 0)
+            sent[count++] = member;
+          full = size == 0 || count == GOSSIP_SENT_MAX
+                 || bytes >= m->options.gossip_bytes;
+        }
     }
+  for (size_t i = 0; i < count; i++)
+    lt_membership_set_gossip (m, sent[i], sent[i]->gossip_left - 1);
 }
 
 static void
@@ -234,7 +229,8 @@
 compare_views (lt_membership_t *m, int64_t now_us, const member_t *from,
                const lt_membership_message_t *message)
 {
-  if (m->syncing && now_us - m->last_sync_us < SYNC_INTERVAL_S * us_per_s)
+  int64_t since_us = now_us - m->last_sync_us;
+  if (m->syncing && since_us < SYNC_INTERVAL_S * us_per_s)
     return;
   m->syncing = false;
   if (message->digest == m->digest)
@@ -268,13 +264,24 @@
   m->next_page_us = now_us + (m->joining ? 0 : PAGE_INTERVAL_S * us_per_s);
 }
 
+/* What a page tells is old news, which the others have.  */
+static void
+stop_gossip (lt_membership_t *m, str_t id)
+{
+  member_t *member = lt_membership_get (m, id);
+  if (member != NULL && !member->self)
+    lt_membership_set_gossip (m, member, 0);
+}
+
 void
 lt_membership_take_message (lt_membership_t *m, int64_t now_us, member_t *from,
                             const lt_membership_message_t *message, bool ack)
 {
+  bool page = ack && message->page >= PAGE_MORE;
   for (uint32_t i = 0; i < message->update_count; i++)
-    lt_membership_learn (m, now_us, &message->updates[i]);
-  if (ack && message->page >= PAGE_MORE)
+    if (lt_membership_learn (m, now_us, &message->updates[i]) && page)
+      stop_gossip (m, message->updates[i].id);
+  if (page)
     take_page (m, now_us, from, message);
   compare_views (m, now_us, from, message);
 }
--- a/packages/policy/src/membership_probe.c
+++ b/packages/policy/src/membership_probe.c
@@ -26,6 +26,7 @@
     return;
   member->phase = PROBE_DIRECT;
   member->probe_us = now_us;
+  member->probes = 0;
 }
 
 /* The next VM on ring RING that is not dead, or NULL.  Two rings in different
@@ -197,23 +198,52 @@
     }
 }
 
+/* Marks a VM that answers nobody.  When nobody answers this VM, the fault is
+   likely its own: then it keeps the suspicion to itself.  */
+static void
+give_up (lt_membership_t *m, int64_t now_us, member_t *member)
+{
+  bool isolated = m->last_ack_us < member->probe_us;
+  lt_member_state_t state = member->state == LT_MEMBER_LEAVING
+                                ? LT_MEMBER_DEAD
+                                : LT_MEMBER_SUSPECT;
+  member->phase = PROBE_NONE;
+  if (member->state == LT_MEMBER_SUSPECT)
+    return;
+  lt_membership_set (m, now_us, member, member->incarnation, state);
+  if (isolated)
+    lt_membership_set_gossip (m, member, 0);
+}
+
+/* After ack_timeout_us, and every such time again, others are asked to probe,
+   and the VM gets another heartbeat: one lost frame must not look like a dead
+   VM.  */
 static void
 check_probe (lt_membership_t *m, int64_t now_us, member_t *member)
 {
   int64_t waited_us = now_us - member->probe_us;
-  if (member->phase == PROBE_DIRECT && waited_us >= m->options.ack_timeout_us)
+  int64_t step_us = m->options.ack_timeout_us;
+  if (waited_us >= step_us + m->options.probe_timeout_us)
     {
-      member->phase = PROBE_INDIRECT;
-      ask_helpers (m, member);
+      give_up (m, now_us, member);
+      return;
     }
-  if (waited_us < m->options.ack_timeout_us + m->options.probe_timeout_us)
+  if (waited_us < step_us * (member->probes + 1))
     return;
-  member->phase = PROBE_NONE;
-  if (member->state == LT_MEMBER_ALIVE)
-    lt_membership_set (m, now_us, member, member->incarnation,
-                       LT_MEMBER_SUSPECT);
-  else if (member->state == LT_MEMBER_LEAVING)
-    lt_membership_set (m, now_us, member, member->incarnation, LT_MEMBER_DEAD);
+  member->probes++;
+  member->phase = PROBE_INDIRECT;
+  ask_helpers (m, member);
+  lt_membership_heartbeat (m, now_us, member);
+}
+
+/* A suspicion that was kept back stays so when the VM is taken as dead.  */
+static void
+declare_dead (lt_membership_t *m, int64_t now_us, member_t *member)
+{
+  bool isolated = m->last_ack_us < now_us - m->options.suspect_us;
+  lt_membership_set (m, now_us, member, member->incarnation, LT_MEMBER_DEAD);
+  if (isolated)
+    lt_membership_set_gossip (m, member, 0);
 }
 
 static void
@@ -225,8 +255,7 @@
       if (member->phase != PROBE_NONE)
         check_probe (m, now_us, member);
       if (member->state == LT_MEMBER_SUSPECT && now_us >= member->dead_at_us)
-        lt_membership_set (m, now_us, member, member->incarnation,
-                           LT_MEMBER_DEAD);
+        declare_dead (m, now_us, member);
       else if (member->state == LT_MEMBER_DEAD && !member->self
                && now_us - member->changed_us > m->options.dead_keep_us)
         lt_membership_drop (m, member);
@@ -325,6 +354,7 @@
     return;
   member->phase = PROBE_NONE;
   member->one_way = false;
+  m->last_ack_us = now_us;
   /* It answers: it gets the time to refute the suspicion.  */
   if (member->state == LT_MEMBER_SUSPECT)
     member->dead_at_us = now_us + m->options.suspect_us;
--- a/packages/policy/src/membership_state.h
+++ b/packages/policy/src/membership_state.h
@@ -13,7 +13,8 @@
   MEMBER_HELPED_CAP = 32,
   MEMBER_RINGS = 2,
   MEMBER_PARTNERS = 2,
-  MEMBER_HINT_CAP = 64
+  MEMBER_HINT_CAP = 64,
+  MEMBER_GOSSIP_MAX = 64
 };
 
 typedef enum probe_phase
@@ -37,6 +38,9 @@
   int64_t changed_us;
   int64_t dead_at_us; /* Of a suspect. */
   int gossip_left;
+  struct member *prev; /* Queue of its gossip_left. */
+  struct member *next;
+  int probes; /* Rounds of indirect probes done. */
   probe_phase_t phase;
   int64_t probe_us; /* When the first unanswered heartbeat was sent. */
 } member_t;
@@ -76,7 +80,10 @@
   size_t live;
   uint64_t generation;
   uint64_t digest;
-  size_t gossiping; /* Members with gossip left. */
+  /* Queues of members with gossip left, by how much is left: what was sent the
+     fewest times goes first, so that news overtakes a backlog.  */
+  member_t *gossip[MEMBER_GOSSIP_MAX + 1];
+  int64_t last_ack_us;
   int64_t last_tick_us;
   int64_t next_slot_us;
   uint32_t slot;
@@ -122,9 +129,12 @@
                         lt_member_state_t state);
 void lt_membership_describe (member_t *member,
                              const lt_member_update_t *update);
-/* Takes in what UPDATE says, by the order of incarnations and states.  */
-void lt_membership_learn (lt_membership_t *membership, int64_t now_us,
+/* Takes in what UPDATE says, by the order of incarnations and states.  Returns
+   whether it was news.  */
+bool lt_membership_learn (lt_membership_t *membership, int64_t now_us,
                           const lt_member_update_t *update);
+void lt_membership_set_gossip (lt_membership_t *membership, member_t *member,
+                               int left);
 member_action_t *lt_membership_push (lt_membership_t *membership,
                                      lt_membership_action_type_t type,
                                      str_t id, str_t address);
