--- a/packages/node/bench/member_fleet.h
+++ b/packages/node/bench/member_fleet.h
@@ -144,7 +144,7 @@
 member_send (member_fleet_t *fleet, int from, int to, uint16_t type,
              uint64_t correlation, lt_buf_t payload)
 {
-  static const lt_digest_t key;
+  static lt_digest_t key;
   member_vm_t *sender = &fleet->vms[from];
   lt_frame_t frame
       = { (lt_message_type_t)type, correlation, str_from (sender->id),
