--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -2,20 +2,25 @@
 
 #include <ev.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "bus.h"
 #include "caller_server.h"
+#include "drain_controller.h"
+#include "filter_record.h"
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
+#include "lt/node/admin_api.h"
+#include "lt/node/claim_controller.h"
 #include "lt/node/config_controller.h"
+#include "lt/node/health_controller.h"
+#include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
-#include "pools.h"
+#include "node_counters.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -93,29 +98,18 @@
     continue_drain (daemon, now_us);
 }
 
-static void
-create_counters (lt_node_t *node)
-{
-  for (int i = 0; i < LT_REFUSAL_COUNT; i++)
-    {
-      char labels[96];
-      snprintf (labels, sizeof (labels), "reason=\"%s\"",
-                lt_refusal_get ((lt_refusal_t)i)->reason);
-      node->refused[i]
-          = lt_metrics_counter (node->metrics, "lavendertrack_refused_total",
-                                "Requests refused, by reason.", labels);
-    }
-}
-
 static void
 add_filters (lt_node_t *node)
 {
   lt_node_add_filter (node, lt_filter_request_id_create ());
+  lt_node_add_filter (node, lt_filter_record_create ());
   lt_node_add_filter (node, lt_filter_route_create ());
   lt_node_add_filter (node, lt_filter_size_create ());
   lt_node_add_filter (node, lt_filter_authenticate_create ());
   lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
+  lt_node_add_filter (node, lt_filter_quarantine_create ());
+  lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
 
@@ -134,19 +128,27 @@
   return lt_platform_http_create (node->loop, &options, &node->platform);
 }
 
-/* Membership comes after the configuration, whose knowledge its heartbeats
-   carry.  Without a peer address this VM is the whole fleet.  */
 static int
 add_controllers (lt_node_t *node)
 {
   lt_node_add_controller (node, lt_config_controller_create (node));
-  if (node->settings->peer_listen.len == 0)
-    return 0;
-  lt_controller_t *membership = NULL;
-  int error = lt_membership_controller_create (node, &membership);
-  if (error == 0)
-    lt_node_add_controller (node, membership);
-  return error;
+  if (node->settings->peer_listen.len > 0)
+    {
+      lt_controller_t *membership = NULL;
+      int error = lt_membership_controller_create (node, &membership);
+      if (error != 0)
+        return error;
+      lt_node_add_controller (node, membership);
+    }
+  lt_health_hooks_t hooks = lt_health_hooks_membership (node);
+  bool alone = node->membership == NULL;
+  lt_node_add_controller (
+      node, lt_health_controller_create (node, alone ? NULL : &hooks));
+  node->pools = lt_health_controller_pools (node->health_controller);
+  lt_node_add_controller (node, lt_drain_controller_create (node));
+  lt_node_add_controller (node, lt_claim_controller_create (node));
+  lt_node_add_controller (node, lt_quarantine_controller_create (node));
+  return 0;
 }
 
 static int
@@ -179,10 +181,9 @@
   node->incarnation = (uint64_t)lt_clock_wall_us (clock);
   lt_rng_init (&node->rng, seed);
   node->bus = lt_bus_create (node);
-  node->pools = lt_pools_round_robin_create (node);
   lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
   node->retry = lt_retry_create (&retry_options, &node->rng);
-  create_counters (node);
+  lt_node_counters_create (node);
   add_filters (node);
 }
 
@@ -205,6 +206,8 @@
     error = lt_sheet_file_apply (node, settings->sheet);
   if (error == 0)
     error = lt_admin_create (node, &daemon->admin);
+  if (error == 0)
+    lt_admin_add_api (daemon->admin);
   if (error == 0)
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
@@ -243,7 +246,6 @@
   for (int i = node->filter_count - 1; i >= 0; i--)
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
-  lt_pools_round_robin_destroy (node->pools);
   lt_retry_destroy (node->retry);
   lt_platform_destroy (&node->platform);
   lt_bus_destroy (node->bus);
