Let time pass while the quarantine test waits for an upstream

Cause: with the rate limit wired, ClaimTest.CrashingRequestIsQuarantined used up its workspace's burst on a paused clock and never ended. Change: the clock moves 20 ms with each try. Conclusion: node_test_claim ends; its checks are the same.

--- a/packages/node/test/test_claim.cc
+++ b/packages/node/test/test_claim.cc
@@ -235,7 +235,11 @@
   EXPECT_EQ (2, total ());
   std::string other;
   while (other != "200") // Until an upstream is back.
-    other = quote ("safe");
+    {
+      // Time passes, so that the waiting does not use up the rate.
+      lt_manual_clock_advance (&vm.clock, 20 * LT_US_PER_MS);
+      other = quote ("safe");
+    }
 }
 
 // Guards against a notice of another VM that is ignored.
