--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -110,6 +110,7 @@
   lt_node_add_filter (node, lt_filter_deadline_create ());
   lt_node_add_filter (node, lt_filter_quarantine_create ());
   lt_node_add_filter (node, lt_filter_limit_create ());
+  lt_node_add_filter (node, lt_filter_admission_create (node->metrics));
   lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
--- a/packages/node/src/filters.h
+++ b/packages/node/src/filters.h
@@ -10,6 +10,8 @@
 {
 #endif
 
+  struct lt_metrics;
+
   /** Keeps a well-formed X-Request-Id, or makes one.  */
   lt_filter_t *lt_filter_request_id_create (void);
   /** Finds the route; refuses paths that are not in normal form.  */
@@ -27,7 +29,7 @@
   /** Spends one token of the workspace's rate.  */
   lt_filter_t *lt_filter_limit_create (void);
   /** Queues requests fairly by workspace in front of each service.  */
-  lt_filter_t *lt_filter_admission_create (void);
+  lt_filter_t *lt_filter_admission_create (struct lt_metrics *metrics);
   /** Claims never-repeat actions.  */
   lt_filter_t *lt_filter_claim_create (void);
   /** Sends the request to an upstream; the last filter.  */
