--- a/packages/node/test/test_claim.cc
+++ b/packages/node/test/test_claim.cc
@@ -7,7 +7,7 @@
 #include "lt/standin/store.h"
 #include "lt/wire/frame.h"
 #include "lt/wire/message.h"
-#include "session.h"
+#include "fleet.h"
 
 namespace
 {
@@ -98,6 +98,7 @@
 
 const lt_platform_fault_t NONE = {};
 const lt_platform_fault_t LOSE_ONE = { false, true, 0, 1 };
+const lt_platform_fault_t SLOW = { false, false, 30, 0 };
 const lt_platform_fault_t DOWN = { true, false, 0, 0 };
 const lt_platform_fault_t DOWN_THRICE = { true, false, 0, 3 };
 
@@ -113,6 +114,8 @@
     "200", 1 },
   { "upstream down", "{}", true, NONE, NONE, "503 no-upstream not-run", "200",
     1 },
+  { "upstream down, slow table", "{}", true, SLOW, NONE,
+    "503 no-upstream not-run", "200", 1 },
   { "reset after it ran", "{\"reset_share\":1}", false, NONE, NONE,
     "502 upstream-failed unknown", "409 outcome-unknown unknown", 1 },
   { "truncated response", "{\"truncate_share\":1}", false, NONE, NONE,
@@ -216,7 +219,12 @@
 // against refusing other requests with it.
 TEST_F (ClaimTest, CrashingRequestIsQuarantined)
 {
-  for (const char *name : { "q1", "q2" })
+  vm.add_upstream ("q3");
+  std::string sheet = basic_sheet ();
+  sheet.replace (sheet.find (",15,"), 4, ",16,");
+  sheet += "upstream,q3,,,,quotes,local,local-a,{q3},3,400,,,,,,,,,,,,,,,,\n";
+  ASSERT_EQ ("", vm.install (sheet, 2));
+  for (const char *name : { "q1", "q2", "q3" })
     ASSERT_EQ (0,
                lt_standin_upstream_configure (
                    vm.upstreams[name], STR_LIT ("{\"crash_marker\":\"boom\","
@@ -225,14 +233,20 @@
     return summary (vm.request ("POST", "/quotes", { KEY }, body));
   };
   auto total = [&] {
-    return lt_standin_upstream_total (vm.upstreams["q1"])
-           + lt_standin_upstream_total (vm.upstreams["q2"]);
+    int64_t sum = 0;
+    for (const char *name : { "q1", "q2", "q3" })
+      sum += lt_standin_upstream_total (vm.upstreams[name]);
+    return sum;
   };
-  EXPECT_EQ ("502 upstream-failed unknown", quote ("boom"));
-  EXPECT_EQ (2, total ());
+  // Fills the retry budget.
+  for (int i = 0; i < 30; i++)
+    EXPECT_EQ ("200", quote ("safe"));
+  int64_t before = total ();
+  EXPECT_EQ ("503 request-quarantined unknown", quote ("boom"));
+  EXPECT_EQ (before + 2, total ());
   for (int i = 0; i < 5; i++)
     EXPECT_EQ ("503 request-quarantined not-run", quote ("boom"));
-  EXPECT_EQ (2, total ());
+  EXPECT_EQ (before + 2, total ());
   std::string other;
   while (other != "200") // Until an upstream is back.
     other = quote ("safe");
@@ -269,6 +283,38 @@
   EXPECT_EQ ("200", summary (vm.request ("GET", "/quotes/1", { KEY })));
 }
 
+// Guards against a caller that sends a crashing request through other VMs
+// faster than they hear of it.
+TEST (QuarantineFleet, VmsShareIt)
+{
+  Fleet fleet (3);
+  for (const char *name : { "q1", "q2", "o1" })
+    {
+      fleet.start_upstream (name);
+      Reply set = fetch (
+          "POST", "http://" + local (fleet.ports[name]) + "/standin/behaviour",
+          {}, "{\"crash_marker\":\"boom\",\"restart_ms\":20}");
+      ASSERT_EQ (200, set.status);
+    }
+  for (int i = 0; i < 3; i++)
+    ASSERT_TRUE (fleet.wait_alive (i));
+  for (int i = 0; i < 3; i++)
+    ASSERT_TRUE (fleet.wait_members (i, 3));
+  CommandResult applied
+      = fleet.ctl (0, { "apply", "--day", "any", fleet.sheet ("basic.csv") });
+  ASSERT_EQ (0, applied.status) << applied.output;
+  for (int i = 0; i < 3; i++)
+    ASSERT_TRUE (fleet.wait_for ([&] {
+      return fleet.request (i, "GET", "/quotes/1", { KEY }).status == 200;
+    }));
+  EXPECT_EQ ("502 upstream-failed unknown",
+             summary (fleet.request (0, "POST", "/quotes", { KEY }, "boom")));
+  for (int i : { 1, 2, 0 })
+    EXPECT_EQ (
+        "503 request-quarantined not-run",
+        summary (fleet.request (i, "POST", "/quotes", { KEY }, "boom")));
+}
+
 // Two VMs with one table over HTTP; the table loses answers, is slow and down,
 // the upstreams reset, hang and truncate.  Seeds are printed on failure.
 class TwoVms : public testing::TestWithParam<uint64_t>
