--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -2,11 +2,11 @@
 
 #include <ev.h>
 #include <sodium.h>
-#include <stdio.h>
 #include <stdlib.h>
 
 #include "bus.h"
 #include "caller_server.h"
+#include "drain_controller.h"
 #include "filter_record.h"
 #include "filters.h"
 #include "lt/base/error.h"
@@ -17,9 +17,11 @@
 #include "lt/node/claim_controller.h"
 #include "lt/node/config_controller.h"
 #include "lt/node/health_controller.h"
+#include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
+#include "node_counters.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -97,20 +99,6 @@
     continue_drain (daemon, now_us);
 }
 
-static void
-create_counters (lt_node_t *node)
-{
-  for (int i = 0; i < LT_REFUSAL_COUNT; i++)
-    {
-      char labels[96];
-      snprintf (labels, sizeof (labels), "reason=\"%s\"",
-                lt_refusal_get ((lt_refusal_t)i)->reason);
-      node->refused[i]
-          = lt_metrics_counter (node->metrics, "lavendertrack_refused_total",
-                                "Requests refused, by reason.", labels);
-    }
-}
-
 static void
 add_filters (lt_node_t *node)
 {
@@ -122,6 +110,7 @@
   lt_node_add_filter (node, lt_filter_freshness_create ());
   lt_node_add_filter (node, lt_filter_deadline_create ());
   lt_node_add_filter (node, lt_filter_quarantine_create ());
+  lt_node_add_filter (node, lt_filter_limit_create ());
   lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
@@ -158,6 +147,8 @@
   lt_node_add_controller (
       node, lt_health_controller_create (node, alone ? NULL : &hooks));
   node->pools = lt_health_controller_pools (node->health_controller);
+  lt_node_add_controller (node, lt_drain_controller_create (node));
+  lt_node_add_controller (node, lt_limit_controller_create (node));
   lt_node_add_controller (node, lt_claim_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
   return 0;
@@ -195,7 +186,7 @@
   node->bus = lt_bus_create (node);
   lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
   node->retry = lt_retry_create (&retry_options, &node->rng);
-  create_counters (node);
+  lt_node_counters_create (node);
   add_filters (node);
 }
 
@@ -218,12 +209,12 @@
     error = lt_sheet_file_apply (node, settings->sheet);
   if (error == 0)
     error = lt_admin_create (node, &daemon->admin);
+  if (error == 0)
+    lt_admin_add_api (daemon->admin);
   if (error == 0)
     error = lt_caller_server_create (node, &daemon->callers);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
   daemon->tick.data = daemon;
-  if (error == 0)
-    lt_admin_add_api (daemon->admin);
   if (error != 0)
     {
       lt_daemon_destroy (daemon);
--- a/packages/node/test/test_claim.cc
+++ b/packages/node/test/test_claim.cc
@@ -339,6 +339,7 @@
     EXPECT_EQ (0, lt_standin_upstream_create (&upstream_options, &upstream));
     for (int i = 0; i < 2; i++)
       start_vm (i);
+    apply_sheet ();
   }
 
   ~TwoVms () override
@@ -368,6 +369,13 @@
     s.seed = (int64_t)GetParam ();
     ASSERT_EQ (0,
                lt_daemon_create (loop, lt_clock_system (), &s, &daemons[i]));
+  }
+
+  // Applies the sheet on the first VM and waits until both serve keyed
+  // requests with it.
+  void
+  apply_sheet ()
+  {
     std::string sheet = basic_sheet ();
     sheet.replace (sheet.find ("{q1}"), 4, "127.0.0.1:1");
     sheet.replace (sheet.find ("{q2}"), 4, "127.0.0.1:2");
@@ -375,17 +383,24 @@
                    local_address (lt_standin_upstream_port (upstream)));
     lt_sheet_options_t options = LT_SHEET_OPTIONS_DEFAULT;
     options.source = STR_LIT ("sheet");
-    options.hash_secret = s.key_hash_secret;
+    options.hash_secret = settings[0].key_hash_secret;
     lt_findings_t findings = {};
     lt_snapshot_t *snapshot = nullptr;
     ASSERT_EQ (0,
                lt_sheet_parse (view (sheet), &options, &findings, &snapshot));
     lt_findings_destroy (&findings);
-    snapshot->version = 1;
-    // The store holds no head here, so nothing could confirm the snapshot.
-    lt_daemon_node (daemons[i])->freshness = nullptr;
-    ASSERT_EQ (
-        0, lt_node_install_snapshot (lt_daemon_node (daemons[i]), snapshot));
+    auto ignore = [] (void *, const lt_apply_result_t *) {};
+    ASSERT_EQ (0, lt_config_controller_apply (
+                      lt_daemon_node (daemons[0])->config_controller, snapshot,
+                      0, STR_LIT ("test"), ignore, nullptr));
+    auto serves = [] (lt_daemon_t *daemon) {
+      lt_node_t *node = lt_daemon_node (daemon);
+      return node->config != nullptr
+             && lt_freshness_allows_keyed (node->freshness,
+                                           lt_node_now_us (node));
+    };
+    while (!serves (daemons[0]) || !serves (daemons[1]))
+      ev_run (loop, EVRUN_ONCE);
   }
 
   // Changes the faults at random while requests are open.
--- a/packages/policy/src/limit_home.c
+++ b/packages/policy/src/limit_home.c
@@ -12,7 +12,7 @@
 #define INBOX_DEDUPE 256
 /** Smallest grant, other than the rest of the pool.  */
 #define STEP_PPM 5000
-#define RECALL_WAIT_MAX_US (32 * LT_US_PER_S)
+#define RECALL_WAIT_MAX_US (8 * LT_US_PER_S)
 #define READ_RETRY_US LT_US_PER_S
 
 typedef struct pool
@@ -61,6 +61,7 @@
   int64_t leased_until_us;
   int64_t next_read_us;
   int64_t write_id;
+  bool contended;  /**< Several messages are in this batch. */
   bool unresolved; /**< The outcome of the draft's write is unknown. */
   letters_t inbox;
   letters_t replies; /**< Sent when the draft is written. */
@@ -254,7 +255,7 @@
         - lt_limit_record_granted (&home->draft, pool->rate.workspace);
   int32_t size = wanted;
   /* Half of the rest at most, so that asks of one batch all get some.  */
-  if (size > left / 2 && left > 2 * STEP_PPM)
+  if (home->contended && size > left / 2 && left > 2 * STEP_PPM)
     size = left / 2;
   if (size > left)
     size = left;
@@ -283,8 +284,13 @@
 record_grant (lt_limit_home_t *home, const letter_t *letter, pool_t *pool,
               lt_limit_grant_t *entry, int32_t size, int64_t now_us)
 {
-  /* Until the takeover is written, the tokens belong to the former home.  */
-  int64_t tokens = owns_record (home) ? take_pool (pool, size, now_us) : 0;
+  /* Until the takeover is written, the tokens belong to the former home; with
+     the first record, the whole burst is unused.  */
+  int64_t tokens = 0;
+  if (owns_record (home))
+    tokens = take_pool (pool, size, now_us);
+  else if (home->record.version == 0)
+    tokens = lt_limit_cap (&pool->rate, size);
   entry->ppm += size;
   entry->last_ppm = size;
   entry->transfer++;
@@ -292,6 +298,15 @@
   add_reply (home, letter, entry, LT_LIMIT_SHARE_GRANT, size, tokens);
 }
 
+/* Notes what an ask did not get.  A renewal takes only what is left.  */
+static void
+add_unmet (pool_t *pool, const lt_limit_message_t *message, int32_t size)
+{
+  if (pool != NULL && message->type == LT_LIMIT_SHARE_ASK
+      && message->ppm > size)
+    pool->unmet += message->ppm - size;
+}
+
 /* Handles an ask of a holder without entry.  Returns whether the draft must be
    written.  */
 static bool
@@ -301,8 +316,7 @@
   int32_t size = 0;
   if (pool != NULL && letter->message.ppm > 0)
     size = grant_size (home, pool, letter->message.ppm, 0);
-  if (pool != NULL && letter->message.ppm > size)
-    pool->unmet += letter->message.ppm - size;
+  add_unmet (pool, &letter->message, size);
   if (size == 0)
     {
       add_gone (home, letter);
@@ -325,8 +339,7 @@
   int32_t size = 0;
   if (pool != NULL && letter->message.ppm > 0)
     size = grant_size (home, pool, letter->message.ppm, entry->ppm);
-  if (pool != NULL && letter->message.ppm > size)
-    pool->unmet += letter->message.ppm - size;
+  add_unmet (pool, &letter->message, size);
   if (size > 0)
     {
       record_grant (home, letter, pool, entry, size, now_us);
@@ -336,7 +349,7 @@
      for confirmation as well.  */
   int64_t age_ms = home->draft.clock_ms - entry->acked_ms;
   bool confirm
-      = letter->message.type == LT_LIMIT_SHARE_RENEW
+      = letter->message.ppm == 0
         || age_ms * LT_US_PER_MS > home->options.times.validity_us / 8;
   if (confirm)
     entry->acked_ms = home->draft.clock_ms;
@@ -507,6 +520,7 @@
   if (!dirty && home->inbox.count == 0)
     return;
   start_draft (home, now_us);
+  home->contended = home->inbox.count > 1;
   for (size_t i = 0; i < home->inbox.count; i++)
     dirty |= handle_letter (home, &home->inbox.items[i], now_us);
   home->inbox.count = 0;
@@ -579,7 +593,7 @@
   if (!may_own (home, now_us))
     {
       home->inbox.count = 0;
-      if (now_us - home->record_us >= home->options.times.lease_us / 4)
+      if (now_us - home->record_us >= home->options.times.lease_us / 30)
         send_read (home, actions);
       return;
     }
