--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -106,7 +106,8 @@
     std::unique_ptr<Process> process;
   };
 
-  explicit Fleet (int vm_count)
+  // STARTED is the number of VMs that run at first; -1: all.
+  explicit Fleet (int vm_count, int started = -1)
   {
     static const int sodium = sodium_init ();
     (void)sodium;
@@ -131,7 +132,7 @@
                                   free_port (), free_port (), free_port (),
                                   nullptr });
       }
-    for (int i = 0; i < vm_count; i++)
+    for (int i = 0; i < (started < 0 ? vm_count : started); i++)
       start_vm (i);
   }
 
@@ -242,6 +243,24 @@
     return wait_for ([&] { return fetch ("GET", url, {}, "").status == 200; });
   }
 
+  // Waits until VM I knows COUNT VMs, itself included, that have spoken.
+  bool
+  wait_members (int i, size_t count)
+  {
+    std::string url = "http://"
+                      + local (vms[static_cast<size_t> (i)].admin_port)
+                      + "/v1/status";
+    std::string auth
+        = std::string ("Authorization: Bearer ") + Vm::kOperatorKey;
+    return wait_for ([&] {
+      std::string body = fetch ("GET", url, { auth }, "").body;
+      size_t known = 0;
+      for (const VmProcess &vm : vms)
+        known += body.find ("\"" + vm.id + "\"") != std::string::npos;
+      return known >= count;
+    });
+  }
+
   Reply
   request (int vm, const std::string &method, const std::string &target,
            const std::vector<std::string> &headers = {},
--- a/packages/policy/src/limit_share.h
+++ b/packages/policy/src/limit_share.h
@@ -21,7 +21,8 @@
 typedef struct lt_limit_share
 {
   lt_limit_rate_t rate;
-  bool removed; /**< The workspace left the configuration. */
+  bool removed;                /**< The workspace left the configuration. */
+  struct lt_limit_share *next; /**< Of the removed shares. */
   int64_t created_us;
   int32_t ppm;
   int64_t tokens;
@@ -41,6 +42,7 @@
   int64_t borrow_number;
   int64_t borrow_sent_us;
   bool borrow_open;
+  uint32_t borrow_rank; /**< Lender that the open ask went to. */
   int64_t waiting;
   int64_t denied_until_us;
   int64_t deny_wait_us;
