--- a/packages/policy/src/freshness.c
+++ b/packages/policy/src/freshness.c
@@ -79,11 +79,12 @@
           continue;
         }
       int64_t gain_us = f->confirm_us - held->answered_confirm_us;
-      if (gain_us < f->options.push_gain_us
-          && f->known <= held->answered_known)
+      if (gain_us < f->options.push_gain_us && f->known <= held->answered_known
+          && f->applied <= held->answered_applied)
         continue;
       held->answered_confirm_us = f->confirm_us;
       held->answered_known = f->known;
+      held->answered_applied = f->applied;
       lt_freshness_push_action (f, LT_FRESHNESS_ANSWER, name_str (&held->peer),
                                 0, 0);
     }
@@ -99,6 +100,13 @@
                             f->known, 0);
 }
 
+static void
+fetch (lt_freshness_t *f, int64_t now_us, str_t peer)
+{
+  lt_freshness_push_action (f, LT_FRESHNESS_FETCH, peer, f->known, 0);
+  f->next_fetch_us = now_us + FETCH_RETRY_MS * 1000;
+}
+
 static void
 learn_known (lt_freshness_t *f, int64_t now_us, int64_t version, str_t peer)
 {
@@ -111,11 +119,12 @@
   f->known_from = name_make (peer);
   if (f->possible <= version)
     lt_freshness_clear_possible (f);
-  if (f->applied < version)
-    {
-      lt_freshness_push_action (f, LT_FRESHNESS_FETCH, peer, version, 0);
-      f->next_fetch_us = now_us + FETCH_RETRY_MS * 1000;
-    }
+  f->fetch_tries = 0;
+  if (f->applied < version && peer.len > 0)
+    fetch (f, now_us, peer);
+  else
+    f->next_fetch_us = now_us + FETCH_WAIT_MS * 1000
+                       + (int64_t)lt_rng_below (f->rng, FETCH_WAIT_MS * 1000);
   spread_if_new (f);
 }
 
@@ -157,8 +166,11 @@
      current one.  */
   if (!failed && head < f->known && sent_us >= f->known_us)
     return;
+  bool news = !failed && head > f->known;
   if (!failed)
     learn_confirmation (f, now_us, head, sent_us);
+  if (news && f->applied < f->known)
+    fetch (f, now_us, str_make (NULL, 0));
   bool knows = f->applied > 0 && f->applied >= f->known;
   bool in_region = f->store_region.len > 0
                    && name_is (&f->region, name_str (&f->store_region));
@@ -232,9 +244,9 @@
   lt_freshness_tick_announce (f, now_us);
   if (f->applied < f->known && now_us >= f->next_fetch_us)
     {
-      f->next_fetch_us = now_us + FETCH_RETRY_MS * 1000;
-      lt_freshness_push_action (f, LT_FRESHNESS_FETCH,
-                                name_str (&f->known_from), f->known, 0);
+      bool store = ++f->fetch_tries % FETCH_STORE_EVERY == 0;
+      fetch (f, now_us,
+             store ? str_make (NULL, 0) : name_str (&f->known_from));
     }
 }
 
@@ -265,16 +277,14 @@
 }
 
 /* PEER has the version that this VM misses.  The first such peer is asked at
-   once: while the store is down, the first attempt, there, was in vain.  */
+   once.  */
 static void
 learn_source (lt_freshness_t *f, int64_t now_us, str_t peer)
 {
   bool first = f->known_from.len == 0;
   f->known_from = name_make (peer);
-  if (!first)
-    return;
-  lt_freshness_push_action (f, LT_FRESHNESS_FETCH, peer, f->known, 0);
-  f->next_fetch_us = now_us + FETCH_RETRY_MS * 1000;
+  if (first)
+    fetch (f, now_us, peer);
 }
 
 /* Takes in what needs no date.  */
@@ -322,7 +332,8 @@
                                      .ask_id = question->ask_id,
                                      .arrived_us = now_us,
                                      .answered_confirm_us = f->confirm_us,
-                                     .answered_known = f->known };
+                                     .answered_known = f->known,
+                                     .answered_applied = f->applied };
   answer_held (f, now_us);
 }
 
--- a/packages/policy/src/freshness_state.h
+++ b/packages/policy/src/freshness_state.h
@@ -20,6 +20,12 @@
   ASK_LIFE_MS = 3000,
   HELD_LIFE_MS = 1200,
   FETCH_RETRY_MS = 500,
+  /* A VM that hears of a version from one that does not have it yet waits this
+     long for one that does, before it loads the object store.  */
+  FETCH_WAIT_MS = 300,
+  /* One try in so many goes to the store although a VM is known to have the
+     version: that VM may be gone.  */
+  FETCH_STORE_EVERY = 4,
   ANNOUNCE_RETRY_MS = 300,
   RESCUE_INTERVAL_MS = 1500,
   RESCUE_JITTER_MS = 1000
@@ -48,6 +54,7 @@
   int64_t arrived_us;
   int64_t answered_confirm_us;
   int64_t answered_known;
+  int64_t answered_applied;
 } held_t;
 
 typedef struct read_slot
@@ -95,6 +102,7 @@
   int64_t behind_since_us;
   name_t known_from;
   int64_t next_fetch_us;
+  uint32_t fetch_tries;
   int64_t spread; /* Highest version that was spread. */
 
   int64_t possible;
