Let borrowers wait for a token at the lender with most parts

Cause: three VMs shared a workspace of 10/s and burst 3 (LimitFleet): the VM next to the tokens won every one, and the others were denied (300, 1 and 0 served). The fleet test still fails: now the lender's own requests lose (1, 196, 195).

--- a/packages/node/src/limit_codec.c
+++ b/packages/node/src/limit_codec.c
@@ -5,7 +5,7 @@
 #include "lt/base/error.h"
 #include "lt/wire/pack.h"
 
-#define MESSAGE_FIELDS 10
+#define MESSAGE_FIELDS 11
 #define RECORD_FORMAT 1
 #define RECORD_FIELDS 8
 #define GRANT_FIELDS 9
@@ -17,6 +17,7 @@
   lt_pack_array (out, MESSAGE_FIELDS);
   lt_pack_bool (out, message->recall);
   lt_pack_bool (out, message->gone);
+  lt_pack_bool (out, message->hold);
   lt_pack_u64 (out, message->workspace);
   lt_pack_i64 (out, message->incarnation);
   lt_pack_i64 (out, message->generation);
@@ -37,6 +38,7 @@
   *message = (lt_limit_message_t){ .type = type };
   message->recall = lt_unpack_bool (&in);
   message->gone = lt_unpack_bool (&in);
+  message->hold = lt_unpack_bool (&in);
   message->workspace = lt_unpack_u64 (&in, UINT64_MAX);
   message->incarnation = lt_unpack_i64 (&in, 0, INT64_MAX);
   message->generation = lt_unpack_i64 (&in, 0, INT64_MAX);
--- a/packages/node/src/limit_codec.h
+++ b/packages/node/src/limit_codec.h
@@ -8,16 +8,25 @@
 #include "lt/policy/limit.h"
 #include "lt/policy/limit_home.h"
 
-/** The type travels in the frame.  */
-void lt_limit_message_encode (const lt_limit_message_t *message,
-                              lt_buf_t *out);
-/** Returns 0 or -LT_EPROTO.  */
-int lt_limit_message_decode (lt_limit_message_type_t type, str_t payload,
-                             lt_limit_message_t *message);
-/** The version is the table item's.  */
-void lt_limit_record_encode (const lt_limit_record_t *record, lt_buf_t *out);
-/** Fills the zero-initialized RECORD.  Returns 0 or -LT_EPROTO; destroy it in
-    both cases.  */
-int lt_limit_record_decode (str_t value, lt_limit_record_t *record);
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  /** The type travels in the frame.  */
+  void lt_limit_message_encode (const lt_limit_message_t *message,
+                                lt_buf_t *out);
+  /** Returns 0 or -LT_EPROTO.  */
+  int lt_limit_message_decode (lt_limit_message_type_t type, str_t payload,
+                               lt_limit_message_t *message);
+  /** The version is the table item's.  */
+  void lt_limit_record_encode (const lt_limit_record_t *record, lt_buf_t *out);
+  /** Fills the zero-initialized RECORD.  Returns 0 or -LT_EPROTO; destroy it
+     in both cases.  */
+  int lt_limit_record_decode (str_t value, lt_limit_record_t *record);
+
+#ifdef __cplusplus
+}
+#endif
 
 #endif
--- a/packages/policy/include/lt/policy/limit.h
+++ b/packages/policy/include/lt/policy/limit.h
@@ -74,6 +74,7 @@
     lt_limit_message_type_t type;
     bool recall; /**< share_ask from the home: return up to ppm. */
     bool gone;   /**< share_ack: the record has no such entry. */
+    bool hold;   /**< tokens_ask: wait for a token rather than lend none. */
     uint64_t workspace;
     int64_t incarnation; /**< Of the holder, in both directions. */
     int64_t generation;  /**< Of the holder's entry in the record; 0: none. */
--- a/packages/policy/src/limit_holder.c
+++ b/packages/policy/src/limit_holder.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "limit_lend.h"
 #include "limit_share.h"
 #include "lt/base/clock.h"
 #include "lt/base/error.h"
@@ -17,7 +18,7 @@
 #define STEP_PPM 5000
 #define LENDERS_MAX 3
 #define ASK_WAIT_MAX_US (16 * 1000000LL)
-#define BORROW_TIMEOUT_US 100000
+#define BORROW_TIMEOUT_US 250000
 /** Time that a borrowed batch covers at the measured demand.  */
 #define BORROW_COVER_S 0.1
 #define DENY_WAIT_US 50000
@@ -54,11 +55,19 @@
   return holder;
 }
 
+static void
+free_share (lt_limit_share_t *share)
+{
+  if (share != NULL)
+    free (share->held);
+  free (share);
+}
+
 static void
 free_slots (lt_limit_holder_t *holder)
 {
   for (uint32_t i = 0; i < holder->count; i++)
-    free (holder->slots[i].share);
+    free_share (holder->slots[i].share);
   free (holder->slots);
   free (holder->by_key);
 }
@@ -73,7 +82,7 @@
     {
       lt_limit_share_t *share = holder->removed;
       holder->removed = share->next;
-      free (share);
+      free_share (share);
     }
   free (holder);
 }
@@ -307,7 +316,8 @@
 
 static void
 send_tokens_ask (const lt_limit_holder_t *holder, lt_limit_share_t *share,
-                 uint32_t rank, int64_t now_us, lt_limit_actions_t *actions)
+                 uint32_t rank, bool hold, int64_t now_us,
+                 lt_limit_actions_t *actions)
 {
   double own = 0;
   if (lt_limit_share_valid (share, now_us))
@@ -320,6 +330,8 @@
       = share_message (holder, share, LT_LIMIT_TOKENS_ASK, now_us);
   message.transfer = ++share->borrow_number;
   message.tokens = batch * LT_LIMIT_TOKEN;
+  message.hold = hold;
+  share->borrow_hold = hold;
   share->borrow_open = true;
   share->borrow_rank = rank;
   share->borrow_sent_us = now_us;
@@ -330,17 +342,23 @@
   lt_limit_actions_add (actions, &action);
 }
 
-/* The open tokens_ask got nothing: asks the next lender, and gives up for a
-   while after the last.  */
+/* The open tokens_ask got nothing: asks the next lender, then the one with
+   most parts again, to wait there, and then gives up for a while.  */
 static void
 ask_next_lender (const lt_limit_holder_t *holder, lt_limit_share_t *share,
                  int64_t now_us, lt_limit_actions_t *actions)
 {
   share->borrow_open = false;
+  uint32_t count = holder->lenders[lt_limit_group (share->rate.workspace)];
   uint32_t next = share->borrow_rank + 1;
-  if (next < holder->lenders[lt_limit_group (share->rate.workspace)])
+  if (!share->borrow_hold && next < count)
+    {
+      send_tokens_ask (holder, share, next, false, now_us, actions);
+      return;
+    }
+  if (!share->borrow_hold && share->best_ppm > 0 && share->best_rank < count)
     {
-      send_tokens_ask (holder, share, next, now_us, actions);
+      send_tokens_ask (holder, share, share->best_rank, true, now_us, actions);
       return;
     }
   deny (share, now_us);
@@ -368,6 +386,7 @@
   if (!repeat)
     share->demand_count++;
   lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+  lt_limit_lend_held (share, holder->options.times.batch_us, now_us, actions);
   if (lt_limit_share_take (share, now_us))
     return (lt_limit_spend_t){ LT_LIMIT_GRANTED, 0 };
   bool alone = holder->lenders[lt_limit_group (share->rate.workspace)] == 0;
@@ -380,7 +399,10 @@
     return (lt_limit_spend_t){ LT_LIMIT_REFUSED, retry_after (share, now_us) };
   share->waiting++;
   if (!share->borrow_open)
-    send_tokens_ask (holder, share, 0, now_us, actions);
+    {
+      share->best_ppm = 0;
+      send_tokens_ask (holder, share, 0, false, now_us, actions);
+    }
   return (lt_limit_spend_t){ LT_LIMIT_WAIT, 0 };
 }
 
@@ -436,22 +458,16 @@
                const lt_limit_message_t *message, int64_t now_us,
                lt_limit_actions_t *actions)
 {
-  lt_limit_action_t action = { .type = LT_LIMIT_SEND, .vm = *vm };
-  action.message = *message;
-  action.message.type = LT_LIMIT_TOKENS_LEND;
-  action.message.tokens = 0;
   slot_t *slot = find_slot (holder, message->workspace);
-  if (slot != NULL && !holder->draining && message->tokens > 0)
+  if (slot == NULL || holder->draining || message->tokens == 0)
     {
-      lt_limit_share_t *share = use_share (holder, slot, now_us);
-      int64_t batch_us = holder->options.times.batch_us;
-      lt_limit_share_fill (share, batch_us, now_us);
-      action.message.tokens
-          = lt_limit_share_lend (share, message->tokens, batch_us, now_us);
-      int64_t lent = action.message.tokens / LT_LIMIT_TOKEN;
-      share->demand_count += lent > 0 ? lent : 1;
+      lt_limit_lend_reply (NULL, vm, message, 0, actions);
+      return;
     }
-  lt_limit_actions_add (actions, &action);
+  lt_limit_share_t *share = use_share (holder, slot, now_us);
+  int64_t batch_us = holder->options.times.batch_us;
+  lt_limit_share_fill (share, batch_us, now_us);
+  lt_limit_lend_ask (share, vm, message, batch_us, now_us, actions);
 }
 
 static void
@@ -462,6 +478,11 @@
   if (!share->borrow_open || message->transfer != share->borrow_number
       || message->sent_us != share->borrow_sent_us)
     return;
+  if (message->ppm > share->best_ppm)
+    {
+      share->best_ppm = message->ppm;
+      share->best_rank = share->borrow_rank;
+    }
   if (message->tokens == 0)
     {
       ask_next_lender (holder, share, now_us, actions);
@@ -569,6 +590,7 @@
             lt_limit_actions_t *actions)
 {
   lt_limit_share_fill (share, holder->options.times.batch_us, now_us);
+  lt_limit_lend_tick (share, holder->options.times.batch_us, now_us, actions);
   lt_limit_share_measure (share, now_us);
   if (share->borrow_open && now_us - share->borrow_sent_us > BORROW_TIMEOUT_US)
     ask_next_lender (holder, share, now_us, actions);
@@ -604,7 +626,7 @@
       tick_share (holder, slot->share, now_us, actions);
       if (lt_limit_share_unused (slot->share, now_us))
         {
-          free (slot->share);
+          free_share (slot->share);
           slot->share = NULL;
         }
     }
@@ -618,7 +640,7 @@
           continue;
         }
       *at = share->next;
-      free (share);
+      free_share (share);
     }
 }
 
--- a/packages/policy/src/limit_home.c
+++ b/packages/policy/src/limit_home.c
@@ -22,6 +22,7 @@
   int64_t tokens;
   int64_t filled_us;
   int64_t credit; /**< Tokens of returns in the draft. */
+  uint32_t asks;  /**< In this batch. */
   int32_t unmet;  /**< Parts asked for and not granted in this batch. */
 } pool_t;
 
@@ -61,7 +62,6 @@
   int64_t leased_until_us;
   int64_t next_read_us;
   int64_t write_id;
-  bool contended;  /**< Several messages are in this batch. */
   bool unresolved; /**< The outcome of the draft's write is unknown. */
   letters_t inbox;
   letters_t replies; /**< Sent when the draft is written. */
@@ -255,7 +255,7 @@
         - lt_limit_record_granted (&home->draft, pool->rate.workspace);
   int32_t size = wanted;
   /* Half of the rest at most, so that asks of one batch all get some.  */
-  if (home->contended && size > left / 2 && left > 2 * STEP_PPM)
+  if (pool->asks > 1 && size > left / 2 && left > 2 * STEP_PPM)
     size = left / 2;
   if (size > left)
     size = left;
@@ -509,6 +509,20 @@
   lt_limit_actions_add (actions, &action);
 }
 
+static void
+count_asks (lt_limit_home_t *home)
+{
+  for (uint32_t i = 0; i < home->pool_count; i++)
+    home->pools[i].asks = 0;
+  for (size_t i = 0; i < home->inbox.count; i++)
+    {
+      const lt_limit_message_t *message = &home->inbox.items[i].message;
+      pool_t *pool = find_pool (home, message->workspace);
+      if (pool != NULL && !is_return (message))
+        pool->asks++;
+    }
+}
+
 /* Applies waiting messages and the expiry of shares to a new draft, and writes
    it when it differs or when the lease is due.  */
 static void
@@ -520,7 +534,7 @@
   if (!dirty && home->inbox.count == 0)
     return;
   start_draft (home, now_us);
-  home->contended = home->inbox.count > 1;
+  count_asks (home);
   for (size_t i = 0; i < home->inbox.count; i++)
     dirty |= handle_letter (home, &home->inbox.items[i], now_us);
   home->inbox.count = 0;
--- a/packages/policy/src/limit_share.c
+++ b/packages/policy/src/limit_share.c
@@ -82,6 +82,7 @@
   if (lt_limit_share_valid (share, now_us) && share->tokens >= LT_LIMIT_TOKEN)
     {
       share->tokens -= LT_LIMIT_TOKEN;
+      share->turns = share->held_count;
       return true;
     }
   return false;
@@ -238,5 +239,6 @@
 {
   return share->ppm == 0 && share->pending.ppm == 0 && !share->ask_open
          && !share->borrow_open && share->lent_total == 0
+         && share->held_count == 0
          && now_us - share->used_us > UNUSED_AFTER_US;
 }
--- a/packages/policy/src/limit_share.h
+++ b/packages/policy/src/limit_share.h
@@ -37,12 +37,19 @@
   int64_t lent_total;
   int64_t lent_slot;
 
+  struct lt_limit_held *held; /**< Asks that wait for tokens here. */
+  size_t held_count;
+  size_t turns; /**< Held asks to serve before this VM's own requests. */
+
   int64_t borrowed;
   int64_t borrowed_until_us;
   int64_t borrow_number;
   int64_t borrow_sent_us;
   bool borrow_open;
   uint32_t borrow_rank; /**< Lender that the open ask went to. */
+  bool borrow_hold;     /**< It waits there. */
+  uint32_t best_rank;   /**< Lender with most parts among those asked. */
+  int32_t best_ppm;
   int64_t waiting;
   int64_t denied_until_us;
   int64_t deny_wait_us;
