--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -6,6 +6,7 @@
 
 #include "bus.h"
 #include "caller_server.h"
+#include "drain_controller.h"
 #include "filter_record.h"
 #include "filters.h"
 #include "lt/base/error.h"
@@ -13,9 +14,9 @@
 #include "lt/config/sheet.h"
 #include "lt/node/admin.h"
 #include "lt/node/admin_api.h"
+#include "lt/node/claim_controller.h"
 #include "lt/node/config_controller.h"
 #include "lt/node/health_controller.h"
-#include "lt/node/claim_controller.h"
 #include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "lt/policy/retry.h"
@@ -147,6 +148,7 @@
   lt_node_add_controller (
       node, lt_health_controller_create (node, alone ? NULL : &hooks));
   node->pools = lt_health_controller_pools (node->health_controller);
+  lt_node_add_controller (node, lt_drain_controller_create (node));
   lt_node_add_controller (node, lt_limit_controller_create (node));
   lt_node_add_controller (node, lt_claim_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
