Allocate health state only for upstreams in use

Change: tests, counts and latency sketches are allocated with the first response; a VM uses a rendezvous subset only.

--- a/packages/policy/src/health_fleet.c
+++ b/packages/policy/src/health_fleet.c
@@ -374,8 +374,9 @@
             {
               uint32_t remote = i / LT_HEALTH_BUCKETS;
               uint32_t b = i % LT_HEALTH_BUCKETS;
-              lt_health_sketches_add (&fleet->sketches, u, remote, b,
-                                      cell->latency[remote][b]);
+              if (cell->latency[remote][b] > 0)
+                lt_health_sketches_add (&fleet->sketches, u, remote, b,
+                                        cell->latency[remote][b]);
             }
           cell->requests = 0;
           cell->failed = 0;
--- a/packages/policy/src/health_local.c
+++ b/packages/policy/src/health_local.c
@@ -22,13 +22,23 @@
 #define PROBES_TO_RETURN 2
 #define MOST_REPEATS 10
 
+/* What an upstream needs once this VM sends to it.  A VM of a large fleet uses
+   a subset of the upstreams only.  */
+typedef struct used
+{
+  lt_health_test_t tests[LT_HEALTH_STREAMS];
+  lt_health_counts_t step;   /**< Since the last update. */
+  lt_health_counts_t report; /**< Since the last digest. */
+  lt_health_share_t share;   /**< Of step, while in dirty. */
+} used_t;
+
 typedef struct item
 {
   lt_health_state_t state;
   int64_t cold_until_us;
   uint32_t refused;      /**< Connections refused in a row. */
   uint32_t cold_answers; /**< That are left out; UINT32_MAX: by time. */
-  lt_health_test_t tests[LT_HEALTH_STREAMS];
+  used_t *used;          /**< NULL until the first response. */
   bool avoided;
   lt_health_evidence_t evidence; /**< Of the current avoidance. */
   int64_t avoided_until_us;
@@ -45,12 +55,9 @@
   const lt_health_pool_t *pool;
   double threshold;
   item_t *items;
-  lt_health_counts_t *step;   /**< Since the last update. */
-  lt_health_counts_t *report; /**< Since the last digest. */
   bool report_failures;
   uint32_t *dirty; /**< Upstreams with counts in step. */
   uint32_t dirty_count;
-  lt_health_share_t *shares_now; /**< Of the upstreams in dirty. */
   bool one_domain;
   lt_health_shares_t shares;
   lt_health_sketches_t sketches;
@@ -68,10 +75,7 @@
   local->threshold
       = lt_health_threshold (options->alarms_per_hour, tests, UPDATES_PER_S);
   local->items = lt_alloc ((count + 1) * sizeof *local->items);
-  local->step = lt_alloc ((count + 1) * sizeof *local->step);
-  local->report = lt_alloc ((count + 1) * sizeof *local->report);
   local->dirty = lt_alloc ((count + 1) * sizeof *local->dirty);
-  local->shares_now = lt_alloc ((count + 1) * sizeof *local->shares_now);
   local->one_domain = true;
   for (uint32_t i = 0; i < count; i++)
     {
@@ -93,11 +97,10 @@
     return;
   lt_health_shares_clear (&local->shares);
   lt_health_sketches_clear (&local->sketches);
+  for (uint32_t i = 0; i < local->pool->count; i++)
+    free (local->items[i].used);
   free (local->items);
-  free (local->step);
-  free (local->report);
   free (local->dirty);
-  free (local->shares_now);
   free (local);
 }
 
@@ -163,8 +166,10 @@
   notice_restart (local, item, observation->outcome, now_us);
   if (now_us < item->cold_until_us && is_cold_answer (item, observation))
     return;
-  count_response (&local->step[u], observation);
-  count_response (&local->report[u], observation);
+  if (!item->used)
+    item->used = lt_alloc (sizeof *item->used);
+  count_response (&item->used->step, observation);
+  count_response (&item->used->report, observation);
   local->report_failures |= observation->outcome != LT_HEALTH_OK;
   if (!item->dirty)
     {
@@ -182,13 +187,14 @@
   item_t *item = &local->items[upstream];
   item->cold_until_us = now_us + local->options.cold_us;
   item->cold_answers = UINT32_MAX;
-  memset (item->tests, 0, sizeof item->tests);
+  if (item->used)
+    memset (item->used->tests, 0, sizeof item->used->tests);
 }
 
 static lt_health_share_t
 step_share (const lt_health_local_t *local, uint32_t u)
 {
-  const lt_health_counts_t *step = &local->step[u];
+  const lt_health_counts_t *step = &local->items[u].used->step;
   uint32_t remote = local->pool->upstreams[u].remote;
   uint32_t slow
       = lt_health_sketches_slow (&local->sketches, u, remote, SLOW_MARGIN);
@@ -217,10 +223,10 @@
       bool same = upstreams[v].failure_domain == upstreams[u].failure_domain;
       for (int s = 0; s < LT_HEALTH_STREAMS && v != u; s++)
         {
-          all.trials[s] += local->shares_now[v].trials[s];
-          all.bad[s] += local->shares_now[v].bad[s];
-          apart.trials[s] += same ? 0 : local->shares_now[v].trials[s];
-          apart.bad[s] += same ? 0 : local->shares_now[v].bad[s];
+          all.trials[s] += local->items[v].used->share.trials[s];
+          all.bad[s] += local->items[v].used->share.bad[s];
+          apart.trials[s] += same ? 0 : local->items[v].used->share.trials[s];
+          apart.bad[s] += same ? 0 : local->items[v].used->share.bad[s];
         }
     }
   return local->one_domain ? all : apart;
@@ -229,11 +235,11 @@
 static void
 test_step (lt_health_local_t *local, uint32_t u)
 {
-  const lt_health_share_t *share = &local->shares_now[u];
+  const lt_health_share_t *share = &local->items[u].used->share;
   lt_health_share_t peers = step_peers (local, u);
   for (int s = 0; s < LT_HEALTH_STREAMS; s++)
     {
-      lt_health_test_t *test = &local->items[u].tests[s];
+      lt_health_test_t *test = &local->items[u].used->tests[s];
       lt_health_step_t step = { .baseline = lt_health_shares_apart (
                                     &local->shares, local->pool, u, s),
                                 .trials = share->trials[s],
@@ -252,9 +258,9 @@
 {
   uint32_t remote = local->pool->upstreams[u].remote;
   for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
-    if (local->step[u].latency[b] > 0)
+    if (local->items[u].used->step.latency[b] > 0)
       lt_health_sketches_add (&local->sketches, u, remote, b,
-                              local->step[u].latency[b]);
+                              local->items[u].used->step.latency[b]);
 }
 
 /* Returns whether the tests of U are over the threshold, with the evidence. */
@@ -264,11 +270,13 @@
 {
   bool alarmed = false;
   evidence->score = 0;
+  if (!local->items[u].used)
+    return false;
   for (int s = 0; s < LT_HEALTH_STREAMS; s++)
     for (uint32_t k = lt_health_first_alternative (s);
          k < LT_HEALTH_ALTERNATIVES; k++)
       {
-        const lt_health_test_t *test = &local->items[u].tests[s];
+        const lt_health_test_t *test = &local->items[u].used->tests[s];
         double score = lt_health_test_confirmed (test, k);
         if (score < local->threshold || score <= evidence->score)
           continue;
@@ -328,19 +336,23 @@
   lt_health_shares_advance (&local->shares, now_us);
   lt_health_sketches_advance (&local->sketches, now_us);
   for (uint32_t i = 0; i < local->dirty_count; i++)
-    local->shares_now[local->dirty[i]] = step_share (local, local->dirty[i]);
+    {
+      uint32_t u = local->dirty[i];
+      local->items[u].used->share = step_share (local, u);
+    }
   for (uint32_t i = 0; i < local->dirty_count; i++)
     test_step (local, local->dirty[i]);
   for (uint32_t i = 0; i < local->dirty_count; i++)
     {
       uint32_t u = local->dirty[i];
-      lt_health_shares_add (&local->shares, u, &local->shares_now[u]);
+      lt_health_shares_add (&local->shares, u, &local->items[u].used->share);
     }
   for (uint32_t i = 0; i < local->dirty_count; i++)
     {
       uint32_t u = local->dirty[i];
       add_sketch (local, u);
-      memset (&local->step[u], 0, sizeof local->step[u]);
+      memset (&local->items[u].used->step, 0,
+              sizeof local->items[u].used->step);
       local->items[u].dirty = false;
     }
   local->dirty_count = 0;
@@ -430,7 +442,8 @@
     }
   if (state != LT_HEALTH_AVOIDED)
     item->avoided = false;
-  memset (item->tests, 0, sizeof item->tests);
+  if (item->used)
+    memset (item->used->tests, 0, sizeof item->used->tests);
   lt_health_shares_forget (&local->shares, u);
   lt_health_sketches_forget (&local->sketches, u,
                              local->pool->upstreams[u].remote);
@@ -524,9 +537,10 @@
   local->report_failures = false;
   for (uint32_t u = 0; u < local->pool->count; u++)
     {
-      lt_health_counts_t *counts = &local->report[u];
-      if (counts->requests == 0)
+      used_t *used = local->items[u].used;
+      if (!used || used->report.requests == 0)
         continue;
+      lt_health_counts_t *counts = &used->report;
       out[taken] = *counts;
       out[taken].upstream = u;
       out[taken].remote = local->pool->upstreams[u].remote;
--- a/packages/policy/src/health_window.c
+++ b/packages/policy/src/health_window.c
@@ -167,20 +167,22 @@
   sketches->classes = classes;
   sketches->weight = 1;
   size_t rows = (size_t)count * classes + 1;
-  sketches->rows = lt_alloc (rows * sizeof *sketches->rows);
+  sketches->rows = lt_alloc (rows * sizeof (void *));
 }
 
-static float *
-row_of (const lt_health_sketches_t *sketches, uint32_t upstream,
-        uint32_t remote)
+static size_t
+row_index (const lt_health_sketches_t *sketches, uint32_t upstream,
+           uint32_t remote)
 {
-  size_t row = sketches->classes == 1 ? upstream : 2 * upstream + remote;
-  return sketches->rows[row];
+  return sketches->classes == 1 ? upstream : 2 * (size_t)upstream + remote;
 }
 
 void
 lt_health_sketches_clear (lt_health_sketches_t *sketches)
 {
+  size_t rows = (size_t)sketches->count * sketches->classes;
+  for (size_t i = 0; sketches->rows && i < rows; i++)
+    free (sketches->rows[i]);
   free (sketches->rows);
   sketches->rows = NULL;
 }
@@ -192,11 +194,10 @@
   sketches->weight = forward_weight (&sketches->origin_us, now_us, &scale);
   if (scale == 1)
     return;
-  float *cell = &sketches->rows[0][0];
-  size_t cells
-      = (size_t)sketches->count * sketches->classes * LT_HEALTH_BUCKETS;
-  for (size_t i = 0; i < cells; i++)
-    cell[i] *= (float)scale;
+  size_t rows = (size_t)sketches->count * sketches->classes;
+  for (size_t i = 0; i < rows; i++)
+    for (uint32_t b = 0; sketches->rows[i] && b < LT_HEALTH_BUCKETS; b++)
+      sketches->rows[i][b] *= (float)scale;
   for (uint32_t i = 0; i < 2 * LT_HEALTH_BUCKETS; i++)
     sketches->total[i / LT_HEALTH_BUCKETS][i % LT_HEALTH_BUCKETS] *= scale;
 }
@@ -206,7 +207,10 @@
                         uint32_t remote, uint32_t bucket, double responses)
 {
   double weighted = responses * sketches->weight;
-  row_of (sketches, upstream, remote)[bucket] += (float)weighted;
+  float **row = &sketches->rows[row_index (sketches, upstream, remote)];
+  if (!*row)
+    *row = lt_alloc (LT_HEALTH_BUCKETS * sizeof **row);
+  (*row)[bucket] += (float)weighted;
   sketches->total[remote][bucket] += weighted;
 }
 
@@ -218,8 +222,8 @@
     {
       if (sketches->classes == 1 && r != remote)
         continue;
-      float *row = row_of (sketches, upstream, r);
-      for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
+      float *row = sketches->rows[row_index (sketches, upstream, r)];
+      for (uint32_t b = 0; row && b < LT_HEALTH_BUCKETS; b++)
         {
           sketches->total[r][b] -= row[b];
           row[b] = 0;
@@ -231,12 +235,13 @@
 lt_health_sketches_slow (const lt_health_sketches_t *sketches,
                          uint32_t upstream, uint32_t remote, uint32_t margin)
 {
-  const float *row = row_of (sketches, upstream, remote);
+  const float *row = sketches->rows[row_index (sketches, upstream, remote)];
   double others[LT_HEALTH_BUCKETS];
   double sum = 0;
   for (uint32_t b = 0; b < LT_HEALTH_BUCKETS; b++)
     {
-      others[b] = fmax (sketches->total[remote][b] - row[b], 0);
+      double own = row ? row[b] : 0;
+      others[b] = fmax (sketches->total[remote][b] - own, 0);
       sum += others[b];
     }
   if (sum < LEAST_RESPONSES * sketches->weight)
--- a/packages/policy/src/health_window.h
+++ b/packages/policy/src/health_window.h
@@ -64,8 +64,8 @@
     int64_t origin_us;
     double weight;
     uint32_t
-        classes; /**< Rows per upstream; 1 when its class never changes. */
-    float (*rows)[LT_HEALTH_BUCKETS];
+        classes;  /**< Rows per upstream; 1 when its class never changes. */
+    float **rows; /**< NULL until the first response. */
     double total[2][LT_HEALTH_BUCKETS];
   } lt_health_sketches_t;
 
