--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -303,12 +303,15 @@
     return { status, read_file (output) };
   }
 
-  // Sets a fault of the store, such as {"kind": "table_write", "down": true}.
+  // Sets a fault of the store, such as {"kind": "table-write", "down": true}.
   void
   store_fault (const std::string &json) const
   {
-    fetch ("POST", "http://" + local (store_port) + "/standin/fault",
-           { "Content-Type: application/json" }, json);
+    Reply reply
+        = fetch ("POST", "http://" + local (store_port) + "/standin/fault",
+                 { "Content-Type: application/json" }, json);
+    if (reply.status != 200)
+      abort ();
   }
 
   std::string directory;
