--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -13,6 +13,7 @@
 #include "lt/node/refusal.h"
 #include "lt/node/settings.h"
 #include "lt/platform/platform.h"
+#include "lt/policy/retry.h"
 
 #ifdef __cplusplus
 extern "C"
@@ -73,6 +74,8 @@
     lt_digest_t fingerprint; /**< Of the request. */
     uint32_t workspace;
     bool byte_sent;
+    bool answered; /**< A header was received. */
+    bool closing;  /**< The upstream closes the connection by itself. */
   } lt_observation_event_t;
 
 #define LT_CONTROLLER_MAX 16
@@ -97,6 +100,11 @@
     struct lt_pools *pools;
     struct lt_retry *retry;
     lt_counter_t *refused[LT_REFUSAL_COUNT];
+    lt_counter_t *retry_decisions[LT_RETRY_REASONS];
+    lt_counter_t *retry_failures[LT_RETRY_FAILURES];
+    lt_counter_t *answered[6]; /**< By status class; 0: never answered. */
+    lt_histogram_t *request_time;
+    lt_gauge_t *in_flight_gauge;
     uint64_t next_sequence;
     int64_t in_flight; /**< Requests of callers. */
     bool leaving;
@@ -105,6 +113,7 @@
     struct lt_config_controller *config_controller;
     struct lt_freshness *freshness;
     struct lt_health_controller *health_controller;
+    struct lt_drain_controller *drain_controller;
     struct lt_membership *membership;
     struct lt_named_vms *named_vms;
     struct lt_limit_controller *limit_controller;
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -31,6 +31,7 @@
   int status;
   int64_t retry_after_ms;
   bool byte_sent;
+  bool closing;
   bool paused;
   bool decided; /* DECISION was taken when the header came. */
   lt_retry_decision_t decision;
@@ -92,6 +93,8 @@
     .fingerprint = request->fingerprint,
     .workspace = request->workspace,
     .byte_sent = attempt->byte_sent,
+    .answered = attempt->header_us != 0,
+    .closing = attempt->closing,
   };
   lt_node_observe (request->node, &event);
 }
@@ -160,7 +163,12 @@
   lt_node_t *node = dispatch->request->node;
   lt_retry_attempt_t description
       = describe_attempt (dispatch, attempt, failure);
-  return lt_retry_decide (node->retry, &description, lt_node_now_us (node));
+  lt_retry_decision_t decision
+      = lt_retry_decide (node->retry, &description, lt_node_now_us (node));
+  node->retry_decisions[decision.reason]->value++;
+  if (decision.retry)
+    node->retry_failures[failure]->value++;
+  return decision;
 }
 
 static bool
@@ -194,6 +202,9 @@
   lt_dispatch_t *dispatch = attempt->dispatch;
   attempt->status = status;
   attempt->header_us = lt_node_now_us (dispatch->request->node);
+  attempt->closing = str_equal_nocase (
+      str_trim (lt_header_list_get (headers, STR_LIT ("Connection"))),
+      STR_LIT ("close"));
   int64_t retry_after_s = 0;
   str_t retry_after = lt_header_list_get (headers, STR_LIT ("Retry-After"));
   if (retry_after.data != NULL
@@ -390,7 +401,10 @@
     return;
   lt_retry_attempt_t open
       = describe_attempt (dispatch, &dispatch->attempts[0], LT_RETRY_TIMEOUT);
-  if (lt_retry_hedge (node->retry, &open, lt_node_now_us (node)).retry)
+  lt_retry_decision_t decision
+      = lt_retry_hedge (node->retry, &open, lt_node_now_us (node));
+  node->retry_decisions[decision.reason]->value++;
+  if (decision.retry)
     start_attempt (dispatch);
 }
 
