Print shares by workspace as a table

The limit controller's status holds its shares as an object by workspace, which lavenderctl status printed as JSON in one line. An object of objects is now a table with the names as first column.

--- a/packages/ctl/src/status_tables.c
+++ b/packages/ctl/src/status_tables.c
@@ -130,6 +130,33 @@
   print_titled (ctl, title, rows, columns, count);
 }
 
+/* Returns whether STATE is an object of objects, such as shares by
+   workspace.  */
+static bool
+is_map (const json_t *state)
+{
+  json_t *first = json_object_iter_value (json_object_iter ((json_t *)state));
+  return json_is_object (state) && json_is_object (first);
+}
+
+/* Prints an object of objects with their names as the first column.  */
+static void
+print_map (lt_ctl_t *ctl, const char *title, const json_t *map)
+{
+  const char *name;
+  json_t *value;
+  json_t *rows = json_array ();
+  json_object_foreach ((json_t *)map, name, value)
+  {
+    json_t *row = json_object ();
+    json_object_set_new (row, "name", json_string (name));
+    json_object_update (row, value);
+    json_array_append_new (rows, row);
+  }
+  print_rows (ctl, title, rows);
+  json_decref (rows);
+}
+
 static void
 print_any (lt_ctl_t *ctl, const char *controller, const json_t *state)
 {
@@ -138,7 +165,7 @@
   fprintf (ctl->out, "\n%s:", controller);
   json_object_foreach ((json_t *)state, name, value)
   {
-    if (json_is_array (value))
+    if (json_is_array (value) || is_map (value))
       continue;
     char *text = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
     fprintf (ctl->out, " %s=%s", name, text == NULL ? "" : text);
@@ -149,6 +176,8 @@
   {
     if (json_is_array (value))
       print_rows (ctl, name, value);
+    else if (is_map (value))
+      print_map (ctl, name, value);
   }
 }
 
--- a/packages/ctl/test/test_ctl.cc
+++ b/packages/ctl/test/test_ctl.cc
@@ -229,7 +229,7 @@
       R"("avoided_here":[{"upstream":"q2","evidence":{"reason":"slow",)"
       R"("share":0.3,"baseline":0.02,"score":12,"responses":40,)"
       R"("failure_domains":1}}],"out":["q3"]}]},"limit":{"groups":1,)"
-      R"("shares":[{"workspace":"demo","ppm":1000000}]},)"
+      R"("shares":{"demo":{"ppm":1000000}},"homes":[{"group":3}]},)"
       R"("quarantine":{"active":1,"entries":2}}})";
 static const char FINDINGS[]
     = R"({"reason":"findings","status":422,"findings":[{"severity":"error",)"
