List every counter and every fault, and compare the lists with the code

Change: docs/reference.md lists the series of /metrics with label names; a test compares the table with the output of a running daemon in both directions. docs/faults.md names for each fault the invariants that are checked and the tests; a test checks that these tests exist.

--- a/packages/node/test/test_reference.cc
+++ b/packages/node/test/test_reference.cc
@@ -3,9 +3,11 @@
 
 #include <cstdio>
 #include <fstream>
+#include <regex>
 #include <sstream>
 #include <string>
 
+#include "fleet.h"
 #include "lt/node/refusal.h"
 
 static std::string
@@ -53,3 +55,81 @@
     }
   EXPECT_GT (count, 10);
 }
+
+// Returns the rows of the table of counters for Prometheus text: the series
+// with its label names, and its help line.
+static std::string
+counter_rows (const std::string &metrics)
+{
+  std::map<std::string, std::string> help, labels;
+  std::istringstream lines (metrics);
+  for (std::string line; std::getline (lines, line);)
+    {
+      size_t space = line.find (' ', 7);
+      size_t brace = line.find ('{');
+      if (line.rfind ("# HELP ", 0) == 0)
+        help[line.substr (7, space - 7)] = line.substr (space + 1);
+      else if (line[0] != '#' && brace != std::string::npos)
+        labels[line.substr (0, brace)]
+            = line.substr (brace, line.find ('"') - brace) + "}";
+    }
+  std::string rows;
+  for (const auto &h : help)
+    rows += "| `" + h.first + labels[h.first] + "` | " + h.second + " |\n";
+  return rows;
+}
+
+// Guards against a counter that the page lacks, or that is listed with another
+// meaning, or that no longer exists.
+TEST (Reference, ListsEveryCounter)
+{
+  Fleet fleet (1);
+  for (const char *name : { "q1", "q2", "o1" })
+    fleet.start_upstream (name);
+  ASSERT_TRUE (fleet.wait_alive (0));
+  CommandResult applied
+      = fleet.ctl (0, { "apply", "--day", "any", fleet.sheet ("basic.csv") });
+  ASSERT_EQ (0, applied.status) << applied.output;
+  std::string metrics
+      = fetch ("GET", "http://" + local (fleet.vms[0].admin_port) + "/metrics",
+               {}, "")
+            .body;
+  std::string expected = counter_rows (metrics);
+  ASSERT_NE (std::string::npos, expected.find ("lavendertrack_refused_total"));
+  std::string text = read_reference ();
+  size_t start = text.find ("| series | meaning |\n|---|---|\n");
+  ASSERT_NE (std::string::npos, start);
+  std::string table = text.substr (start + 31);
+  size_t end = table.find ("\n\n");
+  if (end != std::string::npos)
+    table = table.substr (0, end + 1);
+  EXPECT_EQ (expected, table);
+}
+
+// Guards against a fault listed with a test that does not exist.
+TEST (Reference, FaultsNameTestsThatExist)
+{
+  std::ifstream in (LT_SOURCE_DIR "/docs/faults.md");
+  const std::regex name (
+      "`([a-z]+)/(test_[a-z_]+\\.cc)`|`([A-Z][A-Za-z]+)\\.([A-Z][A-Za-z]+)`");
+  std::string source, line;
+  int tests = 0;
+  while (std::getline (in, line))
+    {
+      if (line.rfind ("| ", 0) != 0)
+        continue;
+      for (std::sregex_iterator m (line.begin (), line.end (), name), end;
+           m != end; ++m)
+        if ((*m)[1].matched)
+          source = read_file (LT_SOURCE_DIR "/packages/" + (*m)[1].str ()
+                              + "/test/" + (*m)[2].str ());
+        else
+          {
+            std::string both
+                = "(" + (*m)[3].str () + ", " + (*m)[4].str () + ")";
+            EXPECT_NE (std::string::npos, source.find (both)) << both;
+            tests++;
+          }
+    }
+  EXPECT_GT (tests, 30);
+}
