Return drained upstreams to service

Cause: the health controller keeps the mark of a leaving upstream across configurations, and lt_drain_configure forgets what was reported, so a return in a new configuration was never told to it.

Change: the drain controller clears the marks of the old configuration before it applies the new one.

--- a/packages/node/src/drain_controller.c
+++ b/packages/node/src/drain_controller.c
@@ -119,6 +119,20 @@
   while (count == CHANGES_MAX);
 }
 
+/* The health controller keeps the mark of a leaving upstream across
+   configurations, and after lt_drain_configure only upstreams that leave are
+   reported; without this a returned upstream would stay out of service.  */
+static void
+forget_leaving (lt_drain_controller_t *self)
+{
+  const lt_snapshot_t *s
+      = self->config == NULL ? NULL : self->config->snapshot;
+  for (uint32_t i = 0; s != NULL && i < s->upstream_count; i++)
+    if (lt_drain_leaving (self->drain, i))
+      lt_health_controller_set_leaving (self->base.node->health_controller,
+                                        s->upstreams[i].name, false);
+}
+
 static void
 on_config (lt_controller_t *base, const lt_snapshot_t *old,
            const lt_snapshot_t *current, int64_t now_us)
@@ -128,6 +142,7 @@
   lt_drain_controller_t *self = (lt_drain_controller_t *)base;
   if (base->node->config->snapshot != current)
     return; /* A newer one follows. */
+  forget_leaving (self);
   lt_snapshot_ref_release (self->config);
   self->config = lt_snapshot_ref_acquire (base->node->config);
   lt_drain_upstream_t *upstreams = list_upstreams (current);
