Place the groups of the rate limit over several ticks

Cause: after each change of the membership the controller computed the rendezvous weights of 256 groups at once; at 2,000 VMs and four lists each these are two million hashes in one turn of the loop. Not measured at 2,000 VMs.

--- a/packages/node/src/limit_controller.c
+++ b/packages/node/src/limit_controller.c
@@ -24,6 +24,9 @@
 #define TABLE_TIMEOUT_MS 1000
 #define REGIONS_MAX 8
 #define LENDERS_MAX 3
+/** Rendezvous weights computed in one tick: at 2,000 VMs all groups together
+    would hold up the loop for tens of milliseconds.  */
+#define WEIGHTS_PER_TICK 65536
 
 #define COUNT_TABLE(X)                                                        \
   X (COUNT_GRANTED, "granted")                                                \
@@ -86,8 +89,8 @@
   lt_limit_holder_t *holder;
   group_t groups[LT_LIMIT_GROUPS];
   bool configured;
-  uint64_t members; /**< Generation that the owners stand on. */
-  bool members_known;
+  uint64_t members;  /**< Generation that the owners stand on. */
+  uint32_t placed;   /**< Groups that stand on it. */
   waiting_t waiting; /**< List heads. */
   waiting_t ready;
   ev_timer resume;
@@ -438,6 +441,7 @@
     }
 }
 
+/* Places the next groups after a change of the membership.  */
 static void
 place_groups (lt_limit_controller_t *controller, int64_t now_us)
 {
@@ -449,19 +453,25 @@
     }
   str_t regions[REGIONS_MAX];
   size_t region_count = find_regions (node, regions);
-  for (uint32_t i = 0; i < LT_LIMIT_GROUPS; i++)
-    place_group (controller, i, regions, region_count, now_us);
-  controller->members = lt_membership_generation (node->membership);
-  controller->members_known = true;
+  size_t weights = lt_membership_count (node->membership) * (region_count + 1);
+  uint32_t left = (uint32_t)(WEIGHTS_PER_TICK / weights) + 1;
+  for (; left > 0 && controller->placed < LT_LIMIT_GROUPS; left--)
+    place_group (controller, controller->placed++, regions, region_count,
+                 now_us);
 }
 
-static bool
-members_changed (const lt_limit_controller_t *controller)
+static void
+follow_members (lt_limit_controller_t *controller, int64_t now_us)
 {
   const lt_membership_t *membership = controller->base.node->membership;
-  return membership != NULL
-         && (!controller->members_known
-             || lt_membership_generation (membership) != controller->members);
+  if (membership == NULL)
+    return;
+  uint64_t members = lt_membership_generation (membership);
+  if (members != controller->members)
+    controller->placed = 0;
+  controller->members = members;
+  if (controller->placed < LT_LIMIT_GROUPS)
+    place_groups (controller, now_us);
 }
 
 /* Refuses requests that waited too long.  */
@@ -486,8 +496,7 @@
   lt_limit_controller_t *controller = (lt_limit_controller_t *)base;
   if (!controller->configured)
     return;
-  if (members_changed (controller))
-    place_groups (controller, now_us);
+  follow_members (controller, now_us);
   lt_limit_actions_t actions = { 0 };
   lt_limit_holder_tick (controller->holder, now_us, &actions);
   for (uint32_t i = 0; i < LT_LIMIT_GROUPS; i++)
@@ -565,6 +574,7 @@
   configure_groups (controller, rates, rate_count, now_us);
   free (rates);
   controller->configured = true;
+  controller->placed = 0;
   place_groups (controller, now_us);
   tick (base, now_us);
 }
