--- a/packages/node/src/config_controller.c
+++ b/packages/node/src/config_controller.c
@@ -1,6 +1,7 @@
 #include "lt/node/config_controller.h"
 
 #include <jansson.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 #include <utlist.h>
@@ -22,6 +23,10 @@
 /* VMs not heard of for this long are left out of the list.  */
 static const int64_t vm_keep_us = 600000000;
 
+/* The encoded snapshot is kept this long after its last use: at the target
+   size it is 7 MB, and encoding it takes 12 ms.  */
+static const int64_t encoded_keep_us = 30000000;
+
 config_call_t *
 lt_config_call_begin (lt_config_controller_t *c, uint64_t id)
 {
@@ -127,6 +132,15 @@
       }
 }
 
+void
+lt_config_encode (lt_config_controller_t *c)
+{
+  lt_node_t *node = c->base.node;
+  c->encoded_used_us = lt_node_now_us (node);
+  if (c->encoded.len == 0 && node->config != NULL)
+    lt_snapshot_encode (node->config->snapshot, &c->encoded);
+}
+
 int
 lt_config_install (lt_config_controller_t *c, str_t bytes)
 {
@@ -138,9 +152,10 @@
   error = lt_node_install_snapshot (c->base.node, snapshot);
   if (error != 0)
     return error;
-  lt_buf_clear (&c->encoded);
-  lt_buf_append_str (&c->encoded, bytes);
+  lt_buf_destroy (&c->encoded);
   c->encoded_version = version;
+  /* Decoding leaves holes of several megabytes in the heap.  */
+  malloc_trim (0);
   lt_log (LT_LOG_INFO, "config", "msg=\"snapshot in force\" version=%lld",
           (long long)version);
   lt_freshness_on_applied (c->freshness, lt_node_now_us (c->base.node),
@@ -157,8 +172,7 @@
   lt_config_controller_t *c = (lt_config_controller_t *)controller;
   if (current->version <= c->encoded_version)
     return;
-  lt_buf_clear (&c->encoded);
-  lt_snapshot_encode (current, &c->encoded);
+  lt_buf_destroy (&c->encoded);
   c->encoded_version = current->version;
   lt_freshness_on_applied (c->freshness, now_us, current->version);
   lt_config_run_actions (c);
@@ -204,6 +218,8 @@
   lt_freshness_tick (c->freshness, now_us);
   lt_config_run_actions (c);
   lt_config_change_tick (c, now_us);
+  if (c->encoded.len > 0 && now_us - c->encoded_used_us > encoded_keep_us)
+    lt_buf_destroy (&c->encoded);
   c->age_gauge->value
       = (double)lt_freshness_age_us (c->freshness, now_us) / LT_US_PER_S;
   c->version_gauge->value = (double)lt_freshness_applied (c->freshness);
--- a/packages/node/src/config_fetch.c
+++ b/packages/node/src/config_fetch.c
@@ -162,6 +162,7 @@
   if (lt_wire_snapshot_get_decode (message->payload, &get) != 0)
     return;
   lt_wire_snapshot_data_t data = { .version = get.version };
+  lt_config_encode (c);
   if (c->encoded_version >= get.version && c->encoded.len > 0)
     {
       bool same = c->encoded_version == get.version;
--- a/packages/node/src/config_internal.h
+++ b/packages/node/src/config_internal.h
@@ -94,9 +94,11 @@
   /* Latest head record read.  */
   int64_t head_version;
   config_record_t head;
-  /* The snapshot in force, encoded for other VMs.  */
+  /* The snapshot in force, encoded for other VMs; empty while nobody asked
+     for it lately.  */
   int64_t encoded_version;
   lt_buf_t encoded;
+  int64_t encoded_used_us;
   config_fetch_t fetch;
   config_change_t change;
   vm_entry_t *vms;
@@ -120,6 +122,8 @@
 /* Keeps a head record that was read.  */
 void lt_config_note_head (lt_config_controller_t *controller, int64_t version,
                           const config_record_t *record);
+/* Encodes the snapshot in force unless it is encoded already.  */
+void lt_config_encode (lt_config_controller_t *controller);
 /* Puts an encoded snapshot in force when it is newer.  Returns 0, -LT_ESTALE
    or the decoder's error.  */
 int lt_config_install (lt_config_controller_t *controller, str_t bytes);
