--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -14,6 +14,16 @@
 LAVENDERTRACK_KEY_HASH_SECRET=bench-hash-secret-00001
 export LAVENDERTRACK_OPERATOR_KEY LAVENDERTRACK_KEY_HASH_SECRET
 
+# Processes can share these ports, and would then share the measured requests.
+for port in 18080 18081 19001; do
+  status=0
+  curl -s --max-time 2 -o /dev/null "http://127.0.0.1:$port/" || status=$?
+  [ "$status" -eq 7 ] || {
+    echo "port $port is in use" >&2
+    exit 1
+  }
+done
+
 "$bin/standin/standin_upstream" --listen 127.0.0.1:19001 --name q1 >/dev/null &
 upstream=$!
 "$bin/node/lavendertrackd" --sheet "$root/examples/bench.csv" \
@@ -29,10 +39,12 @@
 
 proxy="timeout $limit $bin/node/node_bench_proxy --pid $vm --seed $seed"
 for rate in 50 200 500 1000; do
-  $proxy --mode latency --rate "$rate" --seconds 5
+  $proxy --mode latency --rate "$rate" --seconds 5 \
+    || failed="$failed node_bench_proxy:$rate/s"
 done
-$proxy --mode saturate --count 64 --seconds 5
-$proxy --mode idle --count 1000
+$proxy --mode saturate --count 64 --seconds 5 \
+  || failed="$failed node_bench_proxy:saturate"
+$proxy --mode idle --count 1000 || failed="$failed node_bench_proxy:idle"
 kill "$vm" "$upstream"
 wait
 trap - INT TERM EXIT
