Move the dispatcher's retry decisions into a file of their own

Cause: filter_dispatch.c had grown over 600 lines and held two jobs. Change: the calls to the retry policy and their counters are in dispatch_retry.c, the shared state in dispatch_internal.h; behaviour is the same.

--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -1,61 +1,21 @@
-#include <ev.h>
 #include <stdlib.h>
 
-#include "dispatch.h"
+#include "dispatch_internal.h"
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/node/claim_controller.h"
-#include "lt/node/node.h"
 #include "lt/node/quarantine_controller.h"
-#include "lt/policy/retry.h"
 #include "outgoing.h"
 #include "pools.h"
-#include "upstream_client.h"
 
 enum
 {
-  ATTEMPTS_MAX = 4,
   ANSWER_BUFFER_BYTES = 64 * 1024,
   /* Answers of never-repeat actions are held back whole up to this size, so
      that the outcome is recorded before the caller sees it.  */
   ANSWER_HELD_BYTES = 1024 * 1024
 };
 
-typedef struct attempt
-{
-  lt_dispatch_t *dispatch;
-  lt_transfer_t *transfer; /* NULL when the attempt is not open. */
-  uint32_t upstream;
-  int64_t started_us;
-  int64_t header_us;
-  int status;
-  int64_t retry_after_ms;
-  bool byte_sent;
-  bool closing;
-  bool paused;
-  bool decided; /* DECISION was taken when the header came. */
-  lt_retry_decision_t decision;
-} attempt_t;
-
-struct lt_dispatch
-{
-  lt_request_t *request;
-  lt_snapshot_ref_t *config; /* What the upstream indexes refer to. */
-  uint32_t service;
-  attempt_t attempts[ATTEMPTS_MAX];
-  uint32_t tried[ATTEMPTS_MAX];
-  uint32_t attempt_count;
-  attempt_t *winner; /* The attempt whose answer is used. */
-  lt_buf_t target;
-  uint64_t service_hash;
-  uint64_t workspace_hash;
-  bool timed_out;  /* The last attempt ran into the deadline. */
-  bool last_reset; /* The last attempt lost its connection. */
-  bool no_retry;   /* The retry timer only delays the refusal. */
-  ev_timer retry_timer;
-  ev_timer hedge_timer;
-};
-
 static bool start_attempt (lt_dispatch_t *dispatch);
 
 static lt_pools_t *
@@ -122,55 +82,6 @@
   return dispatch->request->route->action == LT_ACTION_NEVER_REPEAT;
 }
 
-static bool
-is_idempotent (const lt_dispatch_t *dispatch)
-{
-  return dispatch->request->route->action == LT_ACTION_IDEMPOTENT;
-}
-
-static bool
-other_upstream_exists (lt_dispatch_t *dispatch)
-{
-  lt_pools_t *pools = dispatch_pools (dispatch);
-  int64_t now_us = lt_node_now_us (dispatch->request->node);
-  return pools->vtable->pick (pools, dispatch->service, dispatch->tried,
-                              dispatch->attempt_count, now_us)
-         >= 0;
-}
-
-static lt_retry_attempt_t
-describe_attempt (lt_dispatch_t *dispatch, const attempt_t *attempt,
-                  lt_retry_failure_t failure)
-{
-  return (lt_retry_attempt_t){
-    .service = dispatch->service_hash,
-    .workspace = dispatch->workspace_hash,
-    .failure = failure,
-    .idempotent = is_idempotent (dispatch),
-    .byte_sent = attempt->byte_sent,
-    .response_started = dispatch->winner != NULL,
-    .other_upstream = dispatch->attempt_count < ATTEMPTS_MAX
-                      && other_upstream_exists (dispatch),
-    .attempts = (int)dispatch->attempt_count,
-    .deadline_us = dispatch->request->deadline_us,
-  };
-}
-
-static lt_retry_decision_t
-decide_retry (lt_dispatch_t *dispatch, const attempt_t *attempt,
-              lt_retry_failure_t failure)
-{
-  lt_node_t *node = dispatch->request->node;
-  lt_retry_attempt_t description
-      = describe_attempt (dispatch, attempt, failure);
-  lt_retry_decision_t decision
-      = lt_retry_decide (node->retry, &description, lt_node_now_us (node));
-  node->retry_decisions[decision.reason]->value++;
-  if (decision.retry)
-    node->retry_failures[failure]->value++;
-  return decision;
-}
-
 static bool
 is_failure_status (int status)
 {
@@ -217,7 +128,7 @@
   if (is_failure_status (status))
     {
       bool shed = status == 503 && attempt->retry_after_ms > 0;
-      attempt->decision = decide_retry (
+      attempt->decision = lt_dispatch_decide_retry (
           dispatch, attempt, shed ? LT_RETRY_SHED : LT_RETRY_STATUS_FAILED);
       attempt->decided = true;
       if (attempt->decision.retry)
@@ -352,25 +263,6 @@
              : 0;
 }
 
-static lt_retry_failure_t
-retry_failure (lt_transfer_end_t end)
-{
-  switch (end)
-    {
-    case LT_TRANSFER_REFUSED:
-      return LT_RETRY_CONNECT_FAILED;
-    case LT_TRANSFER_TIMEOUT:
-      return LT_RETRY_TIMEOUT;
-    case LT_TRANSFER_TRUNCATED:
-      return LT_RETRY_TRUNCATED;
-    case LT_TRANSFER_RESET:
-    case LT_TRANSFER_ABORTED:
-    case LT_TRANSFER_COMPLETE:
-      break;
-    }
-  return LT_RETRY_RESET;
-}
-
 static void
 on_retry_timer (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -395,16 +287,10 @@
   (void)loop;
   (void)events;
   lt_dispatch_t *dispatch = watcher->data;
-  lt_node_t *node = dispatch->request->node;
   if (dispatch->winner != NULL || dispatch->attempt_count != 1
       || dispatch->attempts[0].transfer == NULL)
     return;
-  lt_retry_attempt_t open
-      = describe_attempt (dispatch, &dispatch->attempts[0], LT_RETRY_TIMEOUT);
-  lt_retry_decision_t decision
-      = lt_retry_hedge (node->retry, &open, lt_node_now_us (node));
-  node->retry_decisions[decision.reason]->value++;
-  if (decision.retry)
+  if (lt_dispatch_decide_hedge (dispatch).retry)
     start_attempt (dispatch);
 }
 
@@ -424,7 +310,8 @@
   lt_retry_decision_t decision
       = attempt->decided
             ? attempt->decision
-            : decide_retry (dispatch, attempt, retry_failure (result->end));
+            : lt_dispatch_decide_retry (dispatch, attempt,
+                                        lt_dispatch_failure (result->end));
   int64_t delay_us = notice_delay_us (dispatch);
   if (decision.retry)
     {
@@ -534,7 +421,8 @@
 start_hedge_timer (lt_dispatch_t *dispatch)
 {
   lt_node_t *node = dispatch->request->node;
-  if (!dispatch->request->route->hedge || !is_idempotent (dispatch))
+  if (!dispatch->request->route->hedge
+      || !lt_dispatch_is_idempotent (dispatch))
     return;
   int64_t delay_us
       = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
