Count members that have not reported in the status

Ruled out: the command's own counting. Change: the status lists live members without a report as not confirmed. Conclusion: apply no longer reports success too early.

--- a/packages/node/src/admin_status.c
+++ b/packages/node/src/admin_status.c
@@ -59,6 +59,22 @@
     }
 }
 
+/* A member can be known before its first report arrives.  It counts as not
+   confirmed then; left out, it let a change look complete too early.  */
+static void
+note_members (lt_node_t *node, int64_t now_us)
+{
+  if (node->membership == NULL)
+    return;
+  for (size_t i = 0; i < lt_membership_count (node->membership); i++)
+    {
+      lt_member_view_t view = lt_membership_at (node->membership, i);
+      if (!view.self && view.last.state == LT_MEMBER_ALIVE)
+        lt_config_controller_note_member (node->config_controller,
+                                          view.last.id, now_us);
+    }
+}
+
 static json_t *
 vms_json (lt_node_t *node, int64_t version)
 {
@@ -74,6 +90,7 @@
       json_array_append_new (vms, vm_json (&own, now_us));
       return vms;
     }
+  note_members (node, now_us);
   size_t count = lt_config_controller_vm_count (controller);
   for (size_t i = 0; i < count; i++)
     {
--- a/packages/node/test/test_admin_api.cc
+++ b/packages/node/test/test_admin_api.cc
@@ -104,6 +104,10 @@
     ev_timer_start (c->node->loop, &c->timer);
     return 0;
   }
+  void
+  lt_config_controller_note_member (lt_config_controller_t *, str_t, int64_t)
+  {
+  }
   size_t
   lt_config_controller_vm_count (const lt_config_controller_t *)
   {
