--- a/packages/node/test/test_reference.cc
+++ b/packages/node/test/test_reference.cc
@@ -115,28 +115,34 @@
   EXPECT_EQ (expected, table_rows (read_reference (), "| series | meaning |"));
 }
 
-// Guards against a fault listed with a test that does not exist.
-TEST (Reference, FaultsNameTestsThatExist)
+// Guards against a fault or an invariant listed with a test that does not
+// exist.
+TEST (Reference, PagesNameTestsThatExist)
 {
-  std::ifstream in (LT_SOURCE_DIR "/docs/faults.md");
   const std::regex name (
       "`([a-z]+)/(test_[a-z_]+\\.cc)`|`([A-Z][A-Za-z]+)\\.([A-Z][A-Za-z]+)`");
-  std::string line;
-  int tests = 0;
-  while (std::getline (in, line))
+  for (const char *page : { "/docs/faults.md", "/docs/invariants.md" })
     {
-      std::string sources;
-      std::vector<std::string> names;
-      for (std::sregex_iterator m (line.begin (), line.end (), name), end;
-           line[0] == '|' && m != end; ++m)
-        if ((*m)[1].matched)
-          sources += read_file (LT_SOURCE_DIR "/packages/" + (*m)[1].str ()
-                                + "/test/" + (*m)[2].str ());
-        else
-          names.push_back ("(" + (*m)[3].str () + ", " + (*m)[4].str () + ")");
-      for (const std::string &n : names)
-        EXPECT_NE (std::string::npos, sources.find (n)) << n << "\n" << line;
-      tests += static_cast<int> (names.size ());
+      std::ifstream in (LT_SOURCE_DIR + std::string (page));
+      std::string line;
+      int tests = 0;
+      while (std::getline (in, line))
+        {
+          std::string sources;
+          std::vector<std::string> names;
+          for (std::sregex_iterator m (line.begin (), line.end (), name), end;
+               line[0] == '|' && m != end; ++m)
+            if ((*m)[1].matched)
+              sources += read_file (LT_SOURCE_DIR "/packages/" + (*m)[1].str ()
+                                    + "/test/" + (*m)[2].str ());
+            else
+              names.push_back ("(" + (*m)[3].str () + ", " + (*m)[4].str ()
+                               + ")");
+          for (const std::string &n : names)
+            EXPECT_NE (std::string::npos, sources.find (n)) << n << "\n"
+                                                            << line;
+          tests += static_cast<int> (names.size ());
+        }
+      EXPECT_GT (tests, 30) << page;
     }
-  EXPECT_GT (tests, 30);
 }
