End ejections by an old record after the propagation bound

Change: the record counts only while it was confirmed within the bound, or while the store is attested down and the copy held when that began. OldRecordEndsAfterThePropagationBound fails without the check (0 of 200 choices reach the upstream) and passes with it. Conclusion: I1 holds for VMs cut off from the aggregator and the table.

--- a/packages/node/src/health_service.c
+++ b/packages/node/src/health_service.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "lt/base/error.h"
+#include "lt/policy/freshness.h"
 
 static const lt_service_t *
 config_of (const lt_health_service_t *service)
@@ -166,6 +167,7 @@
                           int64_t now_us)
 {
   lt_health_service_t *service = lt_alloc (sizeof (*service));
+  service->node = node;
   service->snapshot = snapshot;
   service->index = index;
   service->name = snapshot->services[index].name;
@@ -229,12 +231,30 @@
   service->dirty = true;
 }
 
+/* The floor counts on no VM acting on a record that is older than the
+   propagation bound (I1): slots freed by a return are given away after it.  In
+   an outage of the store nobody can change the record, so a copy that held
+   when it began goes on holding.  */
+static bool
+record_holds (const lt_health_service_t *service, int64_t now_us)
+{
+  const lt_freshness_t *freshness = service->node->freshness;
+  if (freshness == NULL
+      || now_us - service->confirmed_us < LT_EJECTION_PROPAGATION_US)
+    return true;
+  return service->record_holds && lt_freshness_store_down (freshness, now_us);
+}
+
 void
 lt_health_service_update (lt_health_service_t *service, int64_t now_us)
 {
+  static const lt_ejection_view_t no_record = { 0 };
   service->dirty = false;
   service->updated_us = now_us;
-  lt_health_update (service->local, &service->view, now_us);
+  service->record_holds = record_holds (service, now_us);
+  lt_health_update (service->local,
+                    service->record_holds ? &service->view : &no_record,
+                    now_us);
   for (uint32_t i = 0; i < service->pool.count; i++)
     {
       bool usable = lt_health_state (service->local, i) == LT_HEALTH_USABLE;
--- a/packages/node/src/health_service.h
+++ b/packages/node/src/health_service.h
@@ -20,6 +20,7 @@
 
   typedef struct lt_health_service
   {
+    lt_node_t *node;
     const lt_snapshot_t *snapshot; /**< The one that INDEX refers to. */
     uint32_t index;
     str_t name;
@@ -41,6 +42,7 @@
     int64_t asked_us;     /**< When the last evidence was sent. */
     int64_t evidence_us;  /**< Last evidence of any VM for FLEET. */
     int64_t confirmed_us; /**< The record was the latest at this time. */
+    bool record_holds;    /**< VIEW is recent enough to act on. */
     int64_t read_us;      /**< Last read or write of the table. */
     bool table_busy;
     bool dirty; /**< Outcomes or record changes to apply. */
--- a/packages/node/test/test_health_controller.cc
+++ b/packages/node/test/test_health_controller.cc
@@ -5,6 +5,7 @@
 #include "lt/node/health_controller.h"
 #include "lt/node/node.h"
 #include "lt/platform/memory.h"
+#include "lt/policy/freshness.h"
 #include "pools.h"
 
 #include <ev.h>
@@ -33,6 +34,7 @@
   Site *site = nullptr;
   std::string id;
   std::string domain;
+  bool cut = false; // No messages to or from other VMs.
 };
 
 std::string
@@ -92,7 +94,7 @@
   {
     Vm *from = reinterpret_cast<Vm *> (peers);
     for (auto &vm : from->site->vms)
-      if (str_equal (vm->settings.vm_id, vm_id))
+      if (!from->cut && !vm->cut && str_equal (vm->settings.vm_id, vm_id))
         {
           std::string copy (payload.data, payload.len);
           lt_peer_message_t message
@@ -317,6 +319,39 @@
     }
 }
 
+// Guards against a VM that acts on an old record while others have given the
+// freed slots away (I1): cut off from the aggregator and the table, it stops
+// using the record after the propagation bound.
+TEST (HealthController, OldRecordEndsAfterThePropagationBound)
+{
+  Site site;
+  site.run (10, all_ok);
+  site.run (10, u0_fails);
+  ASSERT_EQ (0, site.picks (2, "u0"));
+  lt_freshness_options_t options = LT_FRESHNESS_OPTIONS_DEFAULT;
+  options.vm_id = STR_LIT ("vm-2");
+  lt_freshness_t *freshness = lt_freshness_create (&options, &site.rng);
+  lt_platform_t unreachable = {};
+  ASSERT_EQ (0, lt_platform_memory_create (site.loop, &site.clock.base,
+                                           &unreachable));
+  lt_platform_fault_t down = {};
+  down.down = true;
+  lt_platform_memory_set_fault (&unreachable, LT_CALL_TABLE_READ, down);
+  lt_platform_t reachable = site.vms[2]->node.platform;
+  site.vms[2]->node.platform = unreachable;
+  site.vms[2]->node.freshness = freshness;
+  site.vms[2]->cut = true;
+  site.run (5, all_ok);
+  EXPECT_EQ (0, site.picks (2, "u0"));
+  site.run (10, all_ok);
+  EXPECT_GT (site.picks (2, "u0"), 0);
+  EXPECT_EQ (0, site.picks (0, "u0"));
+  site.vms[2]->node.platform = reachable;
+  site.vms[2]->node.freshness = nullptr;
+  lt_freshness_destroy (freshness);
+  lt_platform_destroy (&unreachable);
+}
+
 // Guards against an ejection without the record while the store is down, and
 // against local avoidance below the floor.
 TEST (HealthController, StoreDownLeavesLocalAvoidanceWithinTheFloor)
