limit: free large empty arrays of the home

Cause: the home's message queues and its two record arrays kept their peak size after a burst.

Change: a queue with room for more than 1,000 messages is freed when it is emptied. A copy of an empty record frees the target's array of more than 1,000 entries; record and draft are copied into each other at each batch, so both are released. lt_limit_actions_t is unchanged: each caller in the node destroys it after use.

--- a/packages/policy/src/limit_queue.c
+++ b/packages/policy/src/limit_queue.c
@@ -4,6 +4,10 @@
 
 #include "lt/base/str.h"
 
+/** An empty queue with room for more messages is freed, so that a burst does
+    not occupy memory for good.  */
+#define KEEP_MAX 1000
+
 void
 lt_limit_queue_add (lt_limit_queue_t *queue, const lt_limit_vm_t *vm,
                     const lt_limit_message_t *message)
@@ -21,6 +25,8 @@
 lt_limit_queue_clear (lt_limit_queue_t *queue)
 {
   queue->count = 0;
+  if (queue->cap > KEEP_MAX)
+    lt_limit_queue_destroy (queue);
 }
 
 void
--- a/packages/policy/src/limit_queue.h
+++ b/packages/policy/src/limit_queue.h
@@ -26,7 +26,7 @@
   /** Appends MESSAGE with the address VM.  */
   void lt_limit_queue_add (lt_limit_queue_t *queue, const lt_limit_vm_t *vm,
                            const lt_limit_message_t *message);
-  /** Empties the queue.  */
+  /** Empties the queue and frees a large array.  */
   void lt_limit_queue_clear (lt_limit_queue_t *queue);
   /** Moves the messages to ACTIONS, to be sent.  */
   void lt_limit_queue_send (lt_limit_queue_t *queue,
--- a/packages/policy/src/limit_record.c
+++ b/packages/policy/src/limit_record.c
@@ -4,6 +4,10 @@
 #include "limit_record.h"
 #include "lt/base/str.h"
 
+/** A copy of an empty record frees an array with room for more entries, so
+    that a burst does not occupy memory for good.  */
+#define KEEP_MAX 1000
+
 void
 lt_limit_record_add (lt_limit_record_t *record, const lt_limit_grant_t *grant)
 {
@@ -19,6 +23,8 @@
 void
 lt_limit_record_copy (lt_limit_record_t *to, const lt_limit_record_t *from)
 {
+  if (from->count == 0 && to->cap > KEEP_MAX)
+    lt_limit_record_destroy (to);
   lt_limit_grant_t *grants = to->grants;
   size_t cap = to->cap;
   *to = *from;
