--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -27,7 +27,7 @@
     target_link_libraries (${TARGET} PRIVATE lt_${NAME} ${ARG_TEST_LIBS}
                            GTest::gtest GTest::gtest_main Threads::Threads)
     add_test (NAME ${TARGET} COMMAND ${TARGET})
-    set_tests_properties (${TARGET} PROPERTIES TIMEOUT 120)
+    set_tests_properties (${TARGET} PROPERTIES TIMEOUT 600)
   endforeach ()
 
   # Bench drivers are built by the target `bench` only, outside CI.
