--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -330,7 +330,7 @@
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, admin,
       MHD_OPTION_CONNECTION_LIMIT, (unsigned int)ADMIN_CONNECTIONS_MAX,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)ADMIN_IDLE_TIMEOUT_S,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+      MHD_OPTION_END);
   if (daemon == NULL
       || lt_http_loop_start (&admin->http, node->loop, daemon) != 0)
     {
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -329,8 +329,7 @@
       MHD_OPTION_CONNECTION_LIMIT,
       (unsigned int)server->node->settings->max_connections,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_STRICT_FOR_CLIENT, 1,
-      MHD_OPTION_END);
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
 
 int
--- a/packages/node/test/test_lifecycle.cc
+++ b/packages/node/test/test_lifecycle.cc
@@ -123,3 +123,21 @@
   EXPECT_NE (std::string::npos, text.find ("/quotes/2"));
   close (fd);
 }
+
+// Guards against two processes that share an address and split its callers.
+TEST_F (Lifecycle, AddressInUseIsAnError)
+{
+  std::string caller
+      = "127.0.0.1:" + std::to_string (lt_daemon_port (vm.daemon));
+  std::string admin
+      = "127.0.0.1:" + std::to_string (lt_daemon_admin_port (vm.daemon));
+  lt_daemon_t *second = nullptr;
+  lt_settings_t settings = vm.settings;
+  settings.listen = view (caller);
+  EXPECT_NE (0,
+             lt_daemon_create (vm.loop, &vm.clock.base, &settings, &second));
+  settings = vm.settings;
+  settings.admin_listen = view (admin);
+  EXPECT_NE (0,
+             lt_daemon_create (vm.loop, &vm.clock.base, &settings, &second));
+}
