Share one health request between the health and drain controllers

Cause: both had the same transfer callbacks for GET /healthz, and the same test for Connection: close stood three times. Change: upstream_probe.c holds them; open probes are cancelled when their owner goes.

--- a/packages/node/src/drain_controller.c
+++ b/packages/node/src/drain_controller.c
@@ -10,13 +10,11 @@
 #include "lt/policy/membership.h"
 #include "lt/wire/frame.h"
 #include "lt/wire/message.h"
-#include "upstream_client.h"
+#include "upstream_probe.h"
 
 enum
 {
   CHANGES_MAX = 64,
-  PROBE_TIMEOUT_MS = 1000,
-  FIRST_FAILED_STATUS = 500,
   WIRE_SERVING = 0,
   WIRE_DRAINING = 1
 };
@@ -42,11 +40,9 @@
 {
   struct probe *next;
   lt_drain_controller_t *controller;
-  lt_transfer_t *transfer;
+  lt_upstream_probe_t *request;
   lt_snapshot_ref_t *config;
   uint32_t upstream;
-  int status;
-  bool closing;
 } probe_t;
 
 static lt_drain_upstream_t *
@@ -215,32 +211,6 @@
   apply_changes (self);
 }
 
-static bool
-probe_on_header (void *owner, int status, lt_header_list_t *headers)
-{
-  probe_t *probe = owner;
-  probe->status = status;
-  probe->closing = str_equal_nocase (
-      str_trim (lt_header_list_get (headers, STR_LIT ("Connection"))),
-      STR_LIT ("close"));
-  return true;
-}
-
-static bool
-probe_on_body (void *owner, str_t data)
-{
-  (void)owner;
-  (void)data;
-  return true;
-}
-
-static bool
-probe_on_send (void *owner)
-{
-  (void)owner;
-  return true;
-}
-
 static void
 probe_free (probe_t *probe)
 {
@@ -259,43 +229,28 @@
 }
 
 static void
-probe_on_done (void *owner, const lt_transfer_result_t *result)
+on_probed (void *user, bool ok, bool closing)
 {
-  probe_t *probe = owner;
+  probe_t *probe = user;
   lt_drain_controller_t *self = probe->controller;
-  bool ok = result->end == LT_TRANSFER_COMPLETE && !probe->closing
-            && probe->status < FIRST_FAILED_STATUS;
   if (probe->config == self->config)
-    lt_drain_on_probe (self->drain, probe->upstream, ok);
+    lt_drain_on_probe (self->drain, probe->upstream, ok && !closing);
   probe_destroy (probe);
 }
 
-static const lt_transfer_vtable_t probe_vtable
-    = { .on_header = probe_on_header,
-        .on_body = probe_on_body,
-        .on_done = probe_on_done,
-        .on_send = probe_on_send };
-
 static void
 start_probe (lt_drain_controller_t *self, uint32_t upstream)
 {
-  lt_header_list_t headers = { 0 };
   probe_t *probe = lt_alloc (sizeof (*probe));
   probe->controller = self;
   probe->config = lt_snapshot_ref_acquire (self->config);
   probe->upstream = upstream;
-  lt_transfer_options_t options
-      = { .address = self->config->snapshot->upstreams[upstream].address,
-          .method = STR_LIT ("GET"),
-          .target = STR_LIT ("/healthz"),
-          .headers = &headers,
-          .timeout_ms = PROBE_TIMEOUT_MS,
-          .fresh_connection = true };
   probe->next = self->probes;
   self->probes = probe;
-  probe->transfer = lt_upstream_client_send (self->base.node->upstreams,
-                                             &options, &probe_vtable, probe);
-  if (probe->transfer == NULL)
+  probe->request = lt_upstream_probe_start (
+      self->base.node->upstreams,
+      self->config->snapshot->upstreams[upstream].address, on_probed, probe);
+  if (probe->request == NULL)
     probe_destroy (probe);
 }
 
@@ -334,7 +289,7 @@
   while (probe != NULL)
     {
       probe_t *next = probe->next;
-      lt_transfer_cancel (probe->transfer);
+      lt_upstream_probe_cancel (probe->request);
       probe_free (probe);
       probe = next;
     }
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -7,6 +7,7 @@
 #include "lt/node/quarantine_controller.h"
 #include "outgoing.h"
 #include "pools.h"
+#include "upstream_probe.h"
 
 enum
 {
@@ -113,9 +114,7 @@
   lt_dispatch_t *dispatch = attempt->dispatch;
   attempt->status = status;
   attempt->header_us = lt_node_now_us (dispatch->request->node);
-  attempt->closing = str_equal_nocase (
-      str_trim (lt_header_list_get (headers, STR_LIT ("Connection"))),
-      STR_LIT ("close"));
+  attempt->closing = lt_headers_close (headers);
   int64_t retry_after_s = 0;
   str_t retry_after = lt_header_list_get (headers, STR_LIT ("Retry-After"));
   if (retry_after.data != NULL
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "health_internal.h"
+#include "upstream_probe.h"
 #include "lt/base/error.h"
 
 /* Services without outcomes are brought up to date this often; all of them at
@@ -45,6 +46,7 @@
         at = &(*at)->next;
       *at = pending->next;
     }
+  lt_upstream_probe_cancel (pending->transfer);
   lt_ejection_record_clear (&pending->next_record);
   free (pending->service);
   free (pending->upstream);
--- a/packages/node/src/health_internal.h
+++ b/packages/node/src/health_internal.h
@@ -27,8 +27,9 @@
     bool probe;
     int status; /**< Of the probe's answer. */
     int64_t sent_us;
-    lt_ejection_record_t next_record; /**< Of a write. */
-    uint64_t upstreams_hash;          /**< That its indexes refer to. */
+    struct lt_upstream_probe *transfer; /**< Of a probe; NULL: none open. */
+    lt_ejection_record_t next_record;   /**< Of a write. */
+    uint64_t upstreams_hash;            /**< That its indexes refer to. */
   } lt_health_pending_t;
 
   struct lt_health_controller
--- a/packages/node/src/health_probe.c
+++ b/packages/node/src/health_probe.c
@@ -2,36 +2,7 @@
 
 #include "health_internal.h"
 #include "lt/base/error.h"
-#include "upstream_client.h"
-
-#define PROBE_TIMEOUT_MS 1000
-#define PROBE_PATH "/healthz"
-/* Any status below this shows a process that answers; whether it answers well
-   is for its traffic in slow start to show.  */
-#define FIRST_FAILED_STATUS 500
-
-static bool
-on_header (void *owner, int status, lt_header_list_t *headers)
-{
-  (void)headers;
-  ((lt_health_pending_t *)owner)->status = status;
-  return true;
-}
-
-static bool
-on_body (void *owner, str_t data)
-{
-  (void)owner;
-  (void)data;
-  return true;
-}
-
-static bool
-on_send (void *owner)
-{
-  (void)owner;
-  return true;
-}
+#include "upstream_probe.h"
 
 static void
 on_probed (void *user, bool ok)
@@ -55,34 +26,19 @@
 }
 
 static void
-on_done (void *owner, const lt_transfer_result_t *result)
+on_answered (void *user, bool ok, bool closing)
 {
-  lt_health_pending_t *pending = owner;
-  bool ok = result->end == LT_TRANSFER_COMPLETE && pending->status > 0
-            && pending->status < FIRST_FAILED_STATUS;
-  on_probed (pending, ok);
+  (void)closing;
+  ((lt_health_pending_t *)user)->transfer = NULL;
+  on_probed (user, ok);
 }
 
-static const lt_transfer_vtable_t vtable = { .on_header = on_header,
-                                             .on_body = on_body,
-                                             .on_done = on_done,
-                                             .on_send = on_send };
-
 static int
 send_probe (lt_node_t *node, str_t address, lt_health_pending_t *pending)
 {
-  lt_header_list_t headers = { 0 };
-  lt_transfer_options_t options = { .address = address,
-                                    .method = STR_LIT ("GET"),
-                                    .target = STR_LIT (PROBE_PATH),
-                                    .headers = &headers,
-                                    .body = STR_LIT (""),
-                                    .timeout_ms = PROBE_TIMEOUT_MS,
-                                    .fresh_connection = true };
-  if (lt_upstream_client_send (node->upstreams, &options, &vtable, pending)
-      == NULL)
-    return -LT_EINVAL;
-  return 0;
+  pending->transfer = lt_upstream_probe_start (node->upstreams, address,
+                                               on_answered, pending);
+  return pending->transfer == NULL ? -LT_EINVAL : 0;
 }
 
 void
