--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES = build-essential cmake ninja-build pkg-config clang-format \
   clang-tidy libev-dev libmsgpack-dev libmicrohttpd-dev \
   libcurl4-openssl-dev libjansson-dev libsodium-dev libcsv-dev uthash-dev \
-  libgtest-dev
+  libgtest-dev curl git tzdata
 
 .PHONY: all deps build check run bench format format-check lint test test-asan
 
