Do not count resets of requests that already lost an upstream

Cause: the health controller had a hook for quarantine suspects that nobody set, so upstreams reset by a crashing request gathered evidence as if they were gray. Change: a reset counts only when its request has lost no upstream before; the first loss still counts, or a gray upstream that resets everything would not be found.

--- a/packages/node/include/lt/node/quarantine_controller.h
+++ b/packages/node/include/lt/node/quarantine_controller.h
@@ -26,6 +26,10 @@
                                     int64_t *retry_after_ms);
   /** The same for a retry; false without a controller.  */
   bool lt_quarantine_refuses (const lt_request_t *request);
+  /** Returns whether a request with FINGERPRINT has lost an upstream already;
+      false without a controller.  */
+  bool lt_quarantine_controller_has_losses (struct lt_node *node,
+                                            const lt_digest_t *fingerprint);
   /** Time in which a notice reaches all VMs; 0 without other VMs.  */
   int64_t lt_quarantine_notice_us (const struct lt_node *node);
 
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -136,6 +136,14 @@
   return lt_platform_http_create (node->loop, &options, &node->platform);
 }
 
+/* Asked before the quarantine hears of the same reset, so the first loss of a
+   request still counts against the upstream.  */
+static bool
+is_suspect (void *user, const lt_digest_t *fingerprint)
+{
+  return lt_quarantine_controller_has_losses (user, fingerprint);
+}
+
 static int
 add_controllers (lt_node_t *node)
 {
@@ -148,10 +156,12 @@
         return error;
       lt_node_add_controller (node, membership);
     }
-  lt_health_hooks_t hooks = lt_health_hooks_membership (node);
-  bool alone = node->membership == NULL;
-  lt_node_add_controller (
-      node, lt_health_controller_create (node, alone ? NULL : &hooks));
+  lt_health_hooks_t hooks = { 0 };
+  if (node->membership != NULL)
+    hooks = lt_health_hooks_membership (node);
+  hooks.user = node;
+  hooks.is_suspect = is_suspect;
+  lt_node_add_controller (node, lt_health_controller_create (node, &hooks));
   node->pools = lt_health_controller_pools (node->health_controller);
   lt_node_add_controller (node, lt_drain_controller_create (node));
   lt_node_add_controller (node, lt_limit_controller_create (node));
--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -146,6 +146,15 @@
   lt_quarantine_tick (controller->quarantine, now_us);
 }
 
+bool
+lt_quarantine_controller_has_losses (lt_node_t *node,
+                                     const lt_digest_t *fingerprint)
+{
+  return node->quarantine_controller != NULL
+         && lt_quarantine_has_losses (node->quarantine_controller->quarantine,
+                                      fingerprint, lt_node_now_us (node));
+}
+
 bool
 lt_quarantine_controller_refuses (lt_quarantine_controller_t *controller,
                                   const lt_request_t *request,
--- a/packages/node/test/test_health_controller.cc
+++ b/packages/node/test/test_health_controller.cc
@@ -60,6 +60,7 @@
   std::vector<std::unique_ptr<Vm>> vms;
   lt_rng_t rng{};
   bool probe_ok = false;
+  bool suspect = false; // Every reset is of a quarantine suspect.
   int probes = 0;
   std::vector<std::pair<lt_health_probe_done_t, void *>> open_probes;
 
@@ -146,6 +147,9 @@
       site->open_probes.emplace_back (done, done_user);
       return 0;
     };
+    hooks.is_suspect = [] (void *user, const lt_digest_t *) {
+      return static_cast<Vm *> (user)->site->suspect;
+    };
     vm->controller = lt_health_controller_create (&vm->node, &hooks);
     vms.push_back (std::move (vm));
   }
@@ -352,6 +356,23 @@
   lt_platform_destroy (&unreachable);
 }
 
+// Guards against ejecting upstreams that a crashing request reset.
+TEST (HealthController, ResetsOfSuspectsAreNoEvidence)
+{
+  auto u0_resets = [] (int, const std::string &name) {
+    return name == "u0" ? LT_ATTEMPT_RESET : LT_ATTEMPT_OK;
+  };
+  Site site;
+  site.run (10, all_ok);
+  site.suspect = true;
+  site.run (10, u0_resets);
+  EXPECT_EQ (0, site.number (0, "record_version"));
+  EXPECT_GT (site.picks (0, "u0"), 0);
+  site.suspect = false;
+  site.run (10, u0_resets);
+  EXPECT_EQ (1, site.number (0, "record_version"));
+}
+
 // Guards against an ejection without the record while the store is down, and
 // against local avoidance below the floor.
 TEST (HealthController, StoreDownLeavesLocalAvoidanceWithinTheFloor)
--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -121,6 +121,11 @@
                                 const lt_quarantine_notice_t *received,
                                 int64_t now_us,
                                 lt_quarantine_notice_t *notice);
+  /** Returns whether FINGERPRINT has lost an upstream already: a further reset
+      then says more about the request than about the upstream.  */
+  bool lt_quarantine_has_losses (lt_quarantine_t *quarantine,
+                                 const lt_digest_t *fingerprint,
+                                 int64_t now_us);
   /** Drops entries whose time is over.  */
   void lt_quarantine_tick (lt_quarantine_t *quarantine, int64_t now_us);
   /** Number of fingerprints refused at NOW_US.  */
--- a/packages/policy/src/quarantine.c
+++ b/packages/policy/src/quarantine.c
@@ -206,6 +206,14 @@
   return entry;
 }
 
+bool
+lt_quarantine_has_losses (lt_quarantine_t *quarantine,
+                          const lt_digest_t *fingerprint, int64_t now_us)
+{
+  const entry_t *entry = entry_live (quarantine, fingerprint, now_us);
+  return entry != NULL && entry->loss_count > 0;
+}
+
 lt_quarantine_check_result_t
 lt_quarantine_check (lt_quarantine_t *quarantine,
                      const lt_digest_t *fingerprint, int64_t now_us)
--- a/packages/policy/test/test_quarantine.cc
+++ b/packages/policy/test/test_quarantine.cc
@@ -227,6 +227,22 @@
   EXPECT_EQ (0, lt_quarantine_wait_us (other.q, &fp, S));
 }
 
+// Guards against resets that a crashing request causes being taken for gray
+// upstreams, and against a request without losses being suspected.
+TEST_F (Quarantine, LossesMakeFurtherResetsSuspect)
+{
+  Vm vm (options);
+  lt_digest_t fp = print ("/x");
+  lt_digest_t other = print ("/y");
+  lt_quarantine_notice_t notice;
+  EXPECT_FALSE (lt_quarantine_has_losses (vm.q, &fp, S));
+  lt_quarantine_on_loss (vm.q, &fp, 1, S, &notice);
+  EXPECT_TRUE (lt_quarantine_has_losses (vm.q, &fp, S));
+  EXPECT_FALSE (lt_quarantine_has_losses (vm.q, &other, S));
+  lt_quarantine_on_response (vm.q, &fp, 2 * S, &notice);
+  EXPECT_FALSE (lt_quarantine_has_losses (vm.q, &fp, 2 * S));
+}
+
 // Guards against the gap in which two VMs each saw one loss at the same time:
 // the merge must quarantine, and must be passed on.
 TEST_F (Quarantine, CrossingNoticesQuarantine)
