--- a/packages/node/src/admin_status.c
+++ b/packages/node/src/admin_status.c
@@ -8,7 +8,7 @@
 
 enum
 {
-  /* A VM that reports every second and has said nothing for so long cannot
+  /* A VM that reports every second and has not reported for so long cannot
      serve keyed requests.  */
   SILENT_AFTER_MS = 10000,
   US_PER_MS = 1000,
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -279,7 +279,7 @@
     {
       next = p->next;
       p->controller = NULL;
-      /* The table still completes its calls; probes end without a word.  */
+      /* The table still completes its calls; open probes are cancelled.  */
       if (p->probe)
         lt_health_pending_destroy (p);
     }
--- a/packages/node/src/limit_controller.c
+++ b/packages/node/src/limit_controller.c
@@ -48,7 +48,7 @@
   lt_limit_message_t message;
   lt_limit_vm_t from;
   lt_limit_controller_count (controller, LT_LIMIT_COUNT_RECEIVED);
-  /* Only the holder itself may speak for its incarnation.  */
+  /* A message must come from the incarnation that it names.  */
   if (lt_limit_vm_set (&from, peer->sender.data, peer->sender.len) != 0
       || lt_limit_message_decode ((lt_limit_message_type_t)peer->type,
                                   peer->payload, &message)
--- a/packages/node/src/named_vms.h
+++ b/packages/node/src/named_vms.h
@@ -1,5 +1,5 @@
 /** @file
-    VMs that the seeds or the platform's list name.  One that has said nothing
+    VMs that the seeds or the platform's list name.  One that has not reported
     yet may serve, so a change is not confirmed by it.  */
 #ifndef LT_NODE_NAMED_VMS_H
 #define LT_NODE_NAMED_VMS_H
--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -243,7 +243,7 @@
     return wait_for ([&] { return fetch ("GET", url, {}, "").status == 200; });
   }
 
-  // Waits until VM I knows COUNT VMs, itself included, that have spoken.
+  // Waits until VM I knows COUNT VMs, itself included.
   bool
   wait_members (int i, size_t count)
   {
--- a/packages/policy/src/membership_probe.c
+++ b/packages/policy/src/membership_probe.c
@@ -279,7 +279,7 @@
     }
 }
 
-/* After a pause the silence of others says nothing: unanswered probes are
+/* After a pause missing answers of others prove nothing: unanswered probes are
    forgotten and suspects get their time again.  */
 static void
 check_pause (lt_membership_t *m, int64_t now_us)
--- a/packages/policy/test/test_claim.cc
+++ b/packages/policy/test/test_claim.cc
@@ -535,7 +535,7 @@
       return;
     if (!c.applied && !c.reported && chance (0.15))
       {
-        c.applied = true; // Refused at the door.
+        c.applied = true; // Refused before it was sent.
         c.outcome = LT_CLAIM_NOT_ACCEPTED;
       }
     else if (!c.applied && (!c.reported || chance (0.5)))
