Run both libcurl multi handles through one event loop adapter

Cause: the upstream client and the platform's HTTP client each had the same socket and timer callbacks for libev. Change: platform/curl_loop.h holds them; deferred removals run after libcurl has worked, as before.

--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -1,11 +1,11 @@
 #include "upstream_client.h"
 
 #include <curl/curl.h>
-#include <ev.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "lt/base/error.h"
+#include "lt/platform/curl_loop.h"
 
 enum
 {
@@ -17,12 +17,6 @@
   CONNECTION_MAX_IDLE_S = 30
 };
 
-typedef struct socket_watch
-{
-  ev_io io;
-  struct lt_upstream_client *client;
-} socket_watch_t;
-
 struct lt_transfer
 {
   lt_upstream_client_t *client;
@@ -41,13 +35,10 @@
 
 struct lt_upstream_client
 {
-  struct ev_loop *loop;
-  CURLM *multi;
-  ev_timer timer;
+  lt_curl_loop_t *curl;
   lt_transfer_t *transfers;
   CURL *idle[IDLE_HANDLES_MAX];
   int idle_count;
-  int depth; /* Nesting of calls into libcurl. */
   bool doomed_left;
 };
 
@@ -61,7 +52,7 @@
     client->transfers = transfer->next;
   if (transfer->next != NULL)
     transfer->next->prev = transfer->prev;
-  curl_multi_remove_handle (client->multi, transfer->easy);
+  curl_multi_remove_handle (lt_curl_loop_multi (client->curl), transfer->easy);
   if (client->idle_count < IDLE_HANDLES_MAX)
     {
       curl_easy_reset (transfer->easy);
@@ -119,95 +110,22 @@
 }
 
 static void
-read_messages (lt_upstream_client_t *client)
+on_ended (void *user, CURL *easy, CURLcode code)
 {
-  int left = 0;
-  CURLMsg *message;
-  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
-    {
-      if (message->msg != CURLMSG_DONE)
-        continue;
-      lt_transfer_t *transfer = NULL;
-      CURLcode code = message->data.result;
-      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &transfer);
-      finish_transfer (transfer, code);
-    }
+  (void)user;
+  lt_transfer_t *transfer = NULL;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &transfer);
+  finish_transfer (transfer, code);
 }
 
 static void
-socket_action (lt_upstream_client_t *client, curl_socket_t fd, int mask)
+on_worked (void *user)
 {
-  int running = 0;
-  client->depth++;
-  curl_multi_socket_action (client->multi, fd, mask, &running);
-  client->depth--;
-  free_doomed (client);
-  read_messages (client);
+  free_doomed (user);
 }
 
-static void
-on_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
-{
-  (void)loop;
-  socket_watch_t *watch = watcher->data;
-  int mask = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
-             | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-  socket_action (watch->client, watcher->fd, mask);
-}
-
-static void
-on_timer (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  (void)loop;
-  (void)events;
-  socket_action (watcher->data, CURL_SOCKET_TIMEOUT, 0);
-}
-
-static int
-on_curl_timer (CURLM *multi, long timeout_ms, void *cls)
-{
-  (void)multi;
-  lt_upstream_client_t *client = cls;
-  ev_timer_stop (client->loop, &client->timer);
-  if (timeout_ms < 0)
-    return 0;
-  ev_timer_set (&client->timer, (double)timeout_ms / 1000.0, 0.0);
-  ev_timer_start (client->loop, &client->timer);
-  return 0;
-}
-
-static int
-on_curl_socket (CURL *easy, curl_socket_t fd, int what, void *cls,
-                void *socket_data)
-{
-  (void)easy;
-  lt_upstream_client_t *client = cls;
-  socket_watch_t *watch = socket_data;
-  if (what == CURL_POLL_REMOVE)
-    {
-      if (watch == NULL)
-        return 0;
-      ev_io_stop (client->loop, &watch->io);
-      free (watch);
-      curl_multi_assign (client->multi, fd, NULL);
-      return 0;
-    }
-  if (watch == NULL)
-    {
-      watch = lt_alloc (sizeof (*watch));
-      watch->client = client;
-      watch->io.data = watch;
-      ev_init (&watch->io, on_socket_ready);
-      watch->io.data = watch;
-      curl_multi_assign (client->multi, fd, watch);
-    }
-  int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0)
-               | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-  ev_io_stop (client->loop, &watch->io);
-  ev_io_set (&watch->io, fd, events);
-  ev_io_start (client->loop, &watch->io);
-  return 0;
-}
+static const lt_curl_loop_vtable_t curl_vtable
+    = { .worked = on_worked, .ended = on_ended };
 
 static bool
 deliver_header (lt_transfer_t *transfer)
@@ -403,7 +321,7 @@
   if (transfer->next != NULL)
     transfer->next->prev = transfer;
   client->transfers = transfer;
-  if (curl_multi_add_handle (client->multi, easy) == CURLM_OK)
+  if (lt_curl_loop_add (client->curl, easy) == 0)
     return transfer;
   transfer_free (transfer);
   return NULL;
@@ -415,7 +333,7 @@
   if (transfer == NULL)
     return;
   transfer->owner = NULL;
-  if (transfer->client->depth == 0)
+  if (!lt_curl_loop_inside (transfer->client->curl))
     {
       transfer_free (transfer);
       return;
@@ -427,36 +345,23 @@
 void
 lt_transfer_unpause (lt_transfer_t *transfer)
 {
-  lt_upstream_client_t *client = transfer->client;
-  client->depth++;
-  curl_easy_pause (transfer->easy, CURLPAUSE_CONT);
-  client->depth--;
+  lt_curl_loop_unpause (transfer->client->curl, transfer->easy);
 }
 
 int
 lt_upstream_client_create (struct ev_loop *loop, int64_t connections,
                            lt_upstream_client_t **result)
 {
-  if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
-    return -LT_EIO;
   lt_upstream_client_t *client = lt_alloc (sizeof (*client));
-  client->loop = loop;
-  client->multi = curl_multi_init ();
-  if (client->multi == NULL)
+  int error = lt_curl_loop_create (loop, &curl_vtable, client, &client->curl);
+  if (error != 0)
     {
       free (client);
-      return -LT_EIO;
+      return error;
     }
-  ev_timer_init (&client->timer, on_timer, 0.0, 0.0);
-  client->timer.data = client;
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_curl_socket);
-  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_curl_timer);
-  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
-  curl_multi_setopt (client->multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                     (long)connections);
-  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS,
-                     (long)IDLE_CONNECTIONS_MAX);
+  CURLM *multi = lt_curl_loop_multi (client->curl);
+  curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)connections);
+  curl_multi_setopt (multi, CURLMOPT_MAXCONNECTS, (long)IDLE_CONNECTIONS_MAX);
   *result = client;
   return 0;
 }
@@ -472,7 +377,6 @@
     transfer_free (client->transfers);
   for (int i = 0; i < client->idle_count; i++)
     curl_easy_cleanup (client->idle[i]);
-  ev_timer_stop (client->loop, &client->timer);
-  curl_multi_cleanup (client->multi);
+  lt_curl_loop_destroy (client->curl);
   free (client);
 }
--- a/packages/platform/src/http_client.c
+++ b/packages/platform/src/http_client.c
@@ -8,6 +8,7 @@
 #include <utlist.h>
 
 #include "lt/base/error.h"
+#include "lt/platform/curl_loop.h"
 
 enum
 {
@@ -19,11 +20,9 @@
 
 struct http_client
 {
-  struct ev_loop *loop;
-  CURLM *multi;
+  lt_curl_loop_t *curl;
   char *region;
   char *credentials;
-  ev_timer timer;
   transfer_t *transfers;
 };
 
@@ -41,18 +40,12 @@
   void *user;
 };
 
-/** A socket that libcurl watches.  */
-typedef struct watch
-{
-  http_client_t *client;
-  ev_io io;
-} watch_t;
-
 static void
 transfer_free (transfer_t *transfer)
 {
   DL_DELETE (transfer->client->transfers, transfer);
-  curl_multi_remove_handle (transfer->client->multi, transfer->easy);
+  curl_multi_remove_handle (lt_curl_loop_multi (transfer->client->curl),
+                            transfer->easy);
   curl_easy_cleanup (transfer->easy);
   curl_slist_free_all (transfer->headers);
   lt_buf_destroy (&transfer->body);
@@ -93,87 +86,16 @@
 }
 
 static void
-reap (http_client_t *client)
-{
-  int left = 0;
-  CURLMsg *message;
-  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
-    {
-      if (message->msg != CURLMSG_DONE)
-        continue;
-      transfer_t *transfer = NULL;
-      CURLcode code = message->data.result;
-      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &transfer);
-      transfer_end (transfer, error_of (code));
-      transfer_free (transfer);
-    }
-}
-
-static void
-on_io (struct ev_loop *loop, ev_io *io, int events)
-{
-  (void)loop;
-  watch_t *watch = io->data;
-  http_client_t *client = watch->client;
-  int flags = ((events & EV_READ) != 0 ? CURL_CSELECT_IN : 0)
-              | ((events & EV_WRITE) != 0 ? CURL_CSELECT_OUT : 0);
-  int running = 0;
-  curl_multi_socket_action (client->multi, io->fd, flags, &running);
-  reap (client);
-}
-
-static void
-on_timer (struct ev_loop *loop, ev_timer *timer, int events)
-{
-  (void)loop;
-  (void)events;
-  http_client_t *client = timer->data;
-  int running = 0;
-  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
-  reap (client);
-}
-
-static int
-set_timer (CURLM *multi, long timeout_ms, void *user)
+on_ended (void *user, CURL *easy, CURLcode code)
 {
-  (void)multi;
-  http_client_t *client = user;
-  ev_timer_stop (client->loop, &client->timer);
-  if (timeout_ms < 0)
-    return 0;
-  ev_timer_set (&client->timer, (double)timeout_ms / 1e3, 0.);
-  ev_timer_start (client->loop, &client->timer);
-  return 0;
+  (void)user;
+  transfer_t *transfer = NULL;
+  curl_easy_getinfo (easy, CURLINFO_PRIVATE, &transfer);
+  transfer_end (transfer, error_of (code));
+  transfer_free (transfer);
 }
 
-static int
-set_socket (CURL *easy, curl_socket_t fd, int what, void *user, void *socket)
-{
-  (void)easy;
-  http_client_t *client = user;
-  watch_t *watch = socket;
-  if (watch != NULL)
-    ev_io_stop (client->loop, &watch->io);
-  if (what == CURL_POLL_REMOVE)
-    {
-      free (watch);
-      curl_multi_assign (client->multi, fd, NULL);
-      return 0;
-    }
-  if (watch == NULL)
-    {
-      watch = lt_alloc (sizeof (*watch));
-      watch->client = client;
-      ev_io_init (&watch->io, on_io, fd, 0);
-      watch->io.data = watch;
-      curl_multi_assign (client->multi, fd, watch);
-    }
-  int events = ((what & CURL_POLL_IN) != 0 ? EV_READ : 0)
-               | ((what & CURL_POLL_OUT) != 0 ? EV_WRITE : 0);
-  ev_io_set (&watch->io, fd, events);
-  ev_io_start (client->loop, &watch->io);
-  return 0;
-}
+static const lt_curl_loop_vtable_t curl_vtable = { .ended = on_ended };
 
 static size_t
 read_body (char *buffer, size_t size, size_t count, void *user)
@@ -278,8 +200,7 @@
   set_headers (transfer, request);
   set_signature (transfer, request->service);
   DL_APPEND (client->transfers, transfer);
-  ev_now_update (client->loop);
-  curl_multi_add_handle (client->multi, easy);
+  lt_curl_loop_add (client->curl, easy);
   return 0;
 }
 
@@ -287,25 +208,22 @@
 http_client_create (const http_client_options_t *options,
                     http_client_t **client)
 {
-  if (curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
-    return -LT_EIO;
   http_client_t *self = lt_alloc (sizeof (*self));
+  int error
+      = lt_curl_loop_create (options->loop, &curl_vtable, self, &self->curl);
+  if (error != 0)
+    {
+      free (self);
+      return error;
+    }
   lt_buf_t credentials = { 0 };
   lt_buf_printf (&credentials, "%.*s:%.*s", STR_ARG (options->access_key),
                  STR_ARG (options->secret_key));
   self->credentials = str_dup (lt_buf_str (&credentials));
   lt_buf_destroy (&credentials);
   self->region = str_dup (options->region);
-  self->loop = options->loop;
-  self->multi = curl_multi_init ();
-  ev_timer_init (&self->timer, on_timer, 0., 0.);
-  self->timer.data = self;
-  curl_multi_setopt (self->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
-  curl_multi_setopt (self->multi, CURLMOPT_SOCKETDATA, self);
-  curl_multi_setopt (self->multi, CURLMOPT_TIMERFUNCTION, set_timer);
-  curl_multi_setopt (self->multi, CURLMOPT_TIMERDATA, self);
-  curl_multi_setopt (self->multi, CURLMOPT_MAX_TOTAL_CONNECTIONS,
-                     (long)CONNECTIONS_MAX);
+  curl_multi_setopt (lt_curl_loop_multi (self->curl),
+                     CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)CONNECTIONS_MAX);
   *client = self;
   return 0;
 }
@@ -322,10 +240,8 @@
     transfer_end (transfer, -LT_ECANCELED);
     transfer_free (transfer);
   }
-  ev_timer_stop (client->loop, &client->timer);
-  curl_multi_cleanup (client->multi);
+  lt_curl_loop_destroy (client->curl);
   free (client->region);
   free (client->credentials);
   free (client);
-  curl_global_cleanup ();
 }
