--- a/Makefile
+++ b/Makefile
@@ -47,3 +47,6 @@
 
 bench: build
 	sh tools/bench.sh $(BUILD)
+	sh tools/bench-scale.sh $(BUILD)
+	sh tools/bench-apply.sh $(BUILD)
+	sh tools/bench-fleet.sh $(BUILD)
