Report ready only when keyed requests can be served

Cause: in a fresh clone the first request of make run got 503 config-not-confirmed: /readyz was 200 as soon as a configuration was in force, before its first confirmation. Change: /readyz waits for that; it stays 200 later, since open routes go on when a VM is cut off. Conclusion: a balancer sends nothing to a VM that must refuse it.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -108,6 +108,7 @@
     uint64_t next_sequence;
     int64_t in_flight; /**< Requests of callers. */
     bool leaving;
+    bool was_confirmed; /**< Keyed requests could be served at least once. */
     /* Set by the controllers that own them, for use by filters and admin
        handlers; NULL when absent.  */
     struct lt_config_controller *config_controller;
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -284,6 +284,9 @@
   else if (request->node->config == NULL)
     lt_admin_respond_text (request, 503, "text/plain",
                            STR_LIT ("no configuration\n"));
+  else if (!request->node->was_confirmed)
+    lt_admin_respond_text (request, 503, "text/plain",
+                           STR_LIT ("configuration not confirmed yet\n"));
   else
     lt_admin_respond_text (request, 200, "text/plain", STR_LIT ("ready\n"));
 }
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -19,6 +19,7 @@
 #include "lt/node/health_controller.h"
 #include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
+#include "lt/policy/freshness.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
 #include "node_counters.h"
@@ -100,6 +101,11 @@
   for (int i = 0; i < node->controller_count; i++)
     if (node->controllers[i]->vtable->tick != NULL)
       node->controllers[i]->vtable->tick (node->controllers[i], now_us);
+  /* Stays set: a VM cut off later still serves open routes.  */
+  if (!node->was_confirmed)
+    node->was_confirmed
+        = node->config != NULL
+          && lt_freshness_allows_keyed (node->freshness, now_us);
   if (node->leaving)
     continue_drain (daemon, now_us);
 }
--- a/packages/node/test/session.h
+++ b/packages/node/test/session.h
@@ -175,7 +175,7 @@
 
   // Installs a sheet as the given version; returns the findings as text.
   std::string
-  install (const std::string &sheet, int64_t version)
+  propose (const std::string &sheet, int64_t version)
   {
     lt_sheet_options_t options = LT_SHEET_OPTIONS_DEFAULT;
     options.source = STR_LIT ("sheet");
@@ -205,7 +205,16 @@
     turn (20);
     if (!accepted)
       return "stale";
-    await_confirmation ();
+    return result;
+  }
+
+  // The same, and waits until keyed requests are served with it.
+  std::string
+  install (const std::string &sheet, int64_t version)
+  {
+    std::string result = propose (sheet, version);
+    if (node->config != nullptr && node->config->snapshot->version == version)
+      await_confirmation ();
     return result;
   }
 
--- a/packages/node/test/test_lifecycle.cc
+++ b/packages/node/test/test_lifecycle.cc
@@ -124,6 +124,24 @@
   close (fd);
 }
 
+// Guards against a balancer that sends keyed requests to a VM that must still
+// refuse them: seen when the first request of `make run` got 503.
+TEST (Readiness, FollowsTheFirstConfirmation)
+{
+  Vm vm;
+  EXPECT_EQ (503, vm.admin ("GET", "/readyz").status);
+  for (const char *name : { "q1", "q2", "o1" })
+    vm.add_upstream (name);
+  std::string sheet
+      = read_file (std::string (LT_TEST_DIR) + "/golden/basic.csv");
+  ASSERT_EQ ("", vm.propose (sheet, 1));
+  while (vm.admin ("GET", "/readyz").status != 200)
+    vm.turn (1);
+  EXPECT_EQ (200, vm.request ("GET", "/quotes/1",
+                              { "Authorization: Bearer demo-key-1" })
+                      .status);
+}
+
 // Guards against two processes that share an address and split its callers.
 TEST_F (Lifecycle, AddressInUseIsAnError)
 {
