Check a request against the configuration in force when its body is complete

Ruled out: the freshness gate, which looks at the VM's configuration and not at the request's. Change: the chain starts with the configuration in force. Conclusion: I4 holds for slow bodies; a request already authenticated still runs until its deadline.

--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -99,7 +99,8 @@
   lt_request_t *lt_request_create (struct lt_node *node);
   /** Ends the request: calls the done hooks and releases it.  */
   void lt_request_destroy (lt_request_t *request);
-  /** Runs the chain from the first filter.  */
+  /** Runs the chain from the first filter, with the configuration in force
+      now.  */
   void lt_request_start (lt_request_t *request);
   /** Goes on after LT_FILTER_WAIT.  */
   void lt_request_resume (lt_request_t *request);
--- a/packages/node/test/test_lifecycle.cc
+++ b/packages/node/test/test_lifecycle.cc
@@ -1,6 +1,8 @@
 // Callers that go away and planned stops of a VM.
 #include <gtest/gtest.h>
 
+#include <cstring>
+
 #include "session.h"
 
 class Lifecycle : public testing::Test
@@ -76,6 +78,33 @@
   EXPECT_TRUE (run_until ([&] { return vm.node->in_flight == 0; }));
 }
 
+// Guards against a key that goes on working after its withdrawal because the
+// caller sends its body slowly (I4): the key is checked against the
+// configuration in force when the body is complete.
+TEST_F (Lifecycle, KeyWithdrawnWhileTheBodyArrivesIsRefused)
+{
+  int fd = open_request ("POST /notes HTTP/1.1\r\nHost: x\r\n" + key
+                         + "\r\nContent-Length: 2\r\n\r\nx");
+  ASSERT_TRUE (run_until ([&] { return vm.node->in_flight == 1; }));
+  std::string sheet
+      = read_file (std::string (LT_TEST_DIR) + "/golden/basic.csv");
+  size_t at = sheet.find ("demo-key-1");
+  sheet.replace (at, strlen ("demo-key-1"), "demo-key-2");
+  ASSERT_EQ ("", vm.install (sheet, 2));
+  ASSERT_EQ (1, write (fd, "y", 1));
+  char answer[4096];
+  ssize_t got = -1;
+  ASSERT_TRUE (run_until ([&] {
+    if (got <= 0)
+      got = recv (fd, answer, sizeof (answer), MSG_DONTWAIT);
+    return got > 0;
+  }));
+  EXPECT_EQ ("401",
+             std::string (answer, static_cast<size_t> (got)).substr (9, 3));
+  EXPECT_EQ (0, runs ());
+  close (fd);
+}
+
 // Guards against losing the outcome of a never-repeat action whose caller went
 // away after it was sent.
 TEST_F (Lifecycle, NeverRepeatActionGoesOnWithoutItsCaller)
