--- a/packages/base/include/lt/base/str.h
+++ b/packages/base/include/lt/base/str.h
@@ -23,6 +23,9 @@
 /** Initializer for a view of a string literal.  */
 #define STR_LIT(s) ((str_t){ (s), sizeof (s) - 1 })
 
+/** The same as a constant initializer, for static data.  */
+#define STR_CONST(s) { (s), sizeof (s) - 1 }
+
 /** printf arguments for "%.*s".  */
 #define STR_ARG(s) (int)(s).len, (s).data
 
--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -33,6 +33,8 @@
     str_t name;
     int64_t rate_milli_per_s; /**< Requests per 1,000 s, fleet-wide. */
     int64_t burst;            /**< Requests, fleet-wide. */
+    int32_t priority;         /**< 0: highest; before that of the route. */
+    bool unlimited;           /**< Rate and burst do not apply. */
   } lt_workspace_t;
 
   /** Where a key comes from and whether it may be used.  */
@@ -58,6 +60,7 @@
     int32_t floor_percent; /**< Least healthy share of slots, 0 to 100. */
     uint32_t first_upstream;
     uint32_t upstream_count; /**< Upstreams of a service are contiguous. */
+    str_t health_path;       /**< Empty: the built-in one. */
   } lt_service_t;
 
   typedef struct lt_upstream
@@ -69,9 +72,28 @@
     str_t address; /**< "ip:port". */
     int32_t slots;
     int32_t connections;
-    bool drained; /**< Taken out of service by an operator. */
+    bool drained; /**< Takes no new work: an operator's or its own wish. */
+    /** Changes with each start under the same name; 0: not known.  */
+    uint64_t incarnation;
+    int64_t warm_until_us; /**< Slow until then, by this VM's clock. */
   } lt_upstream_t;
 
+  /** A part of a route's requests.  */
+  typedef struct lt_split
+  {
+    uint32_t service; /**< Index into services. */
+    int32_t weight;   /**< In proportion to the sum of the route's weights. */
+  } lt_split_t;
+
+  /** What a caller may send; 0: the built-in bound.  */
+  typedef struct lt_caller_limits
+  {
+    int64_t header_max_bytes;
+    int64_t body_max_bytes;
+    int64_t header_timeout_ms; /**< To receive a request's header. */
+    int64_t idle_timeout_ms;   /**< Of a connection between requests. */
+  } lt_caller_limits_t;
+
   typedef struct lt_route
   {
     str_t name;
@@ -86,6 +108,12 @@
     bool all_workspaces;
     uint32_t *workspaces; /**< Sorted indexes when not all_workspaces. */
     uint32_t workspace_count;
+    str_t host;               /**< Of a deployment's route; else empty. */
+    lt_split_t *splits;       /**< Services and their parts, or NULL. */
+    uint32_t split_count;     /**< 0: all requests go to service. */
+    int32_t attempts_max;     /**< Upstreams per request; 0: built-in. */
+    int32_t latency_target_ms; /**< 0: none. */
+    int32_t priority;         /**< 0: highest. */
   } lt_route_t;
 
   /** A planned stop of an upstream, in microseconds since the epoch (UTC).  */
@@ -115,8 +143,13 @@
     uint32_t route_count;
     lt_stop_t *stops;
     uint32_t stop_count;
+    lt_caller_limits_t limits;
+    /** Version as the operator knows it; 0: that is VERSION.  */
+    int64_t source_version;
+    bool by_host; /**< Routes match by host and raw path prefix. */
     struct lt_snapshot_index *index; /**< Lookup tables; built once. */
     struct lt_arena *arena;          /**< Owns every text and array. */
+    struct lt_arena *shared;         /**< Shared with another snapshot. */
   } lt_snapshot_t;
 
   /** Outcome of a route lookup.  */
@@ -141,6 +174,11 @@
                                             str_t method, str_t path,
                                             const lt_route_t **route,
                                             str_t *allow);
+  /** Finds the route of a snapshot BY_HOST: HOST without regard to case and
+      port, and the longest prefix, slash included, that begins PATH byte for
+      byte.  Returns NULL when there is none.  */
+  const lt_route_t *lt_snapshot_match_host (const lt_snapshot_t *snapshot,
+                                            str_t host, str_t path);
   /** Returns whether WORKSPACE may use ROUTE.  */
   bool lt_route_allows (const lt_route_t *route, uint32_t workspace);
   /** Return an index, or LT_NO_INDEX.  */
--- a/packages/config/src/arena.c
+++ b/packages/config/src/arena.c
@@ -25,6 +25,7 @@
   chunk_t *texts;
   chunk_t *blocks;
   size_t bytes;
+  int extra_owners;
   str_t recent[RECENT_TEXTS];
 };
 
@@ -34,6 +35,13 @@
   return lt_alloc (sizeof (lt_arena_t));
 }
 
+lt_arena_t *
+lt_arena_acquire (lt_arena_t *arena)
+{
+  arena->extra_owners++;
+  return arena;
+}
+
 static void
 chunks_destroy (chunk_t *chunk)
 {
@@ -48,7 +56,7 @@
 void
 lt_arena_destroy (lt_arena_t *arena)
 {
-  if (arena == NULL)
+  if (arena == NULL || arena->extra_owners-- > 0)
     return;
   chunks_destroy (arena->texts);
   chunks_destroy (arena->blocks);
--- a/packages/config/src/arena.h
+++ b/packages/config/src/arena.h
@@ -8,6 +8,9 @@
 typedef struct lt_arena lt_arena_t;
 
 lt_arena_t *lt_arena_create (void);
+/** Counts one more owner.  */
+lt_arena_t *lt_arena_acquire (lt_arena_t *arena);
+/** Releases the memory with the last owner.  */
 void lt_arena_destroy (lt_arena_t *arena);
 /** Returns SIZE zeroed bytes aligned for any type.  */
 void *lt_arena_alloc (lt_arena_t *arena, size_t size);
--- a/packages/config/src/index.c
+++ b/packages/config/src/index.c
@@ -31,6 +31,7 @@
   slots_t keys;         /* By hash; usable keys only. */
   slots_t upstreams;    /* By name. */
   slots_t paths;        /* By path; the first route of each path. */
+  slots_t hosts;        /* By host and prefix. */
   uint32_t *next_route; /* Next route with the same path. */
   uint8_t *route_methods;
   uint32_t max_segments;
@@ -195,6 +196,86 @@
   return 0;
 }
 
+static char
+lower (char c)
+{
+  return c >= 'A' && c <= 'Z' ? (char)(c + 'a' - 'A') : c;
+}
+
+static uint64_t
+host_hash (str_t host)
+{
+  uint64_t hash = FNV_OFFSET;
+  for (size_t i = 0; i < host.len; i++)
+    hash = (hash ^ (unsigned char)lower (host.data[i])) * FNV_PRIME;
+  return hash * FNV_PRIME;
+}
+
+static uint32_t
+host_find (const lt_snapshot_t *snapshot, str_t host, str_t prefix,
+           uint64_t hash, uint32_t *place)
+{
+  const slots_t *slots = &snapshot->index->hosts;
+  uint32_t at = path_slot (hash) & slots->mask;
+  for (; slots->rows[at] != LT_NO_INDEX; at = slots_next (slots, at))
+    {
+      const lt_route_t *route = &snapshot->routes[slots->rows[at]];
+      if (str_equal (route->path, prefix)
+          && str_equal_nocase (route->host, host))
+        break;
+    }
+  *place = at;
+  return slots->rows[at];
+}
+
+static int
+index_hosts (lt_snapshot_t *snapshot)
+{
+  slots_t *slots = &snapshot->index->hosts;
+  *slots = slots_create (snapshot->arena, snapshot->route_count);
+  for (uint32_t i = 0; i < snapshot->route_count; i++)
+    {
+      const lt_route_t *route = &snapshot->routes[i];
+      uint64_t hash = path_hash (host_hash (route->host), route->path);
+      uint32_t place;
+      if (host_find (snapshot, route->host, route->path, hash, &place)
+          != LT_NO_INDEX)
+        return -LT_EINVAL;
+      slots->rows[place] = i;
+    }
+  return 0;
+}
+
+const lt_route_t *
+lt_snapshot_match_host (const lt_snapshot_t *snapshot, str_t host, str_t path)
+{
+  const lt_route_t *found = NULL;
+  str_t port;
+  host = str_split (str_trim (host), ':', &port);
+  uint64_t hash = host_hash (host);
+  for (size_t i = 0; i < path.len; i++)
+    {
+      hash = (hash ^ (unsigned char)path.data[i]) * FNV_PRIME;
+      if (path.data[i] != '/')
+        continue;
+      uint32_t place;
+      uint32_t row = host_find (snapshot, host, str_make (path.data, i + 1),
+                                hash, &place);
+      if (row != LT_NO_INDEX)
+        found = &snapshot->routes[row];
+    }
+  return found;
+}
+
+int
+lt_snapshot_derive_index (const lt_snapshot_t *base, lt_snapshot_t *snapshot)
+{
+  snapshot->index
+      = lt_arena_alloc (snapshot->arena, sizeof (lt_snapshot_index_t));
+  *snapshot->index = *base->index;
+  return index_upstreams (snapshot);
+}
+
 static str_t
 allow_text (lt_snapshot_t *snapshot, uint32_t set)
 {
@@ -222,7 +303,7 @@
   if (err == 0)
     err = index_upstreams (snapshot);
   if (err == 0)
-    err = index_routes (snapshot);
+    err = snapshot->by_host ? index_hosts (snapshot) : index_routes (snapshot);
   return err;
 }
 
--- a/packages/config/src/index.h
+++ b/packages/config/src/index.h
@@ -17,5 +17,9 @@
     two keys have one hash, two upstreams one name, or two routes share path
     and method.  */
 int lt_snapshot_build_index (lt_snapshot_t *snapshot);
+/** As lt_snapshot_build_index for a snapshot that has the keys and routes of
+    BASE and upstreams of its own.  */
+int lt_snapshot_derive_index (const lt_snapshot_t *base,
+                              lt_snapshot_t *snapshot);
 
 #endif
--- a/packages/config/src/snapshot.c
+++ b/packages/config/src/snapshot.c
@@ -10,6 +10,7 @@
   if (snapshot == NULL)
     return;
   lt_arena_destroy (snapshot->arena);
+  lt_arena_destroy (snapshot->shared);
   free (snapshot);
 }
 
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -9,10 +9,12 @@
 #include "lt/base/rng.h"
 #include "lt/config/snapshot.h"
 #include "lt/node/controller.h"
+#include "lt/node/dialect.h"
 #include "lt/node/filter.h"
 #include "lt/node/refusal.h"
+#include "lt/node/registry.h"
 #include "lt/node/settings.h"
-#include "lt/platform/platform.h"
+#include "lt/store/store.h"
 #include "lt/policy/retry.h"
 
 #ifdef __cplusplus
@@ -49,6 +51,22 @@
     const lt_peers_vtable_t *vtable;
   };
 
+  /** Knows the other VMs.  The membership controller implements it, or the
+      mesh controller of a hosted fleet.  */
+  typedef struct lt_vm_directory
+  {
+    /** Returns the peer address of VM_ID, empty when it is not known.  */
+    str_t (*address) (lt_node_t *node, str_t vm_id);
+    /** Writes at most CAP ids of other VMs and returns their number; with CAP
+        0 returns the number only.  */
+    size_t (*others) (lt_node_t *node, str_t *ids, size_t cap);
+    /** The same for those of this VM's failure domain, or else for those of
+        its region outside the domain.  May be NULL.  */
+    size_t (*near) (lt_node_t *node, bool in_domain, str_t *ids, size_t cap);
+    /** Returns whether a connection to VM_ID is open.  May be NULL.  */
+    bool (*is_connected) (lt_node_t *node, str_t vm_id);
+  } lt_vm_directory_t;
+
   /** How an attempt at an upstream ended.  */
   typedef enum lt_attempt_outcome
   {
@@ -59,6 +77,8 @@
     LT_ATTEMPT_SHED,    /**< 503 with Retry-After. */
     LT_ATTEMPT_TIMEOUT,
     LT_ATTEMPT_TRUNCATED, /**< Body cut short. */
+    LT_ATTEMPT_MIXED_UP, /**< The answer was not the request's own. */
+    LT_ATTEMPT_MISDIRECTED, /**< Another upstream has the address. */
     LT_ATTEMPT_CANCELED   /**< By the caller or a hedge; no evidence. */
   } lt_attempt_outcome_t;
 
@@ -86,8 +106,10 @@
     lt_clock_t *clock;
     lt_rng_t rng;
     const lt_settings_t *settings;
+    const lt_dialect_t *dialect;
     lt_metrics_t *metrics;
     lt_platform_t platform;
+    lt_registry_t *registry; /**< NULL unless hosted. */
     uint64_t incarnation;      /**< Grows with each start of this VM id. */
     lt_snapshot_ref_t *config; /**< In force; NULL before the first. */
     lt_peers_t *peers;         /**< NULL without other VMs. */
@@ -107,8 +129,11 @@
     lt_gauge_t *in_flight_gauge;
     uint64_t next_sequence;
     int64_t in_flight; /**< Requests of callers. */
+    str_t peer_secret; /**< Shared by the VMs; empty: no connections. */
     bool leaving;
     bool was_confirmed; /**< Keyed requests could be served at least once. */
+    /** Where other VMs are; NULL without other VMs.  */
+    const struct lt_vm_directory *directory;
     /* Set by the controllers that own them, for use by filters and admin
        handlers; NULL when absent.  */
     struct lt_config_controller *config_controller;
@@ -120,6 +145,8 @@
     struct lt_limit_controller *limit_controller;
     struct lt_claim_controller *claim_controller;
     struct lt_quarantine_controller *quarantine_controller;
+    struct lt_source_controller *source_controller;
+    struct lt_quota_controller *quota_controller;
   };
 
   int64_t lt_node_now_us (lt_node_t *node);
@@ -140,6 +167,10 @@
   void lt_node_deliver (lt_node_t *node, const lt_peer_message_t *message);
   /** Tells every controller how an attempt ended, through the bus; copies.  */
   void lt_node_observe (lt_node_t *node, const lt_observation_event_t *event);
+  /** As lt_node_observe for an event whose snapshot is that of CONFIG.  */
+  void lt_node_observe_in (lt_node_t *node,
+                           const lt_observation_event_t *event,
+                           lt_snapshot_ref_t *config);
 
 #ifdef __cplusplus
 }
--- a/packages/node/include/lt/node/settings.h
+++ b/packages/node/include/lt/node/settings.h
@@ -15,7 +15,8 @@
   typedef enum lt_platform_kind
   {
     LT_PLATFORM_MEMORY,
-    LT_PLATFORM_HTTP
+    LT_PLATFORM_HTTP,
+    LT_PLATFORM_HOST /**< What a hosting adapter brings. */
   } lt_platform_kind_t;
 
   typedef struct lt_settings
@@ -25,6 +26,7 @@
     str_t failure_domain;
     str_t store_region; /**< Region that holds the store; default: region. */
     str_t listen;       /**< "ip:port" for callers. */
+    str_t ready_listen; /**< For a load balancer's checks; empty: none. */
     str_t admin_listen;
     str_t peer_listen;
     str_t seeds; /**< Comma-separated "ip:port" of other VMs. */
@@ -44,6 +46,16 @@
     str_t access_key;
     str_t secret_key;
     bool check_only;
+    /** Bounds of a hosted fleet.  */
+    int64_t retry_permille;     /**< Repeats per 1,000 requests. */
+    int64_t retry_slack;        /**< Repeats of the fleet besides, in... */
+    int64_t retry_window_ms;    /**< ...any time of this length. */
+    int64_t rate_over_permille; /**< By which rates may be exceeded... */
+    int64_t rate_slack;         /**< ...and requests besides. */
+    int64_t stop_grace_ms;      /**< From SIGTERM to SIGKILL. */
+    int64_t revoke_ms;          /**< In which a withdrawn key is dead. */
+    bool fail_closed;           /**< No keys while the register is away. */
+    const struct lt_hosting *hosting; /**< The adapter; NULL: none. */
   } lt_settings_t;
 
   /** Sets the defaults.  */
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -17,6 +17,8 @@
 enum
 {
   CONNECTION_MEMORY_BYTES = 16 * 1024, /* Bounds the request's header. */
+  /* The header that a deployment allows, and libmicrohttpd's own needs.  */
+  HOSTED_CONNECTION_MEMORY_BYTES = 40 * 1024,
   IDLE_TIMEOUT_S = 75,
   ANSWER_BLOCK_BYTES = 16 * 1024
 };
@@ -204,8 +206,9 @@
   for (size_t i = 0; i < answer->headers.count; i++)
     add_header (response, answer->headers.items[i].name,
                 answer->headers.items[i].value);
-  add_header (response, STR_LIT ("X-Request-Id"),
-              str_from (request->request_id));
+  if (request->request_id[0] != '\0')
+    add_header (response, request->node->dialect->request_id,
+                str_from (request->request_id));
   if (call->server->node->leaving || request->head_invalid)
     add_header (response, STR_LIT ("Connection"), STR_LIT ("close"));
   answer->started = true;
@@ -325,7 +328,9 @@
       NULL, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
       MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)(server->node->registry != NULL ? HOSTED_CONNECTION_MEMORY_BYTES
+                                              : CONNECTION_MEMORY_BYTES),
       MHD_OPTION_CONNECTION_LIMIT,
       (unsigned int)server->node->settings->max_connections,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
--- a/packages/node/src/claim_run.c
+++ b/packages/node/src/claim_run.c
@@ -172,7 +172,7 @@
   if (found->content_type.len > 0)
     lt_header_list_add (&answer->headers, STR_LIT ("Content-Type"),
                         found->content_type);
-  lt_header_list_add (&answer->headers, STR_LIT ("X-Request-Ran"),
+  lt_header_list_add (&answer->headers, request->node->dialect->ran,
                       str_from (lt_ran_text (LT_RAN_RAN)));
   lt_buf_append_str (&answer->body, found->body);
   lt_request_answer_ready (request);
--- a/packages/node/src/claim_table.h
+++ b/packages/node/src/claim_table.h
@@ -5,7 +5,7 @@
 #define LT_NODE_CLAIM_TABLE_H
 
 #include "lt/base/metrics.h"
-#include "lt/platform/platform.h"
+#include "lt/store/store.h"
 #include "lt/policy/claim.h"
 
 #ifdef __cplusplus
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -9,6 +9,10 @@
 #include "drain_controller.h"
 #include "filter_record.h"
 #include "filters.h"
+#include "lt/node/source_controller.h"
+#include "lt/node/upstream_controller.h"
+#include "mesh_controller.h"
+#include "readiness.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
@@ -19,6 +23,7 @@
 #include "lt/node/health_controller.h"
 #include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
+#include "lt/node/quota_controller.h"
 #include "lt/policy/freshness.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
@@ -36,6 +41,7 @@
   lt_node_t node;
   lt_admin_t *admin;
   lt_caller_server_t *callers;
+  lt_readiness_t *readiness;
   ev_timer tick;
   int64_t drain_started_us;
 };
@@ -102,7 +108,7 @@
     if (node->controllers[i]->vtable->tick != NULL)
       node->controllers[i]->vtable->tick (node->controllers[i], now_us);
   /* Stays set: a VM cut off later still serves open routes.  */
-  if (!node->was_confirmed)
+  if (!node->was_confirmed && node->freshness != NULL)
     node->was_confirmed
         = node->config != NULL
           && lt_freshness_allows_keyed (node->freshness, now_us);
@@ -122,8 +128,10 @@
   lt_node_add_filter (node, lt_filter_deadline_create ());
   lt_node_add_filter (node, lt_filter_quarantine_create ());
   lt_node_add_filter (node, lt_filter_limit_create ());
-  lt_node_add_filter (node, lt_filter_admission_create (node->metrics));
-  lt_node_add_filter (node, lt_filter_claim_create ());
+  if (node->settings->hosting == NULL)
+    lt_node_add_filter (node, lt_filter_admission_create (node->metrics));
+  if (node->dialect->claims)
+    lt_node_add_filter (node, lt_filter_claim_create ());
   lt_node_add_filter (node, lt_filter_dispatch_create ());
 }
 
@@ -131,6 +139,9 @@
 create_platform (lt_node_t *node)
 {
   const lt_settings_t *s = node->settings;
+  if (s->hosting != NULL)
+    return s->hosting->registry_create (node->loop, s->hosting->user,
+                                        &node->registry);
   if (s->platform == LT_PLATFORM_MEMORY)
     return lt_platform_memory_create (node->loop, node->clock,
                                       &node->platform);
@@ -150,9 +161,26 @@
   return lt_quarantine_controller_has_losses (user, fingerprint);
 }
 
+/* A hosting platform holds the configuration and the register, so nothing of
+   that is agreed on between the VMs.  */
+static int
+add_hosted_controllers (lt_node_t *node)
+{
+  lt_node_add_controller (node, lt_mesh_controller_create (node));
+  lt_controller_t *upstreams = lt_upstream_controller_create (node);
+  lt_node_add_controller (node, upstreams);
+  node->pools = lt_upstream_controller_pools (upstreams);
+  lt_node_add_controller (node, lt_quarantine_controller_create (node));
+  lt_node_add_controller (node, lt_quota_controller_create (node));
+  lt_node_add_controller (node, lt_source_controller_create (node));
+  return 0;
+}
+
 static int
 add_controllers (lt_node_t *node)
 {
+  if (node->registry != NULL)
+    return add_hosted_controllers (node);
   lt_node_add_controller (node, lt_config_controller_create (node));
   if (node->settings->peer_listen.len > 0)
     {
@@ -191,6 +219,19 @@
   return 0;
 }
 
+/* The fleet's allowance beside the ratio is shared by the VMs, so each has
+   little of it; the ratio keeps a tenth in reserve.  */
+static void
+use_hosted_budget (const lt_settings_t *settings, lt_retry_options_t *options)
+{
+  options->retry_ratio = (double)settings->retry_permille * 0.9 / 1000;
+  options->workspace_ratio = 1;
+  options->hedge_ratio = 0;
+  options->budget_burst = 1;
+  options->budget_per_s = 0;
+  options->unsent_is_free = true;
+}
+
 static void
 create_node (lt_daemon_t *daemon, struct ev_loop *loop, lt_clock_t *clock,
              const lt_settings_t *settings)
@@ -202,11 +243,15 @@
   node->loop = loop;
   node->clock = clock;
   node->settings = settings;
+  node->dialect
+      = settings->hosting == NULL ? &lt_dialect_default : settings->hosting->dialect;
   node->metrics = lt_metrics_create ();
   node->incarnation = (uint64_t)lt_clock_wall_us (clock);
   lt_rng_init (&node->rng, seed);
   node->bus = lt_bus_create (node);
   lt_retry_options_t retry_options = LT_RETRY_OPTIONS_DEFAULT;
+  if (settings->hosting != NULL)
+    use_hosted_budget (settings, &retry_options);
   node->retry = lt_retry_create (&retry_options, &node->rng);
   lt_node_counters_create (node);
   add_filters (node);
@@ -235,6 +280,8 @@
     lt_admin_add_api (daemon->admin);
   if (error == 0)
     error = lt_caller_server_create (node, &daemon->callers);
+  if (error == 0 && settings->ready_listen.len > 0)
+    error = lt_readiness_create (node, &daemon->readiness);
   ev_timer_init (&daemon->tick, on_tick, TICK_S, TICK_S);
   daemon->tick.data = daemon;
   if (error != 0)
@@ -264,6 +311,7 @@
 {
   lt_node_t *node = &daemon->node;
   ev_timer_stop (node->loop, &daemon->tick);
+  lt_readiness_destroy (daemon->readiness);
   lt_caller_server_destroy (daemon->callers);
   lt_admin_destroy (daemon->admin);
   for (int i = node->controller_count - 1; i >= 0; i--)
@@ -273,6 +321,8 @@
   lt_upstream_client_destroy (node->upstreams);
   lt_retry_destroy (node->retry);
   lt_platform_destroy (&node->platform);
+  if (node->registry != NULL)
+    node->registry->vtable->destroy (node->registry);
   lt_bus_destroy (node->bus);
   lt_snapshot_ref_release (node->config);
   lt_metrics_destroy (node->metrics);
--- /dev/null
+++ b/packages/node/src/dialect.c
@@ -0,0 +1,14 @@
+#include "lt/node/dialect.h"
+
+const lt_dialect_t lt_dialect_default = {
+  .request_id = STR_CONST ("X-Request-Id"),
+  .deadline = STR_CONST ("X-Deadline-Ms"),
+  .workspace = STR_CONST ("X-Workspace"),
+  .instance = STR_CONST (""),
+  .not_run = STR_CONST (""),
+  .seal = STR_CONST (""),
+  .ran = STR_CONST ("X-Request-Ran"),
+  .makes_request_id = true,
+  .claims = true,
+  .readiness_path = STR_CONST ("/readyz"),
+};
--- /dev/null
+++ b/packages/node/src/dispatch_answer.c
@@ -0,0 +1,82 @@
+#include "dispatch_internal.h"
+#include "lt/base/log.h"
+
+enum
+{
+  STATUS_OK_FIRST = 200,
+  STATUS_OK_LAST = 299,
+  STATUS_MISDIRECTED = 421
+};
+
+/* An upstream's success must be whole and its own; a failure without a request
+   id is taken as it is, because it is never shown as a success.  */
+static bool
+is_mixed_up (const attempt_t *attempt, const lt_header_list_t *headers)
+{
+  const lt_request_t *request = attempt->dispatch->request;
+  const lt_dialect_t *dialect = request->node->dialect;
+  bool success = attempt->status >= STATUS_OK_FIRST
+                 && attempt->status <= STATUS_OK_LAST;
+  str_t id = lt_header_list_get (headers, dialect->request_id);
+  if (id.data != NULL || success)
+    {
+      if (!str_equal (id, str_from (request->request_id)))
+        return true;
+      if (lt_header_list_count (headers, dialect->request_id) > 1)
+        return true;
+    }
+  if (!success)
+    return false;
+  return lt_header_list_count (headers, dialect->seal) != 1
+         || lt_header_list_count (headers, STR_LIT ("Content-Encoding")) > 0;
+}
+
+void
+lt_dispatch_check_answer (attempt_t *attempt, const lt_header_list_t *headers)
+{
+  const lt_dialect_t *dialect = attempt->dispatch->request->node->dialect;
+  if (!dialect->answer_repeats_id)
+    return;
+  attempt->not_run
+      = (dialect->misdirected_is_not_run
+         && attempt->status == STATUS_MISDIRECTED)
+        || (attempt->status >= 400
+            && lt_header_list_count (headers, dialect->not_run) > 0);
+  attempt->mixed_up = !attempt->not_run && is_mixed_up (attempt, headers);
+}
+
+bool
+lt_dispatch_status_promises (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static const char *
+outcome_name (lt_attempt_outcome_t outcome)
+{
+  static const char *const names[]
+      = { "ok",      "failed",    "reset",    "refused",     "shed",
+          "timeout", "truncated", "mixed-up", "misdirected", "canceled" };
+  return names[outcome];
+}
+
+void
+lt_dispatch_log_attempt (const attempt_t *attempt,
+                         lt_attempt_outcome_t outcome)
+{
+  if (outcome == LT_ATTEMPT_OK)
+    return;
+  const lt_request_t *request = attempt->dispatch->request;
+  const lt_snapshot_t *snapshot = attempt->config->snapshot;
+  const lt_upstream_t *upstream = &snapshot->upstreams[attempt->upstream];
+  int64_t now_us = lt_node_now_us (request->node);
+  lt_log (LT_LOG_INFO, "dispatch",
+          "msg=\"attempt failed\" request=%s attempt=%u upstream=%.*s "
+          "address=%.*s outcome=%s status=%d sent=%d ms=%lld config=%lld",
+          request->request_id,
+          (unsigned)(attempt - attempt->dispatch->attempts) + 1,
+          STR_ARG (upstream->name), STR_ARG (upstream->address),
+          outcome_name (outcome), attempt->status, attempt->byte_sent,
+          (long long)((now_us - attempt->started_us) / LT_US_PER_MS),
+          (long long)snapshot->source_version);
+}
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -1,4 +1,5 @@
 #include "dispatch_internal.h"
+#include "lt/base/error.h"
 #include "pools.h"
 
 bool
@@ -7,14 +8,51 @@
   return dispatch->request->route->action == LT_ACTION_IDEMPOTENT;
 }
 
-static bool
-other_upstream_exists (lt_dispatch_t *dispatch)
+/* The pools may stand on another snapshot than the attempts before; service
+   and upstreams are then found by their names.  */
+static void
+follow_config (lt_dispatch_t *dispatch, lt_snapshot_ref_t *config)
 {
-  lt_pools_t *pools = dispatch->request->node->pools;
-  int64_t now_us = lt_node_now_us (dispatch->request->node);
-  return pools->vtable->pick (pools, dispatch->service, dispatch->tried,
-                              dispatch->attempt_count, now_us)
-         >= 0;
+  if (dispatch->config == config)
+    return;
+  lt_snapshot_ref_release (dispatch->config);
+  dispatch->config = lt_snapshot_ref_acquire (config);
+  dispatch->service
+      = lt_snapshot_find_service (config->snapshot, dispatch->service_name);
+}
+
+int64_t
+lt_dispatch_pick (lt_dispatch_t *dispatch)
+{
+  lt_request_t *request = dispatch->request;
+  lt_pools_t *pools = request->node->pools;
+  lt_snapshot_ref_t *config = pools->vtable->config (pools);
+  uint32_t tried[ATTEMPTS_MAX];
+  uint32_t count = 0;
+  if (config == NULL || dispatch->attempt_count == ATTEMPTS_MAX)
+    return -LT_EUNAVAILABLE;
+  follow_config (dispatch, config);
+  if (dispatch->service == LT_NO_INDEX)
+    return -LT_EUNAVAILABLE;
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    {
+      const attempt_t *attempt = &dispatch->attempts[i];
+      uint32_t index = attempt->upstream;
+      if (attempt->config != config)
+        index = lt_snapshot_find_upstream (
+            config->snapshot,
+            attempt->config->snapshot->upstreams[index].name);
+      if (index != LT_NO_INDEX)
+        tried[count++] = index;
+    }
+  lt_pick_t pick = {
+    .service = dispatch->service,
+    .tried = tried,
+    .tried_count = count,
+    .repeatable = lt_dispatch_is_idempotent (dispatch),
+    .body_bytes = (int64_t)request->body.len,
+  };
+  return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
 
 static lt_retry_attempt_t
@@ -26,11 +64,11 @@
     .workspace = dispatch->workspace_hash,
     .failure = failure,
     .idempotent = lt_dispatch_is_idempotent (dispatch),
-    .byte_sent = attempt->byte_sent,
+    .byte_sent = attempt->byte_sent && !attempt->not_run,
     .response_started = dispatch->winner != NULL,
-    .other_upstream = dispatch->attempt_count < ATTEMPTS_MAX
-                      && other_upstream_exists (dispatch),
+    .other_upstream = lt_dispatch_pick (dispatch) >= 0,
     .attempts = (int)dispatch->attempt_count,
+    .attempts_max = dispatch->request->route->attempts_max,
     .deadline_us = dispatch->request->deadline_us,
   };
 }
--- a/packages/node/src/filter_deadline.c
+++ b/packages/node/src/filter_deadline.c
@@ -6,8 +6,8 @@
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
   int64_t timeout_ms = request->route->timeout_ms;
-  str_t text
-      = lt_header_list_get (&request->headers, STR_LIT ("X-Deadline-Ms"));
+  str_t text = lt_header_list_get (&request->headers,
+                                   filter->node->dialect->deadline);
   if (text.data != NULL)
     {
       int64_t asked_ms = 0;
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -3,6 +3,8 @@
 #include "dispatch_internal.h"
 #include "filters.h"
 #include "lt/base/error.h"
+#include "lt/base/hash.h"
+#include "lt/base/rng.h"
 #include "lt/node/claim_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "outgoing.h"
@@ -43,10 +45,14 @@
   int64_t end_us = attempt->header_us != 0 ? attempt->header_us
                                            : lt_node_now_us (request->node);
   attempt->transfer = NULL;
-  pools->vtable->end (pools, dispatch->config->snapshot, attempt->upstream);
+  if (attempt->byte_sent && attempt->not_run)
+    dispatch->may_have_run--;
+  request->byte_sent = dispatch->may_have_run > 0;
+  pools->vtable->end (pools, attempt->config->snapshot, attempt->upstream);
+  lt_dispatch_log_attempt (attempt, outcome);
   lt_observation_event_t event = {
     .upstream = attempt->upstream,
-    .snapshot = dispatch->config->snapshot,
+    .snapshot = attempt->config->snapshot,
     .outcome = outcome,
     .status = attempt->status,
     .latency_us = end_us - attempt->started_us,
@@ -57,7 +63,7 @@
     .answered = attempt->header_us != 0,
     .closing = attempt->closing,
   };
-  lt_node_observe (request->node, &event);
+  lt_node_observe_in (request->node, &event, attempt->config);
 }
 
 static void
@@ -83,6 +89,14 @@
   return dispatch->request->route->action == LT_ACTION_NEVER_REPEAT;
 }
 
+/* Whole answers are held back so that a damaged one can be replaced.  */
+static bool
+holds_answers (const lt_dispatch_t *dispatch)
+{
+  return is_never_repeat (dispatch)
+         || dispatch->request->node->dialect->answer_repeats_id;
+}
+
 static bool
 is_failure_status (int status)
 {
@@ -101,8 +115,9 @@
   ev_timer_stop (loop, &dispatch->hedge_timer);
   cancel_others (dispatch, attempt);
   answer->status = status;
-  lt_outgoing_answer_headers (headers, &answer->headers, &answer->length);
-  if (is_never_repeat (dispatch))
+  lt_outgoing_answer_headers (request->node->dialect, headers,
+                              &answer->headers, &answer->length);
+  if (holds_answers (dispatch))
     return;
   answer->header_ready = true;
 }
@@ -124,6 +139,9 @@
     lt_retry_on_latency (dispatch->request->node->retry,
                          dispatch->service_hash,
                          attempt->header_us - attempt->started_us);
+  lt_dispatch_check_answer (attempt, headers);
+  if (attempt->not_run || attempt->mixed_up)
+    return false;
   if (is_failure_status (status))
     {
       bool shed = status == 503 && attempt->retry_after_ms > 0;
@@ -133,6 +151,9 @@
       if (attempt->decision.retry)
         return false;
     }
+  if (dispatch->request->node->dialect->not_run.len > 0
+      && lt_dispatch_status_promises (status))
+    return false;
   use_answer (attempt, status, headers);
   return true;
 }
@@ -164,9 +185,10 @@
 {
   attempt_t *attempt = owner;
   lt_request_t *request = attempt->dispatch->request;
-  if (!lt_claim_permits (request))
+  if (request->node->dialect->claims && !lt_claim_permits (request))
     return false;
   attempt->byte_sent = true;
+  attempt->dispatch->may_have_run++;
   request->byte_sent = true;
   return true;
 }
@@ -174,6 +196,10 @@
 static lt_attempt_outcome_t
 attempt_outcome (const attempt_t *attempt, const lt_transfer_result_t *result)
 {
+  if (attempt->not_run)
+    return attempt->status == 421 ? LT_ATTEMPT_MISDIRECTED : LT_ATTEMPT_SHED;
+  if (attempt->mixed_up)
+    return LT_ATTEMPT_MIXED_UP;
   switch (result->end)
     {
     case LT_TRANSFER_REFUSED:
@@ -224,7 +250,8 @@
 static lt_filter_result_t
 refuse (lt_request_t *request, lt_refusal_t refusal)
 {
-  if (lt_claim_holds_refusal (request, refusal))
+  if (request->node->dialect->claims
+      && lt_claim_holds_refusal (request, refusal))
     return LT_FILTER_WAIT;
   return lt_request_refuse (request, refusal);
 }
@@ -293,6 +320,29 @@
     start_attempt (dispatch);
 }
 
+/* Nothing of the damaged answer was shown, so the request goes on as if there
+   had been none.  */
+static void
+drop_answer (lt_dispatch_t *dispatch)
+{
+  lt_answer_t *answer = &dispatch->request->answer;
+  dispatch->winner = NULL;
+  lt_header_list_destroy (&answer->headers);
+  lt_buf_clear (&answer->body);
+  answer->status = 0;
+  answer->length = -1;
+}
+
+static lt_retry_failure_t
+attempt_failure (const attempt_t *attempt, const lt_transfer_result_t *result)
+{
+  if (attempt->not_run)
+    return LT_RETRY_NOT_RUN;
+  if (attempt->mixed_up)
+    return LT_RETRY_MIXED_UP;
+  return lt_dispatch_failure (result->end);
+}
+
 static void
 on_done (void *owner, const lt_transfer_result_t *result)
 {
@@ -301,6 +351,9 @@
   close_attempt (attempt, attempt_outcome (attempt, result));
   dispatch->timed_out = result->end == LT_TRANSFER_TIMEOUT;
   dispatch->last_reset = result->end == LT_TRANSFER_RESET;
+  if (dispatch->winner == attempt && result->end != LT_TRANSFER_COMPLETE
+      && !dispatch->request->answer.header_ready)
+    drop_answer (dispatch);
   if (dispatch->winner == attempt)
     {
       finish_answer (dispatch, result);
@@ -310,7 +363,7 @@
       = attempt->decided
             ? attempt->decision
             : lt_dispatch_decide_retry (dispatch, attempt,
-                                        lt_dispatch_failure (result->end));
+                                        attempt_failure (attempt, result));
   int64_t delay_us = notice_delay_us (dispatch);
   if (decision.retry)
     {
@@ -341,15 +394,23 @@
   lt_outgoing_headers (request, attempt->started_us, &headers);
   int64_t remaining_ms
       = lt_request_remaining_ms (request, attempt->started_us);
+  const lt_upstream_t *upstream
+      = &attempt->config->snapshot->upstreams[attempt->upstream];
+  if (request->node->dialect->instance.len > 0)
+    lt_header_list_add (&headers, request->node->dialect->instance,
+                        upstream->name);
+  lt_pools_t *pools = dispatch_pools (dispatch);
   lt_transfer_options_t options = {
-    .address
-    = dispatch->config->snapshot->upstreams[attempt->upstream].address,
+    .address = upstream->address,
     .method = str_from (request->method),
     .target = lt_buf_str (&dispatch->target),
     .headers = &headers,
     .body = lt_buf_str (&request->body),
     .timeout_ms = remaining_ms > 0 ? remaining_ms : 1,
-    .fresh_connection = is_never_repeat (dispatch),
+    .fresh_connection = holds_answers (dispatch),
+    .connect_ms = pools->vtable->connect_ms == NULL
+                      ? 0
+                      : pools->vtable->connect_ms (pools, attempt->upstream),
   };
   lt_transfer_t *transfer = lt_upstream_client_send (
       request->node->upstreams, &options, &transfer_vtable, attempt);
@@ -363,38 +424,40 @@
 {
   lt_pools_t *pools = dispatch_pools (dispatch);
   int64_t now_us = lt_node_now_us (dispatch->request->node);
-  int64_t picked
-      = pools->vtable->pick (pools, dispatch->service, dispatch->tried,
-                             dispatch->attempt_count, now_us);
+  int64_t picked = lt_dispatch_pick (dispatch);
   if (picked < 0)
     return false;
-  uint32_t index = dispatch->attempt_count;
-  attempt_t *attempt = &dispatch->attempts[index];
+  attempt_t *attempt = &dispatch->attempts[dispatch->attempt_count];
   *attempt = (attempt_t){ .dispatch = dispatch,
+                          .config = dispatch->config,
                           .upstream = (uint32_t)picked,
                           .started_us = now_us };
   attempt->transfer = send_attempt (dispatch, attempt);
   if (attempt->transfer == NULL)
     return false;
-  dispatch->tried[index] = attempt->upstream;
+  lt_snapshot_ref_acquire (attempt->config);
   dispatch->attempt_count++;
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
   return true;
 }
 
-/* The pools may stand on a newer snapshot than the request; the service is
-   then found by its name.  */
-static int
-find_service (lt_dispatch_t *dispatch)
+/* Returns the service that the request goes to: the route's, or one of its
+   parts by weight.  */
+static str_t
+choose_service (const lt_request_t *request)
 {
-  const lt_request_t *request = dispatch->request;
-  const lt_snapshot_t *snapshot = dispatch->config->snapshot;
-  dispatch->service = request->route->service;
-  if (snapshot == request->snapshot)
-    return 0;
-  str_t name = request->snapshot->services[request->route->service].name;
-  dispatch->service = lt_snapshot_find_service (snapshot, name);
-  return dispatch->service == LT_NO_INDEX ? -LT_ENOTFOUND : 0;
+  const lt_route_t *route = request->route;
+  const lt_service_t *services = request->snapshot->services;
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < route->split_count; i++)
+    sum += (uint64_t)route->splits[i].weight;
+  if (sum == 0)
+    return services[route->service].name;
+  uint64_t drawn = lt_rng_below (&request->node->rng, sum);
+  uint32_t part = 0;
+  for (; drawn >= (uint64_t)route->splits[part].weight; part++)
+    drawn -= (uint64_t)route->splits[part].weight;
+  return services[route->splits[part].service].name;
 }
 
 static void
@@ -403,8 +466,8 @@
   const lt_request_t *request = dispatch->request;
   const lt_snapshot_t *snapshot = request->snapshot;
   lt_node_t *node = request->node;
-  dispatch->service_hash
-      = lt_hash64 (snapshot->services[request->route->service].name);
+  dispatch->service_name = choose_service (request);
+  dispatch->service_hash = lt_hash64 (dispatch->service_name);
   if (request->workspace != LT_NO_INDEX)
     dispatch->workspace_hash
         = lt_hash64 (snapshot->workspaces[request->workspace].name);
@@ -435,18 +498,16 @@
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
   lt_pools_t *pools = filter->node->pools;
-  lt_snapshot_ref_t *config = pools->vtable->config (pools);
-  if (config == NULL)
+  if (pools->vtable->config (pools) == NULL)
     return refuse (request, LT_REFUSE_NO_CONFIG);
   if (lt_node_now_us (filter->node) >= request->deadline_us)
     return refuse (request, LT_REFUSE_DEADLINE);
   lt_dispatch_t *dispatch = lt_alloc (sizeof (*dispatch));
   request->dispatch = dispatch;
   dispatch->request = request;
-  dispatch->config = lt_snapshot_ref_acquire (config);
   lt_outgoing_target (request, &dispatch->target);
   init_retry (dispatch);
-  if (find_service (dispatch) != 0 || !start_attempt (dispatch))
+  if (!start_attempt (dispatch))
     return refuse (request, LT_REFUSE_NO_UPSTREAM);
   start_hedge_timer (dispatch);
   return LT_FILTER_WAIT;
@@ -464,6 +525,8 @@
   cancel_others (dispatch, NULL);
   request->dispatch = NULL;
   lt_snapshot_ref_release (dispatch->config);
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    lt_snapshot_ref_release (dispatch->attempts[i].config);
   lt_buf_destroy (&dispatch->target);
   free (dispatch);
 }
--- a/packages/node/src/filter_limit.c
+++ b/packages/node/src/filter_limit.c
@@ -1,5 +1,6 @@
 #include "filters.h"
 #include "lt/node/limit_controller.h"
+#include "lt/node/quota_controller.h"
 #include "lt/node/node.h"
 #include "lt/node/request.h"
 
@@ -7,6 +8,9 @@
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
   lt_limit_controller_t *controller = filter->node->limit_controller;
+  lt_quota_controller_t *quota = filter->node->quota_controller;
+  if (quota != NULL && request->workspace != LT_NO_INDEX)
+    return lt_quota_controller_spend (quota, request, filter->slot);
   if (controller == NULL || request->workspace == LT_NO_INDEX)
     return LT_FILTER_CONTINUE;
   return lt_limit_controller_spend (controller, request, filter->slot);
@@ -15,6 +19,11 @@
 static void
 filter_done (lt_filter_t *filter, lt_request_t *request)
 {
+  if (filter->node->quota_controller != NULL)
+    {
+      lt_quota_controller_forget (request, filter->slot);
+      return;
+    }
   lt_limit_controller_forget (filter->node->limit_controller, request,
                               filter->slot);
 }
--- a/packages/node/src/filter_record.c
+++ b/packages/node/src/filter_record.c
@@ -66,7 +66,7 @@
                s->workspaces[request->workspace].name);
   copy_text (r->ran, sizeof (r->ran),
              lt_header_list_get (&request->answer.headers,
-                                 STR_LIT ("X-Request-Ran")));
+                                 node->dialect->ran));
 }
 
 static void
--- a/packages/node/src/filter_request_id.c
+++ b/packages/node/src/filter_request_id.c
@@ -33,10 +33,11 @@
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
   lt_node_t *node = filter->node;
-  str_t id = lt_header_list_get (&request->headers, STR_LIT ("X-Request-Id"));
+  const lt_dialect_t *dialect = node->dialect;
+  str_t id = lt_header_list_get (&request->headers, dialect->request_id);
   if (id_is_valid (id) && !id_holds_key (request, id))
     memcpy (request->request_id, id.data, id.len);
-  else
+  else if (dialect->makes_request_id)
     snprintf (request->request_id, sizeof (request->request_id),
               "%.*s-%" PRIx64 "-%" PRIx64, STR_ARG (node->settings->vm_id),
               node->incarnation, request->sequence);
--- a/packages/node/src/filter_route.c
+++ b/packages/node/src/filter_route.c
@@ -30,6 +30,16 @@
     return lt_request_refuse (request, LT_REFUSE_PATH_INVALID);
   if (request->snapshot == NULL)
     return lt_request_refuse (request, LT_REFUSE_NO_CONFIG);
+  if (request->snapshot->by_host)
+    {
+      request->route = lt_snapshot_match_host (
+          request->snapshot,
+          lt_header_list_get (&request->headers, STR_LIT ("Host")),
+          str_from (request->path));
+      return request->route != NULL
+                 ? LT_FILTER_CONTINUE
+                 : lt_request_refuse (request, LT_REFUSE_NO_ROUTE);
+    }
   str_t allow = str_make (NULL, 0);
   switch (lt_snapshot_match_route (
       request->snapshot, str_from (request->method), str_from (request->path),
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -87,17 +87,17 @@
 }
 
 static int64_t
-pools_pick (lt_pools_t *pools, uint32_t service, const uint32_t *tried,
-            uint32_t tried_count, int64_t now_us)
+pools_pick (lt_pools_t *pools, const lt_pick_t *pick, int64_t now_us)
 {
   lt_health_controller_t *self = from_pools (pools);
-  lt_health_service_t *s = self->services[service];
-  uint32_t first = self->config->snapshot->services[service].first_upstream;
+  lt_health_service_t *s = self->services[pick->service];
+  uint32_t first
+      = self->config->snapshot->services[pick->service].first_upstream;
   uint32_t local[16];
   uint32_t count = 0;
-  for (uint32_t i = 0; i < tried_count && count < 16; i++)
-    if (tried[i] >= first && tried[i] - first < s->pool.count)
-      local[count++] = tried[i] - first;
+  for (uint32_t i = 0; i < pick->tried_count && count < 16; i++)
+    if (pick->tried[i] >= first && pick->tried[i] - first < s->pool.count)
+      local[count++] = pick->tried[i] - first;
   lt_balance_request_t request = { local, count };
   int picked
       = lt_balance_pick (s->balance, &request, &self->node->rng, now_us);
@@ -145,8 +145,10 @@
       return LT_HEALTH_TIMEOUT;
     case LT_ATTEMPT_FAILED:
     case LT_ATTEMPT_TRUNCATED:
+    case LT_ATTEMPT_MIXED_UP:
       return LT_HEALTH_FAILED;
     case LT_ATTEMPT_OK:
+    case LT_ATTEMPT_MISDIRECTED:
     case LT_ATTEMPT_CANCELED:
       break;
     }
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "daemon.h"
+#include "host.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 
@@ -78,7 +79,8 @@
   if (sodium_init () < 0)
     return EXIT_FAILURE;
   lt_settings_init (&settings);
-  if (lt_settings_load (&settings, argc, argv, &findings) != 0)
+  if (host_settings_load (&settings, &findings) != 0
+      || lt_settings_load (&settings, argc, argv, &findings) != 0)
     return print_findings (&findings);
   lt_findings_destroy (&findings);
   lt_log_set_level (settings.log_level);
--- a/packages/node/src/membership_controller.c
+++ b/packages/node/src/membership_controller.c
@@ -252,6 +252,7 @@
     c->call->controller = NULL;
   lt_peer_transport_destroy (c->transport);
   controller->node->membership = NULL;
+  controller->node->directory = NULL;
   controller->node->named_vms = NULL;
   lt_named_vms_destroy (&c->named);
   lt_membership_destroy (c->membership);
@@ -270,6 +271,34 @@
         .stop = controller_stop,
         .destroy = controller_destroy };
 
+static str_t
+directory_address (lt_node_t *node, str_t vm_id)
+{
+  lt_member_view_t member;
+  if (!lt_membership_find (node->membership, vm_id, &member))
+    return str_make (NULL, 0);
+  return member.last.address;
+}
+
+static size_t
+directory_others (lt_node_t *node, str_t *ids, size_t cap)
+{
+  size_t found = 0;
+  for (size_t i = 0; i < lt_membership_count (node->membership); i++)
+    {
+      lt_member_view_t view = lt_membership_at (node->membership, i);
+      if (view.self)
+        continue;
+      if (found < cap)
+        ids[found] = view.last.id;
+      found++;
+    }
+  return cap == 0 || found < cap ? found : cap;
+}
+
+static const lt_vm_directory_t directory
+    = { .address = directory_address, .others = directory_others };
+
 int
 lt_membership_controller_create (lt_node_t *node, lt_controller_t **result)
 {
@@ -277,6 +306,7 @@
   const lt_settings_t *settings = node->settings;
   c->base.vtable = &vtable;
   c->base.node = node;
+  node->peer_secret = settings->peer_secret;
   int error = lt_peer_transport_create (node, on_open, c, &c->transport);
   if (error != 0)
     {
@@ -296,6 +326,7 @@
   c->pauses = lt_metrics_counter (node->metrics, "lavendertrack_pauses_total",
                                   "Pauses of this VM that it noticed.", "");
   node->membership = c->membership;
+  node->directory = &directory;
   node->named_vms = &c->named;
   add_seeds (c, lt_node_now_us (node));
   *result = &c->base;
--- /dev/null
+++ b/packages/node/src/mesh_controller.c
@@ -0,0 +1,387 @@
+#include "mesh_controller.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "lt/base/error.h"
+#include "lt/base/log.h"
+#include "peer_transport.h"
+
+enum
+{
+  CALL_TIMEOUT_MS = 3000,
+  RETRY_MS = 500,
+  /* VMs that start together are all announced after about a second.  */
+  FIRST_LISTS = 2,
+  FIRST_LIST_MS = 1500,
+  LIST_MS = 60000,
+  CONNECT_MS = 1000,
+  SECRET_BYTES = 32,
+  NAME_MAX_BYTES = 64
+};
+
+typedef struct vm
+{
+  UT_hash_handle hh;
+  char id[NAME_MAX_BYTES + 1];
+  char address[NAME_MAX_BYTES + 1];
+  char region[NAME_MAX_BYTES + 1];
+  char domain[NAME_MAX_BYTES + 1];
+} vm_t;
+
+typedef enum mesh_step
+{
+  STEP_LIST,     /* Read the list and the secret. */
+  STEP_ANNOUNCE, /* Write this VM's record. */
+  STEP_IDLE
+} mesh_step_t;
+
+typedef struct mesh_controller
+{
+  lt_controller_t base;
+  lt_peer_transport_t *transport;
+  vm_t *vms;
+  mesh_step_t step;
+  bool announced;
+  bool open;
+  bool lost;
+  int lists;
+  int64_t next_us;
+  int64_t next_connect_us;
+  char secret[2 * SECRET_BYTES + 1];
+  char proposed[2 * SECRET_BYTES + 1];
+  lt_gauge_t *count_gauge;
+} mesh_controller_t;
+
+/* node->directory has no pointer to the controller, so it is found among the
+   node's controllers.  */
+static const lt_controller_vtable_t vtable;
+
+static mesh_controller_t *
+find_mesh (const lt_node_t *node)
+{
+  for (int i = 0; i < node->controller_count; i++)
+    if (node->controllers[i]->vtable == &vtable)
+      return (mesh_controller_t *)node->controllers[i];
+  return NULL;
+}
+
+static bool
+copy_name (char *out, str_t text)
+{
+  if (text.len == 0 || text.len > NAME_MAX_BYTES)
+    return false;
+  memcpy (out, text.data, text.len);
+  out[text.len] = '\0';
+  return true;
+}
+
+static void
+add_vm (mesh_controller_t *c, const lt_registry_vm_t *from)
+{
+  vm_t fresh = { .id = "" };
+  if (!copy_name (fresh.id, from->id) || !copy_name (fresh.region, from->region)
+      || !copy_name (fresh.address, from->address)
+      || !copy_name (fresh.domain, from->failure_domain))
+    {
+      lt_log (LT_LOG_WARN, "mesh", "msg=\"malformed VM record\" vm=%.*s",
+              STR_ARG (from->id));
+      return;
+    }
+  if (str_equal (from->id, c->base.node->settings->vm_id))
+    return;
+  vm_t *vm = NULL;
+  HASH_FIND_STR (c->vms, fresh.id, vm);
+  if (vm == NULL)
+    {
+      vm = lt_alloc (sizeof (*vm));
+      memcpy (vm->id, fresh.id, sizeof (vm->id));
+      HASH_ADD_STR (c->vms, id, vm);
+    }
+  memcpy (vm->address, fresh.address, sizeof (vm->address));
+  memcpy (vm->region, fresh.region, sizeof (vm->region));
+  memcpy (vm->domain, fresh.domain, sizeof (vm->domain));
+  c->count_gauge->value = (double)HASH_COUNT (c->vms) + 1;
+}
+
+static void
+on_open (void *user, const lt_vm_identity_t *peer, bool outgoing)
+{
+  (void)outgoing;
+  lt_registry_vm_t vm = { .id = peer->vm_id,
+                          .address = peer->peer_address,
+                          .region = peer->region,
+                          .failure_domain = peer->failure_domain };
+  add_vm (user, &vm);
+}
+
+static str_t
+directory_address (lt_node_t *node, str_t vm_id)
+{
+  const mesh_controller_t *c = find_mesh (node);
+  vm_t *vm = NULL;
+  if (c != NULL)
+    HASH_FIND (hh, c->vms, vm_id.data, vm_id.len, vm);
+  return vm == NULL ? str_make (NULL, 0) : str_from (vm->address);
+}
+
+static size_t
+directory_others (lt_node_t *node, str_t *ids, size_t cap)
+{
+  const mesh_controller_t *c = find_mesh (node);
+  size_t found = 0;
+  if (c == NULL)
+    return 0;
+  if (cap == 0)
+    return HASH_COUNT (c->vms);
+  for (vm_t *vm = c->vms; vm != NULL && found < cap; vm = vm->hh.next)
+    ids[found++] = str_from (vm->id);
+  return found;
+}
+
+static bool
+is_near (const lt_node_t *node, const vm_t *vm, bool in_domain)
+{
+  bool same = str_equal (str_from (vm->domain),
+                         node->settings->failure_domain);
+  if (in_domain)
+    return same;
+  return !same
+         && str_equal (str_from (vm->region), node->settings->region);
+}
+
+static size_t
+directory_near (lt_node_t *node, bool in_domain, str_t *ids, size_t cap)
+{
+  const mesh_controller_t *c = find_mesh (node);
+  size_t found = 0;
+  if (c == NULL)
+    return 0;
+  for (vm_t *vm = c->vms; vm != NULL; vm = vm->hh.next)
+    {
+      if (!is_near (node, vm, in_domain))
+        continue;
+      if (found < cap)
+        ids[found] = str_from (vm->id);
+      found++;
+    }
+  return cap == 0 || found < cap ? found : cap;
+}
+
+static bool
+directory_is_connected (lt_node_t *node, str_t vm_id)
+{
+  const mesh_controller_t *c = find_mesh (node);
+  return c != NULL && c->transport != NULL
+         && lt_peer_transport_is_connected (c->transport, vm_id);
+}
+
+static const lt_vm_directory_t directory = { .address = directory_address,
+                                             .others = directory_others,
+                                             .near = directory_near,
+                                             .is_connected
+                                             = directory_is_connected };
+
+/* Connections need the secret, so the listener opens when it is known.  */
+static void
+take_secret (mesh_controller_t *c, str_t secret)
+{
+  if (c->transport != NULL || secret.len == 0
+      || secret.len >= sizeof (c->secret))
+    return;
+  memcpy (c->secret, secret.data, secret.len);
+  c->secret[secret.len] = '\0';
+  c->base.node->peer_secret = str_from (c->secret);
+  int error
+      = lt_peer_transport_create (c->base.node, on_open, c, &c->transport);
+  if (error != 0)
+    lt_log (LT_LOG_ERROR, "mesh",
+            "msg=\"cannot listen for other VMs\" address=%.*s error=\"%s\"",
+            STR_ARG (c->base.node->settings->peer_listen),
+            lt_error_text (error));
+}
+
+static void
+note_result (mesh_controller_t *c, int error)
+{
+  bool failed = error != 0 && error != -LT_ECONFLICT;
+  if (failed == c->lost)
+    return;
+  c->lost = failed;
+  lt_log (failed ? LT_LOG_WARN : LT_LOG_INFO, "mesh",
+          "msg=\"list of VMs %s\" vms=%u error=\"%s\"",
+          failed ? "lost" : "regained", HASH_COUNT (c->vms) + 1,
+          failed ? lt_error_text (error) : "");
+}
+
+static void
+after_list (mesh_controller_t *c, const lt_registry_result_t *result,
+            int64_t now_us)
+{
+  for (size_t i = 0; i < result->count; i++)
+    if (result->records[i].removed)
+      continue;
+    else if (result->records[i].secret.len > 0)
+      take_secret (c, result->records[i].secret);
+    else
+      add_vm (c, &result->records[i].vm);
+  c->lists++;
+  c->step = c->announced && c->transport != NULL ? STEP_IDLE : STEP_ANNOUNCE;
+  int64_t wait_ms = c->lists <= FIRST_LISTS ? FIRST_LIST_MS : LIST_MS;
+  wait_ms = wait_ms / 2
+            + (int64_t)lt_rng_below (&c->base.node->rng, (uint64_t)wait_ms);
+  c->next_us = c->step == STEP_IDLE ? now_us + wait_ms * LT_US_PER_MS : now_us;
+}
+
+static void
+on_result (void *user, const lt_registry_result_t *result)
+{
+  mesh_controller_t *c = user;
+  int64_t now_us = lt_node_now_us (c->base.node);
+  c->open = false;
+  note_result (c, result->error);
+  if (result->error == -LT_ECONFLICT)
+    {
+      /* Another VM has made the secret by now.  */
+      c->step = STEP_LIST;
+      c->next_us = now_us;
+    }
+  else if (result->error != 0)
+    c->next_us = now_us + RETRY_MS / 2 * LT_US_PER_MS
+                 + (int64_t)lt_rng_below (&c->base.node->rng,
+                                          RETRY_MS * LT_US_PER_MS);
+  else if (c->step == STEP_LIST)
+    after_list (c, result, now_us);
+  else
+    {
+      c->announced = true;
+      take_secret (c, str_from (c->proposed));
+      c->step = STEP_IDLE;
+      c->next_us = now_us + FIRST_LIST_MS / 2 * LT_US_PER_MS
+                   + (int64_t)lt_rng_below (&c->base.node->rng,
+                                            FIRST_LIST_MS * LT_US_PER_MS);
+    }
+}
+
+static void
+propose_secret (mesh_controller_t *c)
+{
+  unsigned char bytes[SECRET_BYTES];
+  randombytes_buf (bytes, sizeof (bytes));
+  sodium_bin2hex (c->proposed, sizeof (c->proposed), bytes, sizeof (bytes));
+  sodium_memzero (bytes, sizeof (bytes));
+}
+
+static int
+announce (mesh_controller_t *c)
+{
+  lt_node_t *node = c->base.node;
+  const lt_settings_t *settings = node->settings;
+  lt_registry_vm_t vm = { .id = settings->vm_id,
+                          .address = settings->peer_listen,
+                          .region = settings->region,
+                          .failure_domain = settings->failure_domain };
+  c->proposed[0] = '\0';
+  if (c->transport == NULL)
+    propose_secret (c);
+  return node->registry->vtable->announce (node->registry, &vm,
+                                           str_from (c->proposed),
+                                           CALL_TIMEOUT_MS, on_result, c);
+}
+
+static void
+next_call (mesh_controller_t *c, int64_t now_us)
+{
+  lt_registry_t *registry = c->base.node->registry;
+  if (c->open || now_us < c->next_us)
+    return;
+  if (c->step == STEP_IDLE)
+    c->step = STEP_LIST;
+  int error = c->step == STEP_ANNOUNCE
+                  ? announce (c)
+                  : registry->vtable->read (registry, LT_REGISTRY_VMS,
+                                            CALL_TIMEOUT_MS, on_result, c);
+  c->open = error == 0;
+  if (error != 0)
+    c->next_us = now_us + RETRY_MS * LT_US_PER_MS;
+}
+
+/* Of two VMs the one with the lower id connects; the other follows if it has
+   waited in vain.  */
+static void
+connect_near (mesh_controller_t *c, int64_t now_us)
+{
+  lt_node_t *node = c->base.node;
+  if (c->transport == NULL || now_us < c->next_connect_us)
+    return;
+  bool first = c->next_connect_us == 0;
+  c->next_connect_us = now_us + CONNECT_MS * LT_US_PER_MS;
+  for (vm_t *vm = c->vms; vm != NULL; vm = vm->hh.next)
+    {
+      if (!is_near (node, vm, true) && !is_near (node, vm, false))
+        continue;
+      str_t id = str_from (vm->id);
+      if (lt_peer_transport_is_connected (c->transport, id))
+        continue;
+      if (first && str_compare (node->settings->vm_id, id) > 0)
+        continue;
+      lt_peer_transport_connect (c->transport, str_from (vm->address));
+    }
+}
+
+static void
+tick (lt_controller_t *base, int64_t now_us)
+{
+  mesh_controller_t *c = (mesh_controller_t *)base;
+  next_call (c, now_us);
+  if (c->transport == NULL)
+    return;
+  connect_near (c, now_us);
+  lt_peer_transport_tick (c->transport, now_us);
+}
+
+static json_t *
+status (lt_controller_t *base)
+{
+  const mesh_controller_t *c = (mesh_controller_t *)base;
+  return json_pack ("{s:i, s:b}", "vms", (int)HASH_COUNT (c->vms) + 1,
+                    "announced", (int)c->announced);
+}
+
+static void
+destroy (lt_controller_t *base)
+{
+  mesh_controller_t *c = (mesh_controller_t *)base;
+  lt_peer_transport_destroy (c->transport);
+  vm_t *vm;
+  vm_t *next;
+  HASH_ITER (hh, c->vms, vm, next)
+  {
+    HASH_DEL (c->vms, vm); /* NOLINT(clang-analyzer-*) */
+    free (vm);
+  }
+  base->node->directory = NULL;
+  base->node->peer_secret = str_make (NULL, 0);
+  sodium_memzero (c->secret, sizeof (c->secret));
+  free (c);
+}
+
+static const lt_controller_vtable_t vtable = { .name = "mesh",
+                                               .tick = tick,
+                                               .status = status,
+                                               .destroy = destroy };
+
+lt_controller_t *
+lt_mesh_controller_create (lt_node_t *node)
+{
+  mesh_controller_t *c = lt_alloc (sizeof (*c));
+  c->base.vtable = &vtable;
+  c->base.node = node;
+  c->count_gauge = lt_metrics_gauge (node->metrics, "lavendertrack_vms_known",
+                                     "VMs of the hosted fleet.", "");
+  c->count_gauge->value = 1;
+  node->directory = &directory;
+  return &c->base;
+}
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -93,3 +93,10 @@
 {
   lt_bus_post_observation (node->bus, event, node->config);
 }
+
+void
+lt_node_observe_in (lt_node_t *node, const lt_observation_event_t *event,
+                    lt_snapshot_ref_t *config)
+{
+  lt_bus_post_observation (node->bus, event, config);
+}
--- a/packages/node/src/outgoing.c
+++ b/packages/node/src/outgoing.c
@@ -2,6 +2,8 @@
 
 #include "lt/node/node.h"
 
+#include "lt/node/node.h"
+
 /* RFC 9110, section 7.6.1, and RFC 9112.  */
 static const char *const hop_by_hop[]
     = { "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
@@ -9,14 +11,11 @@
 
 /* Set by the proxy or by libcurl, or carrying credentials.  */
 static const char *const replaced[]
-    = { "Authorization",  "Proxy-Authorization",
-        "X-Workspace",    "X-Request-Id",
-        "X-Deadline-Ms",  "Host",
-        "Content-Length", "Expect" };
+    = { "Authorization", "Proxy-Authorization", "Host", "Content-Length",
+        "Expect" };
 
 static const char *const replaced_in_answer[]
-    = { "Content-Length", "X-Request-Id", "X-Request-Ran",
-        "Proxy-Authenticate" };
+    = { "Content-Length", "Proxy-Authenticate" };
 
 static bool
 listed (str_t name, const char *const *names, size_t count)
@@ -52,14 +51,20 @@
 /* Treats '_' as '-': some upstreams fold both into one name, so a caller
    could otherwise forge X_Workspace.  */
 static bool
-is_replaced (str_t name)
+is_replaced (const lt_dialect_t *dialect, str_t name)
 {
   char folded[64];
   if (name.len > sizeof (folded))
     return false;
   for (size_t i = 0; i < name.len; i++)
     folded[i] = name.data[i] == '_' ? '-' : name.data[i];
-  return LISTED (str_make (folded, name.len), replaced);
+  str_t text = str_make (folded, name.len);
+  return LISTED (text, replaced)
+         || str_equal_nocase (text, dialect->workspace)
+         || str_equal_nocase (text, dialect->request_id)
+         || str_equal_nocase (text, dialect->deadline)
+         || (dialect->instance.len > 0
+             && str_equal_nocase (text, dialect->instance));
 }
 
 static bool
@@ -85,35 +90,43 @@
                      lt_header_list_t *out)
 {
   str_t key = str_from (request->key);
+  const lt_dialect_t *dialect = request->node->dialect;
   const lt_header_list_t *in = &request->headers;
   for (size_t i = 0; i < in->count; i++)
     {
       const lt_header_t *header = &in->items[i];
-      if (LISTED (header->name, hop_by_hop) || is_replaced (header->name)
+      if (LISTED (header->name, hop_by_hop) || is_replaced (dialect, header->name)
           || named_by_connection (in, header->name) || holds_key (header, key))
         continue;
       lt_header_list_add (out, header->name, header->value);
     }
   if (request->workspace != LT_NO_INDEX)
     lt_header_list_add (
-        out, STR_LIT ("X-Workspace"),
+        out, dialect->workspace,
         request->snapshot->workspaces[request->workspace].name);
-  lt_header_list_add (out, STR_LIT ("X-Request-Id"),
-                      str_from (request->request_id));
-  add_number (out, STR_LIT ("X-Deadline-Ms"),
+  if (request->request_id[0] != '\0')
+    lt_header_list_add (out, dialect->request_id,
+                        str_from (request->request_id));
+  add_number (out, dialect->deadline,
               lt_request_remaining_ms (request, now_us));
 }
 
 void
 lt_outgoing_target (const lt_request_t *request, lt_buf_t *out)
 {
+  if (request->node->dialect->raw_target)
+    {
+      lt_buf_append_str (out, str_from (request->target));
+      return;
+    }
   lt_buf_append_str (out, str_from (request->path));
   if (request->query != NULL)
     lt_buf_printf (out, "?%s", request->query);
 }
 
 void
-lt_outgoing_answer_headers (const lt_header_list_t *headers,
+lt_outgoing_answer_headers (const lt_dialect_t *dialect,
+                            const lt_header_list_t *headers,
                             lt_header_list_t *out, int64_t *length)
 {
   *length = -1;
@@ -125,6 +138,8 @@
       const lt_header_t *header = &headers->items[i];
       if (LISTED (header->name, hop_by_hop)
           || LISTED (header->name, replaced_in_answer)
+          || str_equal_nocase (header->name, dialect->request_id)
+          || str_equal_nocase (header->name, dialect->ran)
           || named_by_connection (headers, header->name))
         continue;
       lt_header_list_add (out, header->name, header->value);
--- a/packages/node/src/peer_connection.c
+++ b/packages/node/src/peer_connection.c
@@ -203,7 +203,7 @@
   const lt_settings_t *settings = node->settings;
   lt_session_options_t options
       = { .connecting = outgoing,
-          .secret = settings->peer_secret,
+          .secret = node->peer_secret,
           .self = { .vm_id = settings->vm_id,
                     .incarnation = node->incarnation,
                     .region = settings->region,
--- a/packages/node/src/peer_transport.c
+++ b/packages/node/src/peer_transport.c
@@ -14,7 +14,6 @@
 
 #include "lt/base/error.h"
 #include "lt/base/log.h"
-#include "lt/policy/membership.h"
 #include "peer_connection.h"
 
 enum
@@ -170,14 +169,13 @@
   peer_connection_t *connection = find_connection (transport, vm_id);
   if (connection == NULL)
     {
-      lt_member_view_t member;
-      const lt_membership_t *membership = transport->node->membership;
-      if (membership == NULL
-          || !lt_membership_find (membership, vm_id, &member)
-          || member.last.address.len == 0)
+      lt_node_t *node = transport->node;
+      if (node->directory == NULL)
         return -LT_ENOTFOUND;
-      int error
-          = connect_to (transport, member.last.address, vm_id, &connection);
+      str_t address = node->directory->address (node, vm_id);
+      if (address.len == 0)
+        return -LT_ENOTFOUND;
+      int error = connect_to (transport, address, vm_id, &connection);
       if (error != 0)
         return error;
     }
@@ -192,6 +190,14 @@
     connect_to (transport, address, str_make (NULL, 0), &connection);
 }
 
+bool
+lt_peer_transport_is_connected (const lt_peer_transport_t *transport,
+                                str_t vm_id)
+{
+  const peer_connection_t *connection = find_connection (transport, vm_id);
+  return connection != NULL && connection->open;
+}
+
 static void
 on_acceptable (struct ev_loop *loop, ev_io *watcher, int events)
 {
--- a/packages/node/src/peer_transport.h
+++ b/packages/node/src/peer_transport.h
@@ -1,6 +1,6 @@
 /** @file
     Connections to other VMs over TCP: listener, outgoing connections, frames.
-    Addresses of VMs come from the membership module.  */
+    Addresses of VMs come from node->directory.  */
 #ifndef LT_NODE_PEER_TRANSPORT_H
 #define LT_NODE_PEER_TRANSPORT_H
 
@@ -29,6 +29,9 @@
       too short ago.  */
   void lt_peer_transport_connect (lt_peer_transport_t *transport,
                                   str_t address);
+  /** Returns whether a verified connection to VM_ID is open.  */
+  bool lt_peer_transport_is_connected (const lt_peer_transport_t *transport,
+                                       str_t vm_id);
   /** Closes what is idle, stuck or unverified for too long.  */
   void lt_peer_transport_tick (lt_peer_transport_t *transport, int64_t now_us);
 
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -13,16 +13,26 @@
 
   typedef struct lt_pools lt_pools_t;
 
+  /** What an upstream is picked for.  */
+  typedef struct lt_pick
+  {
+    uint32_t service;
+    const uint32_t *tried; /**< Upstreams that are not picked again. */
+    uint32_t tried_count;
+    bool repeatable; /**< A failed attempt may be repeated elsewhere. */
+    int64_t body_bytes;
+  } lt_pick_t;
+
   typedef struct lt_pools_vtable
   {
     /** Returns the snapshot that the pools stand on, or NULL before the first;
         upstream indexes refer to it.  The pools keep the reference.  */
     lt_snapshot_ref_t *(*config) (lt_pools_t *pools);
-    /** Returns the index of an upstream of SERVICE that is not among TRIED, or
-        -LT_EUNAVAILABLE.  */
-    int64_t (*pick) (lt_pools_t *pools, uint32_t service,
-                     const uint32_t *tried, uint32_t tried_count,
-                     int64_t now_us);
+    /** Returns the index of an upstream, or -LT_EUNAVAILABLE.  */
+    int64_t (*pick) (lt_pools_t *pools, const lt_pick_t *pick, int64_t now_us);
+    /** Returns how long a connection to UPSTREAM may take, 0: built-in.  May
+        be NULL.  */
+    int64_t (*connect_ms) (lt_pools_t *pools, uint32_t upstream);
     /** An attempt at UPSTREAM begins or ends; SNAPSHOT is the one that the
         index refers to.  */
     void (*begin) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -8,7 +8,6 @@
 #include "lt/base/hash.h"
 #include "lt/base/log.h"
 #include "lt/node/node.h"
-#include "lt/policy/membership.h"
 #include "lt/policy/quarantine.h"
 #include "lt/wire/frame.h"
 #include "lt/wire/message.h"
@@ -31,6 +30,14 @@
 #define COUNT_NAME(name, text) (text),
 static const char *const count_names[] = { COUNT_TABLE (COUNT_NAME) };
 
+/* On a hosting platform some upstreams reset requests all the time, so two
+   losses are not evidence enough; a request may be lost to three upstreams.
+   Answers do not wait for the notices there.  */
+enum
+{
+  HOSTED_LOSSES_MAX = 3
+};
+
 struct lt_quarantine_controller
 {
   lt_controller_t base;
@@ -55,17 +62,17 @@
   memcpy (message.upstreams, notice->upstreams, sizeof (message.upstreams));
   lt_buf_t payload = { 0 };
   lt_wire_quarantine_encode (&message, &payload);
-  size_t members
-      = node->membership == NULL ? 0 : lt_membership_count (node->membership);
-  for (size_t i = 0; i < members; i++)
-    {
-      lt_member_view_t view = lt_membership_at (node->membership, i);
-      if (!view.self
-          && lt_node_send (node, view.last.id, LT_MESSAGE_QUARANTINE, 0,
-                           lt_buf_str (&payload))
-                 == 0)
-        controller->counts[COUNT_NOTICE_SENT]->value++;
-    }
+  size_t count
+      = node->directory == NULL ? 0 : node->directory->others (node, NULL, 0);
+  str_t *ids = lt_alloc ((count + 1) * sizeof (*ids));
+  if (count > 0)
+    count = node->directory->others (node, ids, count);
+  for (size_t i = 0; i < count; i++)
+    if (lt_node_send (node, ids[i], LT_MESSAGE_QUARANTINE, 0,
+                      lt_buf_str (&payload))
+        == 0)
+      controller->counts[COUNT_NOTICE_SENT]->value++;
+  free (ids);
   lt_buf_destroy (&payload);
 }
 
@@ -230,6 +237,11 @@
   controller->base.vtable = &vtable;
   controller->base.node = node;
   controller->options = LT_QUARANTINE_OPTIONS_DEFAULT;
+  if (node->registry != NULL)
+    {
+      controller->options.losses_max = HOSTED_LOSSES_MAX;
+      controller->options.notice_us = 0;
+    }
   controller->options.vm = lt_hash64 (node->settings->vm_id);
   controller->quarantine = lt_quarantine_create (&controller->options);
   for (int i = 0; i < COUNTS; i++)
--- /dev/null
+++ b/packages/node/src/quota_controller.c
@@ -0,0 +1,314 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "lt/base/hash.h"
+#include "lt/base/log.h"
+#include "lt/node/request.h"
+#include "quota_internal.h"
+
+enum
+{
+  /* Longest wait for a home, about a tenth of the shortest deadlines.  */
+  WAIT_MS = 150,
+  RETRY_AFTER_MS = 500,
+  PERMILLE = 1000
+};
+
+#define COUNT_NAME(name, text) (text),
+static const char *const count_names[] = { QUOTA_COUNT_TABLE (COUNT_NAME) };
+
+void
+lt_quota_count (lt_quota_controller_t *c, quota_count_t count)
+{
+  c->counts[count]->value++;
+}
+
+uint32_t
+lt_quota_vms (const lt_quota_controller_t *c)
+{
+  lt_node_t *node = c->base.node;
+  size_t others
+      = node->directory == NULL ? 0 : node->directory->others (node, NULL, 0);
+  return (uint32_t)others + 1;
+}
+
+static void
+waiting_free (lt_quota_controller_t *c, quota_waiting_t *waiting)
+{
+  waiting->request->filter_state[waiting->slot] = NULL;
+  DL_DELETE (c->waiting, waiting);
+  free (waiting);
+}
+
+void
+lt_quota_controller_forget (lt_request_t *request, int slot)
+{
+  quota_waiting_t *waiting = request->filter_state[slot];
+  if (waiting != NULL)
+    waiting_free (request->node->quota_controller, waiting);
+}
+
+static lt_filter_result_t
+deny (lt_quota_controller_t *c, lt_request_t *request, const char *place)
+{
+  const lt_workspace_t *workspace
+      = &request->snapshot->workspaces[request->workspace];
+  lt_quota_count (c, QUOTA_COUNT_DENIED);
+  lt_log (LT_LOG_INFO, "quota",
+          "msg=\"over the rate\" request=%s workspace=%.*s place=%s home=%s "
+          "rate_milli=%lld heard_ms=%lld vms=%u",
+          request->request_id, STR_ARG (workspace->name), place,
+          c->to_home.id, (long long)workspace->rate_milli_per_s,
+          c->to_home.heard_us == 0
+              ? -1
+              : (long long)((lt_node_now_us (c->base.node)
+                             - c->to_home.heard_us)
+                            / LT_US_PER_MS),
+          lt_quota_vms (c));
+  return lt_request_refuse_after (request, LT_REFUSE_RATE, RETRY_AFTER_MS);
+}
+
+static lt_filter_result_t
+admit (lt_quota_controller_t *c, lt_request_t *request, bool admitted,
+       const char *place)
+{
+  if (!admitted)
+    return deny (c, request, place);
+  lt_quota_count (c, QUOTA_COUNT_ADMITTED);
+  return LT_FILTER_CONTINUE;
+}
+
+lt_filter_result_t
+lt_quota_controller_spend (lt_quota_controller_t *c, lt_request_t *request,
+                           int slot)
+{
+  const lt_workspace_t *workspace
+      = &request->snapshot->workspaces[request->workspace];
+  int64_t now_us = lt_node_now_us (c->base.node);
+  uint64_t hash = lt_hash64 (workspace->name);
+  if (workspace->unlimited)
+    return LT_FILTER_CONTINUE;
+  if (lt_quota_is_alone (c, now_us))
+    {
+      lt_quota_count (c, QUOTA_COUNT_ALONE);
+      return admit (c, request,
+                    lt_quota_buckets_take (c->alone, hash, true, now_us),
+                    "alone");
+    }
+  bool asked = lt_quota_has_home (c, now_us);
+  if (asked && lt_quota_is_self (c, c->to_home.id))
+    return admit (c, request,
+                  lt_quota_buckets_take (c->home, hash, true, now_us), "home");
+  quota_waiting_t *waiting = lt_alloc (sizeof (*waiting));
+  *waiting = (quota_waiting_t){ .request = request,
+                                .slot = slot,
+                                .number = ++c->next_number,
+                                .workspace = hash,
+                                .since_us = now_us,
+                                .asked = asked };
+  request->filter_state[slot] = waiting;
+  DL_APPEND (c->waiting, waiting);
+  if (asked)
+    {
+      lt_quota_count (c, QUOTA_COUNT_ASKED);
+      lt_quota_send_ask (c, hash, 1, waiting->number, now_us);
+    }
+  return LT_FILTER_WAIT;
+}
+
+static void
+take_grant (lt_quota_controller_t *c, const lt_peer_message_t *message,
+            int64_t now_us)
+{
+  lt_wire_quota_tokens_t grant;
+  quota_waiting_t *waiting;
+  if (lt_wire_quota_tokens_decode (message->payload, &grant) != 0)
+    {
+      lt_quota_count (c, QUOTA_COUNT_MALFORMED);
+      return;
+    }
+  lt_quota_note_grant (c, message->sender, &grant, now_us);
+  DL_FOREACH (c->waiting, waiting)
+  {
+    if (waiting->number == message->correlation)
+      break;
+  }
+  if (waiting == NULL)
+    return;
+  if (grant.home_us == 0)
+    {
+      waiting->asked = false; /* The next home is asked. */
+      return;
+    }
+  lt_request_t *request = waiting->request;
+  waiting_free (c, waiting);
+  if (admit (c, request, grant.count > 0, "home") == LT_FILTER_CONTINUE)
+    lt_request_resume (request);
+}
+
+/* Requests that came while there was nobody to ask.  */
+static void
+ask_waiting (lt_quota_controller_t *c, int64_t now_us)
+{
+  quota_waiting_t *waiting;
+  quota_waiting_t *next;
+  DL_FOREACH_SAFE (c->waiting, waiting, next)
+  {
+    if (now_us - waiting->since_us > WAIT_MS * LT_US_PER_MS)
+      {
+        lt_request_t *request = waiting->request;
+        lt_quota_count (c, QUOTA_COUNT_EXPIRED);
+        waiting_free (c, waiting);
+        deny (c, request, "no-answer");
+      }
+    else if (!waiting->asked && lt_quota_has_home (c, now_us))
+      {
+        waiting->asked = true;
+        if (!lt_quota_is_self (c, c->to_home.id))
+          {
+            lt_quota_send_ask (c, waiting->workspace, 1, waiting->number,
+                               now_us);
+            continue;
+          }
+        lt_request_t *request = waiting->request;
+        bool admitted = lt_quota_buckets_take (c->home, waiting->workspace,
+                                               true, now_us);
+        waiting_free (c, waiting);
+        if (admit (c, request, admitted, "home") == LT_FILTER_CONTINUE)
+          lt_request_resume (request);
+      }
+  }
+}
+
+static void
+tick (lt_controller_t *base, int64_t now_us)
+{
+  lt_quota_controller_t *c = (lt_quota_controller_t *)base;
+  uint32_t vms = lt_quota_vms (c);
+  if (vms != c->vms)
+    {
+      c->vms = vms;
+      lt_quota_buckets_set_all (c->alone, LT_QUOTA_WHOLE_PPM / vms, now_us);
+    }
+  lt_quota_follow_home (c, now_us);
+  lt_quota_follow_parent (c, now_us);
+  ask_waiting (c, now_us);
+}
+
+static void
+on_frame (lt_controller_t *base, const lt_peer_message_t *message,
+          int64_t now_us)
+{
+  lt_quota_controller_t *c = (lt_quota_controller_t *)base;
+  switch (message->type)
+    {
+    case LT_MESSAGE_QUOTA_ASK:
+      lt_quota_take_ask (c, message, now_us);
+      break;
+    case LT_MESSAGE_QUOTA_GRANT:
+      take_grant (c, message, now_us);
+      break;
+    case LT_MESSAGE_QUOTA_REPORT:
+      lt_quota_take_report (c, message, now_us);
+      break;
+    case LT_MESSAGE_QUOTA_SHARES:
+      lt_quota_take_shares (c, message, now_us);
+      break;
+    }
+}
+
+static void
+on_config (lt_controller_t *base, const lt_snapshot_t *old,
+           const lt_snapshot_t *current, int64_t now_us)
+{
+  lt_quota_controller_t *c = (lt_quota_controller_t *)base;
+  if (old != NULL && old->source_version == current->source_version)
+    return;
+  const lt_settings_t *settings = base->node->settings;
+  int64_t permille = PERMILLE + settings->rate_over_permille;
+  lt_quota_rate_t *rates
+      = lt_alloc ((current->workspace_count + 1) * sizeof (*rates));
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < current->workspace_count; i++)
+    {
+      const lt_workspace_t *workspace = &current->workspaces[i];
+      if (workspace->unlimited)
+        continue;
+      rates[count++] = (lt_quota_rate_t){
+        .workspace = lt_hash64 (workspace->name),
+        .rate_milli_per_s = workspace->rate_milli_per_s * permille / PERMILLE,
+        .burst = workspace->burst * permille / PERMILLE + settings->rate_slack,
+      };
+    }
+  lt_quota_buckets_configure (c->alone, rates, count, now_us);
+  lt_quota_buckets_configure (c->home, rates, count, now_us);
+  free (rates);
+}
+
+static json_t *
+status (lt_controller_t *base)
+{
+  const lt_quota_controller_t *c = (lt_quota_controller_t *)base;
+  int64_t now_us = lt_node_now_us (base->node);
+  json_t *json = json_pack (
+      "{s:s, s:s, s:b, s:i, s:I}", "home", c->to_home.id, "parent",
+      c->to_parent.id, "alone", (int)lt_quota_is_alone (c, now_us), "members",
+      (int)lt_quota_members_count (c->members, now_us), "shares_age_us",
+      (json_int_t)(c->shares_us == 0 ? -1 : now_us - c->shares_us));
+  return json;
+}
+
+static void
+destroy (lt_controller_t *base)
+{
+  lt_quota_controller_t *c = (lt_quota_controller_t *)base;
+  quota_waiting_t *waiting;
+  quota_waiting_t *next;
+  DL_FOREACH_SAFE (c->waiting, waiting, next)
+  {
+    waiting_free (c, waiting);
+  }
+  lt_quota_buckets_destroy (c->alone);
+  lt_quota_buckets_destroy (c->home);
+  lt_quota_members_destroy (c->members);
+  lt_quota_parent_destroy (c->parent);
+  base->node->quota_controller = NULL;
+  free (c);
+}
+
+static const lt_controller_vtable_t vtable
+    = { .name = "quota",
+        .types = LT_TYPE_BIT (LT_MESSAGE_QUOTA_ASK)
+                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_GRANT)
+                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_REPORT)
+                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_SHARES),
+        .tick = tick,
+        .on_frame = on_frame,
+        .on_config = on_config,
+        .status = status,
+        .destroy = destroy };
+
+lt_controller_t *
+lt_quota_controller_create (lt_node_t *node)
+{
+  lt_quota_controller_t *c = lt_alloc (sizeof (*c));
+  c->base.vtable = &vtable;
+  c->base.node = node;
+  c->times = LT_QUOTA_TIMES_DEFAULT;
+  c->alone = lt_quota_buckets_create (&c->times, &node->rng);
+  c->home = lt_quota_buckets_create (&c->times, &node->rng);
+  c->members = lt_quota_members_create (&c->times);
+  c->parent = lt_quota_parent_create (&c->times);
+  for (int i = 0; i < QUOTA_COUNTS; i++)
+    {
+      char labels[64];
+      snprintf (labels, sizeof (labels), "event=\"%s\"", count_names[i]);
+      c->counts[i]
+          = lt_metrics_counter (node->metrics, "lavendertrack_quota_total",
+                                "Events of fleet-wide rates.", labels);
+    }
+  node->quota_controller = c;
+  return &c->base;
+}
--- /dev/null
+++ b/packages/node/src/quota_shares.c
@@ -0,0 +1,223 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "lt/base/hash.h"
+#include "lt/base/log.h"
+#include "quota_internal.h"
+
+enum
+{
+  VMS_MAX = 4096,
+  REPORT_MS = 1000,
+  /* Two round trips between regions, and a busy VM.  */
+  PARENT_SILENCE_MS = 700,
+  PARENT_AVOID_MS = 5000
+};
+
+/* The VM with the lowest id of the fleet is the parent, if it answers.  */
+static void
+find_parent (const lt_quota_controller_t *c, int64_t now_us,
+             char out[QUOTA_NAME_BYTES])
+{
+  lt_node_t *node = c->base.node;
+  str_t best = node->settings->vm_id;
+  size_t count
+      = node->directory == NULL ? 0 : node->directory->others (node, NULL, 0);
+  str_t *ids = lt_alloc ((count + 1) * sizeof (*ids));
+  if (count > 0)
+    count = node->directory->others (node, ids, count);
+  for (size_t i = 0; i < count; i++)
+    {
+      bool avoided = now_us < c->to_parent.avoided_until_us
+                     && str_equal (ids[i], str_from (c->to_parent.avoided));
+      if (!avoided && str_compare (ids[i], best) < 0)
+        best = ids[i];
+    }
+  memcpy (out, best.data, best.len);
+  out[best.len] = '\0';
+  free (ids);
+}
+
+static uint32_t
+own_members (lt_quota_controller_t *c, int64_t now_us)
+{
+  return lt_quota_members_count (c->members, now_us)
+         + (lt_quota_is_self (c, c->to_home.id) ? 1 : 0);
+}
+
+static void
+fill_report (lt_quota_controller_t *c, lt_wire_quota_shares_t *report,
+             int64_t now_us)
+{
+  static lt_quota_share_t rows[LT_WIRE_QUOTA_MAX];
+  report->members = own_members (c, now_us);
+  report->vms = lt_quota_vms (c);
+  report->parent_us = c->to_parent.upper_us;
+  report->serial = c->shares_serial;
+  report->count
+      = lt_quota_buckets_report (c->home, rows, LT_WIRE_QUOTA_MAX, now_us);
+  for (uint32_t i = 0; i < report->count; i++)
+    report->items[i]
+        = (lt_wire_quota_share_t){ .workspace = rows[i].workspace,
+                                   .demand_milli = rows[i].demand_milli,
+                                   .ppm = rows[i].ppm };
+}
+
+static void
+use_shares (lt_quota_controller_t *c, const lt_wire_quota_shares_t *shares,
+            int64_t now_us)
+{
+  c->to_parent.upper_us = shares->parent_us;
+  c->to_parent.heard_us = now_us;
+  c->to_parent.asked_us = 0;
+  c->shares_serial = shares->serial;
+  if (c->shares_us == 0)
+    lt_log (LT_LOG_INFO, "quota", "msg=\"shares by demand\" parent=%s",
+            c->to_parent.id);
+  c->shares_us = now_us;
+  for (uint32_t i = 0; i < shares->count; i++)
+    lt_quota_buckets_set (c->home, shares->items[i].workspace,
+                          shares->items[i].ppm, now_us);
+}
+
+/* Answers a report of HOME, or of this VM itself.  */
+static void
+answer_report (lt_quota_controller_t *c, uint64_t home,
+               const lt_wire_quota_shares_t *report,
+               lt_wire_quota_shares_t *shares, int64_t now_us)
+{
+  static lt_quota_share_t rows[LT_WIRE_QUOTA_MAX];
+  static lt_quota_share_t dealt[LT_WIRE_QUOTA_MAX];
+  for (uint32_t i = 0; i < report->count; i++)
+    rows[i]
+        = (lt_quota_share_t){ .workspace = report->items[i].workspace,
+                              .demand_milli = report->items[i].demand_milli,
+                              .ppm = report->items[i].ppm };
+  lt_quota_report_t plain = { .home = home,
+                              .members = report->members,
+                              .vms = report->vms,
+                              .heard_us = report->parent_us,
+                              .serial = report->serial,
+                              .rows = rows,
+                              .count = report->count };
+  shares->serial = lt_quota_parent_report (c->parent, &plain, lt_quota_vms (c),
+                                           dealt, now_us);
+  shares->parent_us = now_us;
+  shares->members = 0;
+  shares->vms = lt_quota_vms (c);
+  shares->count = report->count;
+  for (uint32_t i = 0; i < report->count; i++)
+    shares->items[i] = (lt_wire_quota_share_t){
+      .workspace = dealt[i].workspace, .ppm = dealt[i].ppm
+    };
+}
+
+static void
+send_shares (lt_quota_controller_t *c, str_t vm_id, uint16_t type,
+             const lt_wire_quota_shares_t *message)
+{
+  lt_buf_t payload = { 0 };
+  lt_wire_quota_shares_encode (message, &payload);
+  lt_node_send (c->base.node, vm_id, type, 0, lt_buf_str (&payload));
+  lt_buf_destroy (&payload);
+}
+
+static void
+report (lt_quota_controller_t *c, int64_t now_us)
+{
+  lt_wire_quota_shares_t *message = lt_alloc (sizeof (*message));
+  lt_wire_quota_shares_t *shares = lt_alloc (sizeof (*shares));
+  quota_upper_t *parent = &c->to_parent;
+  fill_report (c, message, now_us);
+  c->reported_us = now_us;
+  if (lt_quota_is_self (c, parent->id))
+    {
+      answer_report (c, lt_hash64 (c->base.node->settings->vm_id), message,
+                     shares, now_us);
+      use_shares (c, shares, now_us);
+    }
+  else
+    {
+      send_shares (c, str_from (parent->id), LT_MESSAGE_QUOTA_REPORT, message);
+      if (parent->asked_us == 0)
+        parent->asked_us = now_us;
+    }
+  free (message);
+  free (shares);
+}
+
+static void
+choose_parent (lt_quota_controller_t *c, int64_t now_us)
+{
+  quota_upper_t *parent = &c->to_parent;
+  char best[QUOTA_NAME_BYTES] = "";
+  if (parent->asked_us > 0
+      && now_us - parent->asked_us > PARENT_SILENCE_MS * LT_US_PER_MS)
+    {
+      memcpy (parent->avoided, parent->id, sizeof (parent->avoided));
+      parent->avoided_until_us = now_us + PARENT_AVOID_MS * LT_US_PER_MS;
+    }
+  find_parent (c, now_us, best);
+  if (strcmp (best, parent->id) == 0)
+    return;
+  lt_log (LT_LOG_INFO, "quota", "msg=\"parent of the homes\" parent=%s "
+          "before=%s", best, parent->id);
+  memcpy (parent->id, best, sizeof (parent->id));
+  parent->upper_us = parent->asked_us = 0;
+  c->shares_serial = 0;
+}
+
+void
+lt_quota_follow_parent (lt_quota_controller_t *c, int64_t now_us)
+{
+  /* Without shares in force every workspace has the members' parts.  */
+  bool in_force
+      = c->shares_us > 0 && now_us - c->shares_us < c->times.share_us;
+  uint32_t members = own_members (c, now_us);
+  if (!in_force)
+    {
+      if (c->shares_us > 0)
+        lt_log (LT_LOG_INFO, "quota",
+                "msg=\"shares ended\" parent=%s members=%u", c->to_parent.id,
+                members);
+      c->shares_us = 0;
+      uint64_t ppm
+          = (uint64_t)members * LT_QUOTA_WHOLE_PPM / lt_quota_vms (c);
+      if (ppm > LT_QUOTA_WHOLE_PPM)
+        ppm = LT_QUOTA_WHOLE_PPM;
+      lt_quota_buckets_set_all (c->home, (uint32_t)ppm, now_us);
+    }
+  if (members == 0 || now_us - c->reported_us < REPORT_MS * LT_US_PER_MS)
+    return;
+  choose_parent (c, now_us);
+  report (c, now_us);
+}
+
+void
+lt_quota_take_report (lt_quota_controller_t *c,
+                      const lt_peer_message_t *message, int64_t now_us)
+{
+  lt_wire_quota_shares_t *received = lt_alloc (sizeof (*received));
+  lt_wire_quota_shares_t *shares = lt_alloc (sizeof (*shares));
+  if (lt_wire_quota_shares_decode (message->payload, received) != 0)
+    lt_quota_count (c, QUOTA_COUNT_MALFORMED);
+  else if (!c->base.node->leaving)
+    {
+      answer_report (c, lt_hash64 (message->sender), received, shares, now_us);
+      send_shares (c, message->sender, LT_MESSAGE_QUOTA_SHARES, shares);
+    }
+  free (received);
+  free (shares);
+}
+
+void
+lt_quota_take_shares (lt_quota_controller_t *c,
+                      const lt_peer_message_t *message, int64_t now_us)
+{
+  lt_wire_quota_shares_t *shares = lt_alloc (sizeof (*shares));
+  if (lt_wire_quota_shares_decode (message->payload, shares) != 0)
+    lt_quota_count (c, QUOTA_COUNT_MALFORMED);
+  else if (str_equal (message->sender, str_from (c->to_parent.id)))
+    use_shares (c, shares, now_us);
+  free (shares);
+}
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -163,13 +163,16 @@
   json_decref (problem);
   lt_header_list_add (&answer->headers, STR_LIT ("Content-Type"),
                       STR_LIT ("application/problem+json"));
-  lt_header_list_add (&answer->headers, STR_LIT ("X-Request-Ran"),
+  lt_header_list_add (&answer->headers, request->node->dialect->ran,
                       str_from (lt_ran_text (ran)));
   if (retry_after_ms > 0)
     {
       lt_buf_t seconds = { 0 };
-      lt_buf_printf (&seconds, "%lld",
-                     (long long)((retry_after_ms + 999) / 1000));
+      if (request->node->dialect->fractional_retry_after)
+        lt_buf_printf (&seconds, "%.3f", (double)retry_after_ms / 1000.0);
+      else
+        lt_buf_printf (&seconds, "%lld",
+                       (long long)((retry_after_ms + 999) / 1000));
       lt_header_list_add (&answer->headers, STR_LIT ("Retry-After"),
                           lt_buf_str (&seconds));
       lt_buf_destroy (&seconds);
--- a/packages/node/src/request_parse.c
+++ b/packages/node/src/request_parse.c
@@ -159,6 +159,12 @@
   request->body_limit_bytes = DEFAULT_BODY_LIMIT_BYTES;
   if (request->snapshot == NULL || request->path == NULL)
     return;
+  if (request->snapshot->by_host)
+    {
+      int64_t max_bytes = request->snapshot->limits.body_max_bytes;
+      request->body_limit_bytes = max_bytes > 0 ? max_bytes : INT64_MAX;
+      return;
+    }
   lt_route_match_t match
       = lt_snapshot_match_route (request->snapshot, str_from (request->method),
                                  str_from (request->path), &route, &allow);
@@ -188,7 +194,9 @@
   lt_buf_t normal = { 0 };
   request->method = str_dup (method);
   request->target = str_dup (target);
-  if (lt_path_normalize (path, &normal) == 0)
+  if (request->node->dialect->raw_target)
+    request->path = str_dup (path);
+  else if (lt_path_normalize (path, &normal) == 0)
     request->path = str_dup (lt_buf_str (&normal));
   lt_buf_destroy (&normal);
   if (query.data != NULL)
--- a/packages/node/src/settings.c
+++ b/packages/node/src/settings.c
@@ -40,6 +40,8 @@
   UPSTREAM_CONNECTIONS_MAX = 10000,
   CONNECTIONS_MAX = 100000,
   RETENTION_MAX_DAYS = 36500,
+  RETRY_SLACK_MAX = 1000000,
+  RETRY_WINDOW_MAX_MS = 3600000,
   SECRET_MIN_BYTES = 16,
   ID_MAX_BYTES = 64
 };
@@ -54,13 +56,15 @@
     "Region that holds the store (default: the region)" },
   { "listen", SETTING_ADDRESS, AT (listen), 1, 0, "IP:PORT",
     "Address for callers" },
+  { "ready-listen", SETTING_ADDRESS, AT (ready_listen), 0, 0, "IP:PORT",
+    "Address for a load balancer's readiness checks; empty: none" },
   { "admin-listen", SETTING_ADDRESS, AT (admin_listen), 1, 0, "IP:PORT",
     "Address for health, metrics and operators" },
   { "peer-listen", SETTING_ADDRESS, AT (peer_listen), 0, 0, "IP:PORT",
     "Address for other VMs; empty: a single VM" },
   { "seeds", SETTING_TEXT, AT (seeds), 0, 0, "IP:PORT,...",
     "Peer addresses of some other VMs" },
-  { "platform", SETTING_PLATFORM, AT (platform), 0, 0, "memory|http",
+  { "platform", SETTING_PLATFORM, AT (platform), 0, 0, "memory|http|host",
     "Adapter for table, object store and VM list" },
   { "table-url", SETTING_TEXT, AT (table_url), 0, 0, "URL",
     "Endpoint of the table service" },
@@ -80,6 +84,20 @@
   { "claim-retention-days", SETTING_NUMBER, AT (claim_retention_days), 0,
     RETENTION_MAX_DAYS, "DAYS",
     "How long claims of never-repeat actions are kept; 0: without limit" },
+  { "retry-permille", SETTING_NUMBER, AT (retry_permille), 0, 1000, "N",
+    "Hosted: repeats per 1,000 requests of a service" },
+  { "retry-slack", SETTING_NUMBER, AT (retry_slack), 0, RETRY_SLACK_MAX, "N",
+    "Hosted: repeats of the fleet besides, in a window" },
+  { "retry-window-ms", SETTING_NUMBER, AT (retry_window_ms), 1,
+    RETRY_WINDOW_MAX_MS, "MS", "Hosted: length of that window" },
+  { "rate-over-permille", SETTING_NUMBER, AT (rate_over_permille), 0, 1000,
+    "N", "Hosted: excess of rates and bursts that is tolerated" },
+  { "rate-slack", SETTING_NUMBER, AT (rate_slack), 0, RETRY_SLACK_MAX, "N",
+    "Hosted: requests over a burst that are tolerated" },
+  { "stop-grace-ms", SETTING_NUMBER, AT (stop_grace_ms), 0,
+    DRAIN_GRACE_MAX_MS, "MS", "Hosted: time from SIGTERM to SIGKILL" },
+  { "revoke-ms", SETTING_NUMBER, AT (revoke_ms), 0, DRAIN_GRACE_MAX_MS, "MS",
+    "Hosted: time in which a withdrawn key is dead" },
   { "seed", SETTING_NUMBER, AT (seed), 0, INT64_MAX, "N",
     "Seed of the random numbers; 0: from the system" },
   { "peer-secret", SETTING_SECRET, AT (peer_secret), 0, 0, NULL,
@@ -159,8 +177,10 @@
     state->settings->platform = LT_PLATFORM_MEMORY;
   else if (str_equal (value, STR_LIT ("http")))
     state->settings->platform = LT_PLATFORM_HTTP;
+  else if (str_equal (value, STR_LIT ("host")))
+    state->settings->platform = LT_PLATFORM_HOST;
   else
-    add_finding (state, source, value, "expected memory or http");
+    add_finding (state, source, value, "expected memory, http or host");
 }
 
 static void
@@ -278,7 +298,11 @@
 check_combinations (load_state_t *state)
 {
   const lt_settings_t *s = state->settings;
-  if (s->peer_listen.len > 0 && s->peer_secret.len == 0)
+  bool host = s->platform == LT_PLATFORM_HOST;
+  if (host != (s->hosting != NULL))
+    add_finding (state, STR_LIT ("--platform"), STR_LIT ("host"),
+                 "expected the settings of a hosting platform");
+  if (!host && s->peer_listen.len > 0 && s->peer_secret.len == 0)
     add_finding (state, STR_LIT (ENV_PREFIX "PEER_SECRET"), STR_LIT (""),
                  "expected a value with --peer-listen");
   if (s->vm_id.len > ID_MAX_BYTES)
@@ -292,7 +316,7 @@
     add_finding (state, STR_LIT ("--platform"), STR_LIT ("http"),
                  "expected " ENV_PREFIX "ACCESS_KEY and " ENV_PREFIX
                  "SECRET_KEY as well");
-  if (!http && s->seeds.len > 0)
+  if (!http && !host && s->seeds.len > 0)
     add_finding (state, STR_LIT ("--seeds"), s->seeds,
                  "expected --platform http: the embedded platform serves a "
                  "single VM");
@@ -324,6 +348,11 @@
     .drain_grace_ms = 5000,
     .upstream_connections = 8,
     .max_connections = 4096,
+    .retry_permille = 200,
+    .retry_slack = 50,
+    .retry_window_ms = 10000,
+    .stop_grace_ms = 6000,
+    .revoke_ms = 5000,
   };
 }
 
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "lt/base/error.h"
-#include "lt/platform/curl_loop.h"
+#include "lt/store/curl_loop.h"
 
 enum
 {
@@ -28,6 +28,8 @@
   struct curl_slist *header_lines;
   lt_header_list_t answer_headers;
   int sends; /* How often libcurl was about to send the request. */
+  int64_t timeout_ms;
+  bool connect_bounded; /* By the owner, below the time of the transfer. */
   bool header_done;
   bool aborted;
   bool doomed;
@@ -81,6 +83,16 @@
     }
 }
 
+/* The bound of the connection has passed, but not that of the transfer.  */
+static bool
+connect_timed_out (const lt_transfer_t *transfer)
+{
+  curl_off_t total_us = 0;
+  curl_easy_getinfo (transfer->easy, CURLINFO_TOTAL_TIME_T, &total_us);
+  return transfer->connect_bounded
+         && total_us < (curl_off_t)transfer->timeout_ms * 1000;
+}
+
 static lt_transfer_end_t
 transfer_end (const lt_transfer_t *transfer, CURLcode code)
 {
@@ -88,7 +100,8 @@
     return LT_TRANSFER_ABORTED;
   if (code == CURLE_OK)
     return LT_TRANSFER_COMPLETE;
-  if (transfer->sends == 0 && code != CURLE_OPERATION_TIMEDOUT)
+  if (transfer->sends == 0
+      && (code != CURLE_OPERATION_TIMEDOUT || connect_timed_out (transfer)))
     return LT_TRANSFER_REFUSED;
   if (transfer->header_done)
     return LT_TRANSFER_TRUNCATED;
@@ -282,9 +295,10 @@
 static void
 set_transport (CURL *easy, const lt_transfer_options_t *options)
 {
-  long connect_ms = options->timeout_ms < CONNECT_TIMEOUT_MS
-                        ? (long)options->timeout_ms
-                        : CONNECT_TIMEOUT_MS;
+  int64_t connect_ms
+      = options->connect_ms > 0 ? options->connect_ms : CONNECT_TIMEOUT_MS;
+  if (options->timeout_ms < connect_ms)
+    connect_ms = options->timeout_ms;
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
@@ -292,7 +306,7 @@
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, connect_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
   curl_easy_setopt (easy, CURLOPT_MAXAGE_CONN, (long)CONNECTION_MAX_IDLE_S);
   if (!options->fresh_connection)
     return;
@@ -314,6 +328,9 @@
   transfer->easy = easy;
   transfer->vtable = vtable;
   transfer->owner = owner;
+  transfer->timeout_ms = options->timeout_ms;
+  transfer->connect_bounded
+      = options->connect_ms > 0 && options->connect_ms < options->timeout_ms;
   set_callbacks (transfer);
   set_request (transfer, options);
   set_transport (easy, options);
--- /dev/null
+++ b/packages/node/src/upstream_controller.c
@@ -0,0 +1,408 @@
+#include "lt/node/upstream_controller.h"
+
+#include <ev.h>
+#include <jansson.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+#include "lt/base/error.h"
+#include "lt/base/hash.h"
+#include "lt/base/log.h"
+#include "lt/node/node.h"
+#include "lt/policy/choice.h"
+#include "lt/wire/frame.h"
+#include "lt/wire/message.h"
+#include "pools.h"
+
+enum
+{
+  NEAR_VMS_MAX = 256,
+  /* A connection takes one round trip: about 3 ms in a region and 40 ms
+     beyond.  A lost packet is sent again only after a second, so a new attempt
+     is better.  */
+  CONNECT_NEAR_MS = 250,
+  CONNECT_FAR_MS = 500
+};
+
+/* News that is not urgent waits this long for company.  */
+#define NEWS_DELAY_S 0.1
+/* Above this probability an upstream counts as gray in logs and gauges.  */
+#define SUSPECT 0.5
+
+typedef struct pending_news
+{
+  uint32_t good;
+  uint32_t bad;
+  bool changed;
+} pending_news_t;
+
+struct lt_upstream_controller
+{
+  lt_controller_t base;
+  lt_pools_t pools;
+  lt_choice_t *choice;
+  lt_snapshot_ref_t *config;
+  pending_news_t *news; /* By upstream of CONFIG. */
+  ev_timer flush;
+  lt_counter_t *sent;
+  lt_counter_t *received;
+  lt_counter_t *malformed;
+};
+
+static lt_upstream_controller_t *
+from_pools (lt_pools_t *pools)
+{
+  return (lt_upstream_controller_t *)((char *)pools
+                                      - offsetof (lt_upstream_controller_t,
+                                                  pools));
+}
+
+/* A new incarnation under the same name knows nothing of the old one.  */
+static uint64_t
+upstream_id (const lt_upstream_t *upstream)
+{
+  return lt_hash64 (upstream->name)
+         ^ (upstream->incarnation * 0x9e3779b97f4a7c15ULL);
+}
+
+static lt_distance_t
+distance_to (const lt_node_t *node, const lt_upstream_t *upstream)
+{
+  if (str_equal (upstream->failure_domain, node->settings->failure_domain))
+    return LT_DISTANCE_DOMAIN;
+  if (str_equal (upstream->region, node->settings->region))
+    return LT_DISTANCE_REGION;
+  return LT_DISTANCE_FAR;
+}
+
+static lt_snapshot_ref_t *
+pools_config (lt_pools_t *pools)
+{
+  return from_pools (pools)->config;
+}
+
+static int64_t
+pools_pick (lt_pools_t *pools, const lt_pick_t *pick, int64_t now_us)
+{
+  lt_choice_request_t request = { .service = pick->service,
+                                  .tried = pick->tried,
+                                  .tried_count = pick->tried_count,
+                                  .repeatable = pick->repeatable };
+  return lt_choice_pick (from_pools (pools)->choice, &request, now_us);
+}
+
+static int64_t
+pools_connect_ms (lt_pools_t *pools, uint32_t upstream)
+{
+  lt_upstream_controller_t *c = from_pools (pools);
+  const lt_upstream_t *u = &c->config->snapshot->upstreams[upstream];
+  return distance_to (c->base.node, u) == LT_DISTANCE_FAR ? CONNECT_FAR_MS
+                                                          : CONNECT_NEAR_MS;
+}
+
+/* Notes news of an upstream, which may be gone from the configuration.  */
+static pending_news_t *
+note_news (lt_upstream_controller_t *c, const lt_upstream_t *upstream)
+{
+  if (c->config == NULL)
+    return NULL;
+  const lt_snapshot_t *s = c->config->snapshot;
+  uint32_t index = lt_snapshot_find_upstream (s, upstream->name);
+  if (index == LT_NO_INDEX
+      || s->upstreams[index].incarnation != upstream->incarnation)
+    return NULL;
+  c->news[index].changed = true;
+  if (!ev_is_active (&c->flush))
+    {
+      ev_timer_set (&c->flush, NEWS_DELAY_S, 0);
+      ev_timer_start (c->base.node->loop, &c->flush);
+    }
+  return &c->news[index];
+}
+
+static void
+pools_begin (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+             uint32_t upstream)
+{
+  lt_upstream_controller_t *c = from_pools (pools);
+  lt_choice_begin (c->choice, upstream_id (&snapshot->upstreams[upstream]));
+  note_news (c, &snapshot->upstreams[upstream]);
+}
+
+static void
+pools_end (lt_pools_t *pools, const lt_snapshot_t *snapshot, uint32_t upstream)
+{
+  lt_upstream_controller_t *c = from_pools (pools);
+  lt_choice_end (c->choice, upstream_id (&snapshot->upstreams[upstream]));
+  note_news (c, &snapshot->upstreams[upstream]);
+}
+
+static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
+                                                .pick = pools_pick,
+                                                .connect_ms = pools_connect_ms,
+                                                .begin = pools_begin,
+                                                .end = pools_end };
+
+static void
+send_news (lt_upstream_controller_t *c, const lt_wire_news_t *news,
+           bool in_domain)
+{
+  lt_node_t *node = c->base.node;
+  str_t ids[NEAR_VMS_MAX];
+  if (news->count == 0 || node->directory == NULL
+      || node->directory->near == NULL)
+    return;
+  lt_buf_t payload = { 0 };
+  lt_wire_news_encode (news, &payload);
+  size_t count = node->directory->near (node, in_domain, ids, NEAR_VMS_MAX);
+  for (size_t i = 0; i < count; i++)
+    if (lt_node_send (node, ids[i], LT_MESSAGE_NEWS, 0, lt_buf_str (&payload))
+        == 0)
+      c->sent->value++;
+  lt_buf_destroy (&payload);
+}
+
+/* Tells the VMs of the failure domain everything that changed.  */
+static void
+flush_news (lt_upstream_controller_t *c)
+{
+  ev_timer_stop (c->base.node->loop, &c->flush);
+  if (c->config == NULL)
+    return;
+  const lt_snapshot_t *s = c->config->snapshot;
+  int64_t now_us = lt_node_now_us (c->base.node);
+  lt_wire_news_t news = { .count = 0 };
+  for (uint32_t i = 0; i < s->upstream_count; i++)
+    {
+      pending_news_t *pending = &c->news[i];
+      if (!pending->changed)
+        continue;
+      uint64_t id = upstream_id (&s->upstreams[i]);
+      lt_choice_view_t view = { 0 };
+      lt_choice_view (c->choice, id, now_us, &view);
+      news.items[news.count++] = (lt_wire_news_item_t){
+        .upstream = id,
+        .in_flight = view.own > 0 ? (uint32_t)view.own : 0,
+        .good = pending->good,
+        .bad = pending->bad,
+      };
+      *pending = (pending_news_t){ 0 };
+      if (news.count < LT_WIRE_NEWS_MAX)
+        continue;
+      send_news (c, &news, true);
+      news.count = 0;
+    }
+  send_news (c, &news, true);
+}
+
+static void
+on_flush (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  flush_news (watcher->data);
+}
+
+static bool
+evidence_of (const lt_observation_event_t *event,
+             lt_choice_evidence_t *evidence)
+{
+  switch (event->outcome)
+    {
+    case LT_ATTEMPT_OK:
+      *evidence = LT_CHOICE_GOOD;
+      return true;
+    case LT_ATTEMPT_FAILED:
+    case LT_ATTEMPT_RESET:
+    case LT_ATTEMPT_TRUNCATED:
+    case LT_ATTEMPT_MIXED_UP:
+    case LT_ATTEMPT_TIMEOUT:
+      *evidence = LT_CHOICE_BAD;
+      return true;
+    case LT_ATTEMPT_SHED:
+      *evidence = LT_CHOICE_SHED;
+      return true;
+    case LT_ATTEMPT_REFUSED:
+      *evidence = LT_CHOICE_NO_PATH;
+      return true;
+    case LT_ATTEMPT_MISDIRECTED:
+      *evidence = LT_CHOICE_ELSEWHERE;
+      return true;
+    case LT_ATTEMPT_CANCELED:
+      break;
+    }
+  return false;
+}
+
+static void
+log_change (const lt_upstream_t *upstream, double before, double after,
+            const char *source)
+{
+  if ((before >= SUSPECT) == (after >= SUSPECT))
+    return;
+  lt_log (LT_LOG_INFO, "upstreams",
+          "msg=\"%s\" upstream=%.*s gray=%.2f before=%.2f source=%s",
+          after >= SUSPECT ? "upstream suspected" : "upstream trusted",
+          STR_ARG (upstream->name), after, before, source);
+}
+
+static void
+on_observation (lt_controller_t *base, const lt_observation_event_t *event,
+                int64_t now_us)
+{
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  const lt_upstream_t *upstream = &event->snapshot->upstreams[event->upstream];
+  lt_choice_evidence_t evidence;
+  if (!evidence_of (event, &evidence))
+    return;
+  uint64_t id = upstream_id (upstream);
+  lt_choice_view_t before = { 0 };
+  lt_choice_view_t after = { 0 };
+  lt_choice_view (c->choice, id, now_us, &before);
+  lt_choice_observe (c->choice, id, evidence, now_us);
+  lt_choice_view (c->choice, id, now_us, &after);
+  log_change (upstream, before.gray, after.gray, "own");
+  pending_news_t *pending = note_news (c, upstream);
+  if (pending == NULL)
+    return;
+  if (evidence == LT_CHOICE_GOOD)
+    pending->good++;
+  if (evidence != LT_CHOICE_BAD)
+    return;
+  /* A failure is told at once, and to the whole region.  */
+  pending->bad++;
+  lt_wire_news_t news = { .count = 1 };
+  news.items[0] = (lt_wire_news_item_t){ .upstream = id, .bad = 1 };
+  flush_news (c);
+  send_news (c, &news, false);
+}
+
+static void
+take_news (lt_upstream_controller_t *c, const lt_peer_message_t *message,
+           const lt_wire_news_t *news, int64_t now_us)
+{
+  uint64_t peer = lt_hash64 (message->sender);
+  for (uint32_t i = 0; i < news->count; i++)
+    {
+      const lt_wire_news_item_t *item = &news->items[i];
+      lt_choice_peer_observe (c->choice, item->upstream, item->good, item->bad,
+                              now_us);
+      lt_choice_peer_load (c->choice, item->upstream, peer,
+                           (int32_t)item->in_flight, now_us);
+    }
+}
+
+static void
+on_frame (lt_controller_t *base, const lt_peer_message_t *message,
+          int64_t now_us)
+{
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  lt_wire_news_t news;
+  if (lt_wire_news_decode (message->payload, &news) != 0)
+    {
+      c->malformed->value++;
+      return;
+    }
+  c->received->value++;
+  take_news (c, message, &news, now_us);
+}
+
+static void
+on_config (lt_controller_t *base, const lt_snapshot_t *old,
+           const lt_snapshot_t *current, int64_t now_us)
+{
+  (void)old;
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  lt_node_t *node = base->node;
+  if (node->config == NULL || node->config->snapshot != current)
+    return; /* A newer one follows. */
+  lt_snapshot_ref_release (c->config);
+  c->config = lt_snapshot_ref_acquire (node->config);
+  uint32_t count = current->upstream_count;
+  lt_choice_upstream_t *upstreams
+      = lt_alloc ((count + 1) * sizeof (*upstreams));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const lt_upstream_t *u = &current->upstreams[i];
+      upstreams[i]
+          = (lt_choice_upstream_t){ .id = upstream_id (u),
+                                    .service = u->service,
+                                    .distance = distance_to (node, u),
+                                    .slots = u->slots,
+                                    .leaving = u->drained,
+                                    .warm_until_us = u->warm_until_us };
+    }
+  lt_choice_configure (c->choice, upstreams, count, now_us);
+  free (upstreams);
+  free (c->news);
+  c->news = lt_alloc ((count + 1) * sizeof (*c->news));
+}
+
+static json_t *
+status (lt_controller_t *base)
+{
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  json_t *list = json_array ();
+  int64_t now_us = lt_node_now_us (base->node);
+  uint32_t count = c->config == NULL ? 0 : c->config->snapshot->upstream_count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const lt_upstream_t *u = &c->config->snapshot->upstreams[i];
+      lt_choice_view_t view = { 0 };
+      lt_choice_view (c->choice, upstream_id (u), now_us, &view);
+      json_array_append_new (
+          list, json_pack ("{s:s%, s:f, s:f, s:i, s:i, s:b}", "upstream",
+                           u->name.data, u->name.len, "gray", view.gray,
+                           "no_path", view.no_path, "in_flight", view.own,
+                           "peers_in_flight", view.peers, "leaving",
+                           (int)u->drained));
+    }
+  return list;
+}
+
+static void
+destroy (lt_controller_t *base)
+{
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  ev_timer_stop (base->node->loop, &c->flush);
+  lt_snapshot_ref_release (c->config);
+  lt_choice_destroy (c->choice);
+  free (c->news);
+  free (c);
+}
+
+static const lt_controller_vtable_t vtable
+    = { .name = "upstreams",
+        .types = LT_TYPE_BIT (LT_MESSAGE_NEWS),
+        .on_frame = on_frame,
+        .on_config = on_config,
+        .on_observation = on_observation,
+        .status = status,
+        .destroy = destroy };
+
+lt_controller_t *
+lt_upstream_controller_create (lt_node_t *node)
+{
+  lt_upstream_controller_t *c = lt_alloc (sizeof (*c));
+  lt_choice_options_t options = LT_CHOICE_OPTIONS_DEFAULT;
+  const char *name = "lavendertrack_news_total";
+  const char *help = "News about upstreams between VMs.";
+  c->base.vtable = &vtable;
+  c->base.node = node;
+  c->pools.vtable = &pools_vtable;
+  c->choice = lt_choice_create (&options, &node->rng);
+  ev_timer_init (&c->flush, on_flush, NEWS_DELAY_S, 0);
+  c->flush.data = c;
+  c->sent = lt_metrics_counter (node->metrics, name, help, "event=\"sent\"");
+  c->received
+      = lt_metrics_counter (node->metrics, name, help, "event=\"received\"");
+  c->malformed
+      = lt_metrics_counter (node->metrics, name, help, "event=\"malformed\"");
+  return &c->base;
+}
+
+lt_pools_t *
+lt_upstream_controller_pools (lt_controller_t *controller)
+{
+  return &((lt_upstream_controller_t *)controller)->pools;
+}
--- a/packages/node/test/session.h
+++ b/packages/node/test/session.h
@@ -26,7 +26,7 @@
 #include "lt/config/sheet.h"
 #include "lt/node/config_controller.h"
 #include "lt/node/node.h"
-#include "lt/platform/memory.h"
+#include "lt/store/memory.h"
 #include "lt/policy/freshness.h"
 #include "lt/standin/upstream.h"
 
--- a/packages/node/test/site.h
+++ b/packages/node/test/site.h
@@ -14,7 +14,7 @@
 #include "lt/config/sheet.h"
 #include "lt/node/config_controller.h"
 #include "lt/node/node.h"
-#include "lt/platform/memory.h"
+#include "lt/store/memory.h"
 #include "lt/policy/freshness.h"
 #include "lt/policy/membership.h"
 #include "membership_controller.h"
--- a/packages/node/test/test_health_controller.cc
+++ b/packages/node/test/test_health_controller.cc
@@ -4,7 +4,7 @@
 #include "lt/config/sheet.h"
 #include "lt/node/health_controller.h"
 #include "lt/node/node.h"
-#include "lt/platform/memory.h"
+#include "lt/store/memory.h"
 #include "lt/policy/freshness.h"
 #include "pools.h"
 
@@ -217,7 +217,8 @@
   {
     lt_pools_t *p = pools (v);
     lt_snapshot_ref_t *config = p->vtable->config (p);
-    int64_t u = p->vtable->pick (p, 0, nullptr, 0, now ());
+    lt_pick_t pick = {};
+    int64_t u = p->vtable->pick (p, &pick, now ());
     ASSERT_GE (u, 0);
     p->vtable->begin (p, config->snapshot, (uint32_t)u);
     p->vtable->end (p, config->snapshot, (uint32_t)u);
@@ -237,9 +238,10 @@
     lt_pools_t *p = pools (v);
     lt_snapshot_ref_t *config = p->vtable->config (p);
     int count = 0;
+    lt_pick_t pick = {};
     for (int i = 0; i < 200; i++)
       {
-        int64_t u = p->vtable->pick (p, 0, nullptr, 0, now ());
+        int64_t u = p->vtable->pick (p, &pick, now ());
         p->vtable->begin (p, config->snapshot, (uint32_t)u);
         p->vtable->end (p, config->snapshot, (uint32_t)u);
         str_t got = config->snapshot->upstreams[u].name;
--- a/packages/node/test/test_settings.cc
+++ b/packages/node/test/test_settings.cc
@@ -67,7 +67,7 @@
         "--drain-grace-ms: error: \"-1\": expected an integer",
         "--log-level: error: \"loud\"" } },
     { { "--vm-id=" }, { "--vm-id: error: expected a value" } },
-    { { "--platform=disk" }, { "expected memory or http" } },
+    { { "--platform=disk" }, { "expected memory, http or host" } },
     { { "--platform=http" },
       { "--table-url and --object-url", "ACCESS_KEY" } },
     { { "--peer-listen=127.0.0.1:1" }, { "LAVENDERTRACK_PEER_SECRET" } },
--- a/packages/policy/include/lt/policy/retry.h
+++ b/packages/policy/include/lt/policy/retry.h
@@ -22,7 +22,9 @@
   X (LT_RETRY_TIMEOUT, "attempt-timeout")                                     \
   X (LT_RETRY_STATUS_FAILED, "status-failed")                                 \
   X (LT_RETRY_SHED, "shed")                                                   \
-  X (LT_RETRY_TRUNCATED, "response-truncated")
+  X (LT_RETRY_TRUNCATED, "response-truncated")                                \
+  X (LT_RETRY_NOT_RUN, "not-run")                                             \
+  X (LT_RETRY_MIXED_UP, "response-not-its-own")
 
 /** Why an attempt was, or was not, repeated.  */
 #define LT_RETRY_REASON_TABLE(X)                                              \
@@ -64,6 +66,8 @@
     int64_t hedge_min_samples; /**< No hedges before this many latencies. */
     int64_t backoff_us;        /**< Mean wait before the second attempt;
                                   doubles. */
+    bool unsent_is_free; /**< A repeat after a failed connection takes no
+                            budget: the upstream saw nothing. */
   } lt_retry_options_t;
 
 #define LT_RETRY_OPTIONS_DEFAULT                                              \
@@ -92,6 +96,7 @@
     bool response_started; /**< A byte of the response went to the caller. */
     bool other_upstream;   /**< There is an upstream not tried yet. */
     int attempts;          /**< Made so far. */
+    int attempts_max;      /**< Of the route; 0: that of the options. */
     int64_t deadline_us;   /**< Of the request. */
   } lt_retry_attempt_t;
 
@@ -106,6 +111,8 @@
   lt_retry_t *lt_retry_create (const lt_retry_options_t *options,
                                struct lt_rng *rng);
   void lt_retry_destroy (lt_retry_t *retry);
+  /** Sets the part of a budget that does not depend on requests.  */
+  void lt_retry_set_burst (lt_retry_t *retry, double burst);
   /** Counts a new request (not an attempt) into the budgets.  */
   void lt_retry_on_request (lt_retry_t *retry, uint64_t service,
                             uint64_t workspace, int64_t now_us);
--- /dev/null
+++ b/packages/policy/src/choice.c
@@ -0,0 +1,335 @@
+#include "lt/policy/choice.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <uthash.h>
+
+#include "lt/base/clock.h"
+#include "lt/base/error.h"
+#include "lt/base/rng.h"
+#include "lt/base/str.h"
+
+enum
+{
+  PEERS_MAX = 64
+};
+
+typedef struct peer_load
+{
+  uint64_t peer;
+  int32_t in_flight;
+  int64_t heard_us;
+} peer_load_t;
+
+typedef struct belief
+{
+  UT_hash_handle hh;
+  uint64_t id;
+  uint32_t index;
+  bool current; /* In the last configuration. */
+  lt_choice_upstream_t upstream;
+  double gray;
+  int64_t gray_us; /* Time of GRAY. */
+  double no_path;
+  int64_t no_path_us;
+  int64_t shed_until_us;
+  int64_t evidence_us;
+  bool elsewhere;
+  int32_t own;
+  peer_load_t peers[PEERS_MAX];
+  uint32_t peer_count;
+} belief_t;
+
+struct lt_choice
+{
+  lt_choice_options_t options;
+  lt_rng_t *rng;
+  belief_t *beliefs;
+  belief_t **by_index;
+  uint32_t count;
+};
+
+lt_choice_t *
+lt_choice_create (const lt_choice_options_t *options, lt_rng_t *rng)
+{
+  lt_choice_t *choice = lt_alloc (sizeof (*choice));
+  choice->options = *options;
+  choice->rng = rng;
+  return choice;
+}
+
+static void
+forget (lt_choice_t *choice, belief_t *belief)
+{
+  HASH_DEL (choice->beliefs, belief); /* NOLINT(clang-analyzer-*) */
+  free (belief);
+}
+
+void
+lt_choice_destroy (lt_choice_t *choice)
+{
+  if (choice == NULL)
+    return;
+  belief_t *belief;
+  belief_t *next;
+  HASH_ITER (hh, choice->beliefs, belief, next)
+  {
+    forget (choice, belief);
+  }
+  free (choice->by_index);
+  free (choice);
+}
+
+static belief_t *
+find (const lt_choice_t *choice, uint64_t id)
+{
+  belief_t *belief = NULL;
+  HASH_FIND (hh, choice->beliefs, &id, sizeof (id), belief);
+  return belief;
+}
+
+static double
+stationary (const lt_choice_options_t *o)
+{
+  return o->turn_per_s / (o->turn_per_s + o->recover_per_s);
+}
+
+/* Without evidence a belief returns to how upstreams are in general.  */
+static double
+relax (double value, double rest, double rate_per_s, int64_t elapsed_us)
+{
+  double elapsed_s = (double)elapsed_us / LT_US_PER_S;
+  return rest + (value - rest) * exp (-rate_per_s * elapsed_s);
+}
+
+static double
+gray_now (const lt_choice_t *choice, const belief_t *belief, int64_t now_us)
+{
+  const lt_choice_options_t *o = &choice->options;
+  return relax (belief->gray, stationary (o), o->turn_per_s + o->recover_per_s,
+                now_us - belief->gray_us);
+}
+
+static double
+no_path_now (const lt_choice_t *choice, const belief_t *belief, int64_t now_us)
+{
+  return relax (belief->no_path, 0, choice->options.no_path_recover_per_s,
+                now_us - belief->no_path_us);
+}
+
+void
+lt_choice_configure (lt_choice_t *choice,
+                     const lt_choice_upstream_t *upstreams, uint32_t count,
+                     int64_t now_us)
+{
+  belief_t *belief;
+  belief_t *next;
+  HASH_ITER (hh, choice->beliefs, belief, next)
+  {
+    belief->current = false;
+  }
+  free (choice->by_index);
+  choice->by_index = lt_alloc ((count + 1) * sizeof (belief_t *));
+  choice->count = count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      belief = find (choice, upstreams[i].id);
+      if (belief == NULL)
+        {
+          belief = lt_alloc (sizeof (*belief));
+          belief->id = upstreams[i].id;
+          belief->gray = stationary (&choice->options);
+          belief->gray_us = now_us;
+          HASH_ADD (hh, choice->beliefs, id, sizeof (belief->id), belief);
+        }
+      belief->upstream = upstreams[i];
+      belief->index = i;
+      belief->current = true;
+      choice->by_index[i] = belief;
+    }
+  HASH_ITER (hh, choice->beliefs, belief, next)
+  {
+    if (!belief->current && belief->own == 0)
+      forget (choice, belief);
+  }
+}
+
+static int32_t
+peer_sum (const lt_choice_t *choice, const belief_t *belief, int64_t now_us)
+{
+  int32_t sum = 0;
+  for (uint32_t i = 0; i < belief->peer_count; i++)
+    if (now_us - belief->peers[i].heard_us < choice->options.peer_load_us)
+      sum += belief->peers[i].in_flight;
+  return sum;
+}
+
+static double
+waiting_loss (const lt_choice_t *choice, const belief_t *belief,
+              int64_t now_us)
+{
+  const lt_choice_options_t *o = &choice->options;
+  int32_t slots = belief->upstream.slots > 0 ? belief->upstream.slots : 1;
+  int32_t load = belief->own + peer_sum (choice, belief, now_us);
+  double loss = 0;
+  if (load < slots)
+    loss = o->busy_loss * load / slots;
+  else
+    loss = o->busy_loss + o->queue_loss * (load - slots + 1) / slots;
+  if (now_us < belief->shed_until_us)
+    loss += o->shed_loss;
+  if (now_us < belief->upstream.warm_until_us)
+    loss += o->warm_up_loss;
+  return loss;
+}
+
+static double
+expected_loss (const lt_choice_t *choice, const belief_t *belief,
+               const lt_choice_request_t *request, int64_t now_us)
+{
+  const lt_choice_options_t *o = &choice->options;
+  double gray = gray_now (choice, belief, now_us);
+  double fails = gray * o->gray_fails + (1 - gray) * o->sound_fails;
+  double loss = fails * (request->repeatable ? o->repeat_loss : 1.0);
+  loss += no_path_now (choice, belief, now_us) * o->no_path_loss;
+  loss += o->distance_loss[belief->upstream.distance];
+  return loss + waiting_loss (choice, belief, now_us);
+}
+
+static bool
+was_tried (const lt_choice_request_t *request, uint32_t index)
+{
+  for (uint32_t i = 0; i < request->tried_count; i++)
+    if (request->tried[i] == index)
+      return true;
+  return false;
+}
+
+int64_t
+lt_choice_pick (lt_choice_t *choice, const lt_choice_request_t *request,
+                int64_t now_us)
+{
+  int64_t best = -LT_EUNAVAILABLE;
+  double least = INFINITY;
+  for (uint32_t i = 0; i < choice->count; i++)
+    {
+      const belief_t *belief = choice->by_index[i];
+      if (belief->upstream.service != request->service
+          || belief->upstream.leaving || belief->elsewhere
+          || was_tried (request, i))
+        continue;
+      double loss = expected_loss (choice, belief, request, now_us)
+                    + choice->options.jitter * lt_rng_unit (choice->rng);
+      if (loss >= least)
+        continue;
+      least = loss;
+      best = i;
+    }
+  return best;
+}
+
+void
+lt_choice_begin (lt_choice_t *choice, uint64_t id)
+{
+  belief_t *belief = find (choice, id);
+  if (belief != NULL)
+    belief->own++;
+}
+
+void
+lt_choice_end (lt_choice_t *choice, uint64_t id)
+{
+  belief_t *belief = find (choice, id);
+  if (belief == NULL)
+    return;
+  belief->own--;
+  if (!belief->current && belief->own == 0)
+    forget (choice, belief);
+}
+
+/* Bayes' rule for one outcome.  */
+static void
+update_gray (lt_choice_t *choice, belief_t *belief, bool good, int64_t now_us)
+{
+  const lt_choice_options_t *o = &choice->options;
+  double gray = gray_now (choice, belief, now_us);
+  double if_gray = good ? 1 - o->gray_fails : o->gray_fails;
+  double if_sound = good ? 1 - o->sound_fails : o->sound_fails;
+  belief->gray = gray * if_gray / (gray * if_gray + (1 - gray) * if_sound);
+  belief->gray_us = now_us;
+  belief->evidence_us = now_us;
+}
+
+void
+lt_choice_observe (lt_choice_t *choice, uint64_t id,
+                   lt_choice_evidence_t evidence, int64_t now_us)
+{
+  belief_t *belief = find (choice, id);
+  if (belief == NULL)
+    return;
+  switch (evidence)
+    {
+    case LT_CHOICE_GOOD:
+      belief->no_path = 0;
+      update_gray (choice, belief, true, now_us);
+      break;
+    case LT_CHOICE_BAD:
+      update_gray (choice, belief, false, now_us);
+      break;
+    case LT_CHOICE_SHED:
+      belief->shed_until_us = now_us + choice->options.shed_us;
+      break;
+    case LT_CHOICE_NO_PATH:
+      belief->no_path = 1;
+      belief->no_path_us = now_us;
+      break;
+    case LT_CHOICE_ELSEWHERE:
+      belief->elsewhere = true;
+      break;
+    }
+}
+
+void
+lt_choice_peer_observe (lt_choice_t *choice, uint64_t id, uint32_t good,
+                        uint32_t bad, int64_t now_us)
+{
+  belief_t *belief = find (choice, id);
+  if (belief == NULL)
+    return;
+  for (uint32_t i = 0; i < good; i++)
+    update_gray (choice, belief, true, now_us);
+  for (uint32_t i = 0; i < bad; i++)
+    update_gray (choice, belief, false, now_us);
+}
+
+void
+lt_choice_peer_load (lt_choice_t *choice, uint64_t id, uint64_t peer,
+                     int32_t in_flight, int64_t now_us)
+{
+  belief_t *belief = find (choice, id);
+  if (belief == NULL)
+    return;
+  uint32_t at = 0;
+  while (at < belief->peer_count && belief->peers[at].peer != peer)
+    at++;
+  if (at == PEERS_MAX)
+    return;
+  if (at == belief->peer_count)
+    belief->peer_count++;
+  belief->peers[at] = (peer_load_t){ peer, in_flight, now_us };
+}
+
+int
+lt_choice_view (const lt_choice_t *choice, uint64_t id, int64_t now_us,
+                lt_choice_view_t *view)
+{
+  const belief_t *belief = find (choice, id);
+  if (belief == NULL)
+    return -LT_ENOTFOUND;
+  *view = (lt_choice_view_t){ .gray = gray_now (choice, belief, now_us),
+                              .no_path = no_path_now (choice, belief, now_us),
+                              .own = belief->own,
+                              .peers = peer_sum (choice, belief, now_us),
+                              .evidence_us = belief->evidence_us };
+  return 0;
+}
--- a/packages/policy/src/retry.c
+++ b/packages/policy/src/retry.c
@@ -120,6 +120,12 @@
     budget->tokens = retry->options.budget_burst;
 }
 
+void
+lt_retry_set_burst (lt_retry_t *retry, double burst)
+{
+  retry->options.budget_burst = burst;
+}
+
 void
 lt_retry_on_request (lt_retry_t *retry, uint64_t service, uint64_t workspace,
                      int64_t now_us)
@@ -176,7 +182,9 @@
     return LT_RETRY_RESPONSE_STARTED;
   if (attempt->byte_sent && !attempt->idempotent)
     return LT_RETRY_NOT_SAFE;
-  if (attempt->attempts >= retry->options.attempts_max)
+  int attempts_max = attempt->attempts_max > 0 ? attempt->attempts_max
+                                               : retry->options.attempts_max;
+  if (attempt->attempts >= attempts_max)
     return LT_RETRY_ATTEMPTS_USED;
   if (!attempt->other_upstream)
     return LT_RETRY_NO_OTHER_UPSTREAM;
@@ -205,6 +213,13 @@
   int64_t delay_us = backoff_us (retry, attempt);
   if (now_us + delay_us >= attempt->deadline_us)
     return decline (retry, LT_RETRY_DEADLINE);
+  if (attempt->failure == LT_RETRY_CONNECT_FAILED
+      && retry->options.unsent_is_free)
+    {
+      retry->reasons[LT_RETRY_AGAIN]++;
+      retry->failures[attempt->failure]++;
+      return (lt_retry_decision_t){ .retry = true, .reason = LT_RETRY_AGAIN };
+    }
   service_t *s = service_get (retry, attempt->service);
   budget_t *workspace
       = workspace_budget (retry, attempt->service, attempt->workspace);
--- a/packages/platform/include/lt/platform/curl_loop.h
+++ b/packages/store/include/lt/store/curl_loop.h
@@ -1,7 +1,7 @@
 /** @file
     Runs a libcurl multi handle on a libev loop.  */
-#ifndef LT_PLATFORM_CURL_LOOP_H
-#define LT_PLATFORM_CURL_LOOP_H
+#ifndef LT_STORE_CURL_LOOP_H
+#define LT_STORE_CURL_LOOP_H
 
 #include <curl/curl.h>
 #include <stdbool.h>
--- a/packages/platform/src/http_client.h
+++ b/packages/store/include/lt/store/http_client.h
@@ -1,12 +1,18 @@
 /** @file
-    Signed HTTP requests on a libev loop (libcurl multi).  */
-#ifndef LT_PLATFORM_HTTP_CLIENT_H
-#define LT_PLATFORM_HTTP_CLIENT_H
+    HTTP requests, signed where the service wants it, on a libev loop (libcurl
+    multi).  */
+#ifndef LT_STORE_HTTP_CLIENT_H
+#define LT_STORE_HTTP_CLIENT_H
 
 #include <ev.h>
 
 #include "lt/base/str.h"
-#include "lt/platform/platform.h"
+#include "lt/store/store.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
 
 typedef struct http_client http_client_t;
 
@@ -16,12 +22,17 @@
   str_t region;
   str_t access_key;
   str_t secret_key;
+  /** A connection whose peer stays silent this long, although the system asks,
+      is given up; 0: never.  */
+  int64_t silence_ms;
+  int64_t connect_ms; /**< Bound of a connection; 0: that of the request. */
 } http_client_options_t;
 
 typedef struct http_request
 {
   const char *method;
-  const char *service; /**< Of the signature: "s3" or "dynamodb". */
+  const char *service; /**< Of the signature: "s3" or "dynamodb"; NULL: not
+                          signed. */
   const char *url;
   str_t body;
   const char *headers[4]; /**< "Name: value", up to the first NULL. */
@@ -50,4 +61,8 @@
 int http_client_submit (http_client_t *client, const http_request_t *request,
                         http_done_t done, void *user);
 
+#ifdef __cplusplus
+}
+#endif
+
 #endif
--- a/packages/platform/include/lt/platform/memory.h
+++ b/packages/store/include/lt/store/memory.h
@@ -1,10 +1,10 @@
 /** @file
     Faults and contents of the in-memory platform, for tests and for a site
     that runs a single VM.  */
-#ifndef LT_PLATFORM_MEMORY_H
-#define LT_PLATFORM_MEMORY_H
+#ifndef LT_STORE_MEMORY_H
+#define LT_STORE_MEMORY_H
 
-#include "lt/platform/platform.h"
+#include "lt/store/store.h"
 
 #ifdef __cplusplus
 extern "C"
--- a/packages/platform/include/lt/platform/platform.h
+++ b/packages/store/include/lt/store/store.h
@@ -2,8 +2,8 @@
     What the platform gives: a transactional table, an object store and a list
     of VMs.  All calls are asynchronous; completions run on the caller's loop,
     never inside the submitting call.  */
-#ifndef LT_PLATFORM_PLATFORM_H
-#define LT_PLATFORM_PLATFORM_H
+#ifndef LT_STORE_STORE_H
+#define LT_STORE_STORE_H
 
 #include "lt/base/str.h"
 
--- a/packages/platform/src/curl_loop.c
+++ b/packages/store/src/curl_loop.c
@@ -1,4 +1,4 @@
-#include "lt/platform/curl_loop.h"
+#include "lt/store/curl_loop.h"
 
 #include <ev.h>
 #include <stdlib.h>
--- a/packages/platform/src/http_adapters.h
+++ b/packages/store/src/http_adapters.h
@@ -1,9 +1,9 @@
 /** @file
     The three services over one HTTP client.  */
-#ifndef LT_PLATFORM_HTTP_ADAPTERS_H
-#define LT_PLATFORM_HTTP_ADAPTERS_H
+#ifndef LT_STORE_HTTP_ADAPTERS_H
+#define LT_STORE_HTTP_ADAPTERS_H
 
-#include "http_client.h"
+#include "lt/store/http_client.h"
 
 /** Client shared by the adapters; the last one destroys it.  */
 typedef struct http_shared
--- a/packages/platform/src/http_client.c
+++ b/packages/store/src/http_client.c
@@ -1,14 +1,17 @@
-#include "http_client.h"
+#include "lt/store/http_client.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <utlist.h>
 
 #include "lt/base/error.h"
-#include "lt/platform/curl_loop.h"
+#include "lt/store/curl_loop.h"
 
 enum
 {
@@ -23,6 +26,8 @@
   lt_curl_loop_t *curl;
   char *region;
   char *credentials;
+  int64_t silence_ms;
+  int64_t connect_ms;
   transfer_t *transfers;
 };
 
@@ -162,7 +167,8 @@
     transfer->headers
         = curl_slist_append (transfer->headers, request->headers[i]);
   transfer->headers = curl_slist_append (transfer->headers, "Expect:");
-  add_body_hash (transfer);
+  if (request->service != NULL)
+    add_body_hash (transfer);
   curl_easy_setopt (transfer->easy, CURLOPT_HTTPHEADER, transfer->headers);
 }
 
@@ -170,6 +176,8 @@
 set_signature (transfer_t *transfer, const char *service)
 {
   char provider[128];
+  if (service == NULL)
+    return;
   snprintf (provider, sizeof (provider), "aws:amz:%s:%s",
             transfer->client->region, service);
   curl_easy_setopt (transfer->easy, CURLOPT_AWS_SIGV4, provider);
@@ -177,6 +185,41 @@
                     transfer->client->credentials);
 }
 
+/* TCP keep-alive probes find a peer that vanished without a reset.  */
+static int
+/* NOLINTNEXTLINE(readability-non-const-parameter): libcurl's signature. */
+on_socket (void *cls, curl_socket_t fd, curlsocktype purpose)
+{
+  (void)purpose;
+  const http_client_t *client = cls;
+  int on = 1;
+  int count = 2;
+  int seconds = (int)(client->silence_ms / 1000 / (count + 1));
+  unsigned int silence_ms = (unsigned int)client->silence_ms;
+  if (seconds < 1)
+    seconds = 1;
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof (on));
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof (seconds));
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof (seconds));
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof (count));
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms,
+              sizeof (silence_ms));
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+set_silence (transfer_t *transfer)
+{
+  http_client_t *client = transfer->client;
+  if (client->connect_ms > 0)
+    curl_easy_setopt (transfer->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                      (long)client->connect_ms);
+  if (client->silence_ms == 0)
+    return;
+  curl_easy_setopt (transfer->easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt (transfer->easy, CURLOPT_SOCKOPTDATA, client);
+}
+
 int
 http_client_submit (http_client_t *client, const http_request_t *request,
                     http_done_t done, void *user)
@@ -196,6 +239,7 @@
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, write_response);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  set_silence (transfer);
   set_body (transfer, request->method);
   set_headers (transfer, request);
   set_signature (transfer, request->service);
@@ -222,6 +266,8 @@
   self->credentials = str_dup (lt_buf_str (&credentials));
   lt_buf_destroy (&credentials);
   self->region = str_dup (options->region);
+  self->silence_ms = options->silence_ms;
+  self->connect_ms = options->connect_ms;
   curl_multi_setopt (lt_curl_loop_multi (self->curl),
                      CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)CONNECTIONS_MAX);
   *client = self;
--- a/packages/platform/src/memory.c
+++ b/packages/store/src/memory.c
@@ -1,4 +1,4 @@
-#include "lt/platform/memory.h"
+#include "lt/store/memory.h"
 
 #include <ev.h>
 #include <stdlib.h>
--- a/packages/platform/src/ops.h
+++ b/packages/store/src/ops.h
@@ -1,9 +1,9 @@
 /** @file
     Checks and copies of table operations, shared by the adapters.  */
-#ifndef LT_PLATFORM_OPS_H
-#define LT_PLATFORM_OPS_H
+#ifndef LT_STORE_OPS_H
+#define LT_STORE_OPS_H
 
-#include "lt/platform/platform.h"
+#include "lt/store/store.h"
 
 enum
 {
--- a/packages/platform/src/platform.c
+++ b/packages/store/src/store.c
@@ -1,4 +1,4 @@
-#include "lt/platform/platform.h"
+#include "lt/store/store.h"
 
 void
 lt_platform_destroy (lt_platform_t *platform)
--- a/packages/platform/test/test_contract.cc
+++ b/packages/store/test/test_contract.cc
@@ -11,8 +11,8 @@
 
 #include "lt/base/clock.h"
 #include "lt/base/error.h"
-#include "lt/platform/memory.h"
-#include "lt/platform/platform.h"
+#include "lt/store/memory.h"
+#include "lt/store/store.h"
 #include "lt/standin/store.h"
 
 namespace
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -158,6 +158,69 @@
                                   lt_buf_t *out);
   int lt_wire_quarantine_decode (str_t payload, lt_wire_quarantine_t *message);
 
+/** Bound of the upstreams in one news message.  */
+#define LT_WIRE_NEWS_MAX 64
+
+  /** What a VM saw of one upstream since its last news.  */
+  typedef struct lt_wire_news_item
+  {
+    uint64_t upstream;  /**< Hash of name and incarnation. */
+    uint32_t in_flight; /**< Of this VM, now. */
+    uint32_t good;
+    uint32_t bad;
+  } lt_wire_news_item_t;
+
+  typedef struct lt_wire_news
+  {
+    lt_wire_news_item_t items[LT_WIRE_NEWS_MAX];
+    uint32_t count;
+  } lt_wire_news_t;
+
+  void lt_wire_news_encode (const lt_wire_news_t *message, lt_buf_t *out);
+  int lt_wire_news_decode (str_t payload, lt_wire_news_t *message);
+
+  /** Payload of quota_ask and quota_grant; the frame's correlation pairs
+      them.  */
+  typedef struct lt_wire_quota_tokens
+  {
+    uint64_t workspace; /**< lt_hash64 of the name; 0: only a sign of life. */
+    uint32_t count;     /**< Requests asked for, or admitted. */
+    int64_t home_us;    /**< Clock of the home: of this grant, or in an ask of
+                           the last grant; 0: none. */
+  } lt_wire_quota_tokens_t;
+
+  void lt_wire_quota_tokens_encode (const lt_wire_quota_tokens_t *message,
+                                    lt_buf_t *out);
+  int lt_wire_quota_tokens_decode (str_t payload,
+                                   lt_wire_quota_tokens_t *message);
+
+/** Bound of the workspaces in one table of shares.  */
+#define LT_WIRE_QUOTA_MAX 1024
+
+  typedef struct lt_wire_quota_share
+  {
+    uint64_t workspace;
+    uint64_t demand_milli; /**< Report: requests in 1,000 s. */
+    uint32_t ppm;          /**< Report: share in use; else the share given. */
+  } lt_wire_quota_share_t;
+
+  /** Payload of quota_report and quota_shares.  */
+  typedef struct lt_wire_quota_shares
+  {
+    int64_t parent_us; /**< Clock of the parent: of these shares, or in a
+                          report of the last ones; 0: none. */
+    uint64_t serial;   /**< Of these shares, or of the last ones in use. */
+    uint32_t members;  /**< Report: VMs that the sender speaks for. */
+    uint32_t vms;      /**< VMs that the sender knows, itself included. */
+    lt_wire_quota_share_t items[LT_WIRE_QUOTA_MAX];
+    uint32_t count;
+  } lt_wire_quota_shares_t;
+
+  void lt_wire_quota_shares_encode (const lt_wire_quota_shares_t *message,
+                                    lt_buf_t *out);
+  int lt_wire_quota_shares_decode (str_t payload,
+                                   lt_wire_quota_shares_t *message);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -4,6 +4,11 @@
 #include "lt/wire/frame.h"
 #include "lt/wire/pack.h"
 
+/* What a peer may claim in one message.  */
+#define NEWS_COUNT_MAX 1000
+#define QUOTA_VALUE_MAX 1000000000000LL
+#define QUOTA_PPM_MAX 1000000
+
 enum
 {
   HEARTBEAT_FIELDS = 6,
@@ -288,3 +293,96 @@
     return -LT_EPROTO;
   return lt_unpack_end (&in);
 }
+
+void
+lt_wire_news_encode (const lt_wire_news_t *message, lt_buf_t *out)
+{
+  lt_pack_array (out, message->count * 4);
+  for (uint32_t i = 0; i < message->count; i++)
+    {
+      const lt_wire_news_item_t *item = &message->items[i];
+      lt_pack_u64 (out, item->upstream);
+      lt_pack_u64 (out, item->in_flight);
+      lt_pack_u64 (out, item->good);
+      lt_pack_u64 (out, item->bad);
+    }
+}
+
+int
+lt_wire_news_decode (str_t payload, lt_wire_news_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  uint32_t fields = lt_unpack_array (&in, 0, LT_WIRE_NEWS_MAX * 4);
+  message->count = fields / 4;
+  for (uint32_t i = 0; i < message->count; i++)
+    {
+      lt_wire_news_item_t *item = &message->items[i];
+      item->upstream = lt_unpack_u64 (&in, UINT64_MAX);
+      item->in_flight = (uint32_t)lt_unpack_u64 (&in, INT32_MAX);
+      item->good = (uint32_t)lt_unpack_u64 (&in, NEWS_COUNT_MAX);
+      item->bad = (uint32_t)lt_unpack_u64 (&in, NEWS_COUNT_MAX);
+    }
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_quota_tokens_encode (const lt_wire_quota_tokens_t *message,
+                             lt_buf_t *out)
+{
+  lt_pack_array (out, 3);
+  lt_pack_u64 (out, message->workspace);
+  lt_pack_u64 (out, message->count);
+  lt_pack_i64 (out, message->home_us);
+}
+
+int
+lt_wire_quota_tokens_decode (str_t payload, lt_wire_quota_tokens_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, 3, 3);
+  message->workspace = lt_unpack_u64 (&in, UINT64_MAX);
+  message->count = (uint32_t)lt_unpack_u64 (&in, NEWS_COUNT_MAX);
+  message->home_us = lt_unpack_i64 (&in, 0, INT64_MAX);
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_quota_shares_encode (const lt_wire_quota_shares_t *message,
+                             lt_buf_t *out)
+{
+  lt_pack_array (out, 4 + message->count * 3);
+  lt_pack_i64 (out, message->parent_us);
+  lt_pack_u64 (out, message->serial);
+  lt_pack_u64 (out, message->members);
+  lt_pack_u64 (out, message->vms);
+  for (uint32_t i = 0; i < message->count; i++)
+    {
+      const lt_wire_quota_share_t *item = &message->items[i];
+      lt_pack_u64 (out, item->workspace);
+      lt_pack_u64 (out, item->demand_milli);
+      lt_pack_u64 (out, item->ppm);
+    }
+}
+
+int
+lt_wire_quota_shares_decode (str_t payload, lt_wire_quota_shares_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  uint32_t fields = lt_unpack_array (&in, 4, 4 + LT_WIRE_QUOTA_MAX * 3);
+  message->count = fields < 4 ? 0 : (fields - 4) / 3;
+  message->parent_us = lt_unpack_i64 (&in, 0, INT64_MAX);
+  message->serial = lt_unpack_u64 (&in, UINT64_MAX);
+  message->members = (uint32_t)lt_unpack_u64 (&in, UINT32_MAX);
+  message->vms = (uint32_t)lt_unpack_u64 (&in, UINT32_MAX);
+  for (uint32_t i = 0; i < message->count; i++)
+    {
+      lt_wire_quota_share_t *item = &message->items[i];
+      item->workspace = lt_unpack_u64 (&in, UINT64_MAX);
+      item->demand_milli = lt_unpack_u64 (&in, QUOTA_VALUE_MAX);
+      item->ppm = (uint32_t)lt_unpack_u64 (&in, QUOTA_PPM_MAX);
+    }
+  return lt_unpack_end (&in);
+}
--- a/packages/wire/test/test_wire.cc
+++ b/packages/wire/test/test_wire.cc
@@ -230,7 +230,7 @@
   } cases[] = { { "version 2", 1, 2, LT_CLOSE_BAD_VERSION },
                 { "version 0", 1, 0, LT_CLOSE_BAD_VERSION },
                 { "type 0", 2, 0, LT_CLOSE_BAD_TYPE },
-                { "type 19", 2, 19, LT_CLOSE_BAD_TYPE },
+                { "unknown type", 2, LT_MESSAGE_TYPE_END, LT_CLOSE_BAD_TYPE },
                 { "seven fields", 0, 0x97, LT_CLOSE_BAD_BODY },
                 { "map", 0, 0x86, LT_CLOSE_BAD_BODY },
                 { "sender nil", 4, 0xc0, LT_CLOSE_BAD_BODY },
