--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utlist.h>
 
 #include "dispatch.h"
 #include "http_loop.h"
@@ -23,9 +24,19 @@
   ANSWER_BLOCK_BYTES = 16 * 1024
 };
 
+/* A caller's connection.  */
+typedef struct link
+{
+  struct link *prev;
+  struct link *next;
+  int fd;
+  int calls; /* Requests that are being read or answered. */
+} link_t;
+
 struct lt_caller_server
 {
   lt_node_t *node;
+  link_t *links;
   lt_http_loop_t http;
   bool quiesced;
 };
@@ -35,6 +46,7 @@
 {
   lt_caller_server_t *server;
   struct MHD_Connection *connection;
+  link_t *link;
   lt_request_t *request;
   char *target;
   ev_io hangup;
@@ -290,6 +302,49 @@
   return call->responded ? MHD_YES : answer_or_wait (call);
 }
 
+static link_t *
+link_of (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+  return info == NULL ? NULL : info->socket_context;
+}
+
+static void
+on_connection (void *cls, struct MHD_Connection *connection,
+               void **socket_context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  lt_caller_server_t *server = cls;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+          connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+      link_t *link = lt_alloc (sizeof (*link));
+      link->fd = info->connect_fd;
+      DL_APPEND (server->links, link);
+      *socket_context = link;
+      return;
+    }
+  link_t *link = *socket_context;
+  DL_DELETE (server->links, link);
+  free (link);
+  *socket_context = NULL;
+}
+
+/* Ends connections between requests: a caller that finds one closed knows that
+   its request was not read.  */
+static void
+close_idle (lt_caller_server_t *server)
+{
+  link_t *link;
+  DL_FOREACH (server->links, link)
+  {
+    if (link->calls == 0)
+      shutdown (link->fd, SHUT_RD);
+  }
+}
+
 static void *
 on_target (void *cls, const char *uri, struct MHD_Connection *connection)
 {
@@ -297,6 +352,9 @@
   call->server = cls;
   call->connection = connection;
   call->target = str_dup (str_from (uri));
+  call->link = link_of (connection);
+  if (call->link != NULL)
+    call->link->calls++;
   return call;
 }
 
@@ -313,6 +371,8 @@
     return;
   stop_hangup_watch (call);
   release_request (call);
+  if (call->link != NULL)
+    call->link->calls--;
   if (call->target != NULL)
     memset (call->target, 0, strlen (call->target));
   free (call->target);
@@ -328,6 +388,7 @@
       NULL, MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)address,
       MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)(server->node->registry != NULL ? HOSTED_CONNECTION_MEMORY_BYTES
                                               : CONNECTION_MEMORY_BYTES),
@@ -389,6 +450,7 @@
   if (server->quiesced)
     return;
   server->quiesced = true;
+  close_idle (server);
   int listen_fd = MHD_quiesce_daemon (server->http.daemon);
   if (listen_fd < 0)
     return;
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -32,6 +32,9 @@
 #include "upstream_client.h"
 
 #define TICK_S 0.1
+/* Hosted: from this part of the time to SIGKILL on, no request is taken: those
+   taken before have more than the other half to end.  */
+#define HOSTED_QUIESCE_SHARE 0.45
 /* Connections whose request is not read yet do not count as in flight, so the
    end waits this long for open connections after the listener has closed.  */
 #define LINGER_US (1 * LT_US_PER_S)
@@ -78,13 +81,22 @@
   return stopped;
 }
 
+static int64_t
+drain_grace_us (const lt_settings_t *settings)
+{
+  if (settings->hosting == NULL)
+    return settings->drain_grace_ms * LT_US_PER_MS;
+  return (int64_t)((double)settings->stop_grace_ms * HOSTED_QUIESCE_SHARE)
+         * LT_US_PER_MS;
+}
+
 /* The VM goes on serving until the balancer has had its grace time; then it
    stops accepting, and ends when nothing is in flight.  */
 static void
 continue_drain (lt_daemon_t *daemon, int64_t now_us)
 {
   lt_node_t *node = &daemon->node;
-  int64_t grace_us = node->settings->drain_grace_ms * LT_US_PER_MS;
+  int64_t grace_us = drain_grace_us (node->settings);
   if (now_us - daemon->drain_started_us < grace_us)
     return;
   lt_caller_server_quiesce (daemon->callers);
@@ -303,7 +315,7 @@
   node->leaving = true;
   daemon->drain_started_us = lt_node_now_us (node);
   lt_log (LT_LOG_INFO, "daemon", "msg=\"drain started\" grace_ms=%lld",
-          (long long)node->settings->drain_grace_ms);
+          (long long)(drain_grace_us (node->settings) / LT_US_PER_MS));
 }
 
 void
--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -46,6 +46,27 @@
   lt_counter_t *counts[COUNTS];
 };
 
+/* Leaves in IDS the VM that collects suspicions of FINGERPRINT, unless that is
+   this one.  Returns the number of ids left.  */
+static size_t
+keep_collector (const lt_node_t *node, const lt_digest_t *fingerprint,
+                str_t *ids, size_t count)
+{
+  str_t key = str_make ((const char *)fingerprint->bytes, LT_DIGEST_BYTES);
+  uint64_t most = lt_rendezvous (key, node->settings->vm_id);
+  size_t kept = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t weight = lt_rendezvous (key, ids[i]);
+      if (weight <= most)
+        continue;
+      most = weight;
+      ids[0] = ids[i];
+      kept = 1;
+    }
+  return kept;
+}
+
 static void
 send_notice (lt_quarantine_controller_t *controller,
              const lt_quarantine_notice_t *notice)
@@ -67,6 +88,11 @@
   str_t *ids = lt_alloc ((count + 1) * sizeof (*ids));
   if (count > 0)
     count = node->directory->others (node, ids, count);
+  /* Upstreams of a hosting platform reset requests all the time, so most
+     suspicions come to nothing: they are collected at one VM, and told to all
+     when they become a quarantine.  */
+  if (node->registry != NULL && notice->level == 0)
+    count = keep_collector (node, &notice->fingerprint, ids, count);
   for (size_t i = 0; i < count; i++)
     if (lt_node_send (node, ids[i], LT_MESSAGE_QUARANTINE, 0,
                       lt_buf_str (&payload))
--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -98,9 +98,9 @@
                     "alone");
     }
   bool asked = lt_quota_has_home (c, now_us);
-  if (asked && lt_quota_is_self (c, c->to_home.id))
-    return admit (c, request,
-                  lt_quota_buckets_take (c->home, hash, true, now_us), "home");
+  bool self = asked && lt_quota_is_self (c, c->to_home.id);
+  if (self && lt_quota_buckets_take (c->home, hash, true, now_us))
+    return admit (c, request, true, "home");
   quota_waiting_t *waiting = lt_alloc (sizeof (*waiting));
   *waiting = (quota_waiting_t){ .request = request,
                                 .slot = slot,
@@ -110,6 +110,14 @@
                                 .asked = asked };
   request->filter_state[slot] = waiting;
   DL_APPEND (c->waiting, waiting);
+  if (self)
+    {
+      if (lt_quota_borrow (c, str_make (NULL, 0), waiting->number, hash,
+                           now_us))
+        return LT_FILTER_WAIT;
+      waiting_free (c, waiting);
+      return deny (c, request, "home");
+    }
   if (asked)
     {
       lt_quota_count (c, QUOTA_COUNT_ASKED);
@@ -118,6 +126,23 @@
   return LT_FILTER_WAIT;
 }
 
+void
+lt_quota_finish (lt_quota_controller_t *c, uint64_t number, bool admitted)
+{
+  quota_waiting_t *waiting;
+  DL_FOREACH (c->waiting, waiting)
+  {
+    if (waiting->number == number)
+      break;
+  }
+  if (waiting == NULL)
+    return;
+  lt_request_t *request = waiting->request;
+  waiting_free (c, waiting);
+  if (admit (c, request, admitted, "home") == LT_FILTER_CONTINUE)
+    lt_request_resume (request);
+}
+
 static void
 take_grant (lt_quota_controller_t *c, const lt_peer_message_t *message,
             int64_t now_us)
@@ -142,10 +167,7 @@
       waiting->asked = false; /* The next home is asked. */
       return;
     }
-  lt_request_t *request = waiting->request;
-  waiting_free (c, waiting);
-  if (admit (c, request, grant.count > 0, "home") == LT_FILTER_CONTINUE)
-    lt_request_resume (request);
+  lt_quota_finish (c, message->correlation, grant.count > 0);
 }
 
 /* Requests that came while there was nobody to ask.  */
@@ -194,6 +216,7 @@
     }
   lt_quota_follow_home (c, now_us);
   lt_quota_follow_parent (c, now_us);
+  lt_quota_expire_borrows (c, now_us);
   ask_waiting (c, now_us);
 }
 
@@ -216,6 +239,12 @@
     case LT_MESSAGE_QUOTA_SHARES:
       lt_quota_take_shares (c, message, now_us);
       break;
+    case LT_MESSAGE_QUOTA_BORROW:
+      lt_quota_take_borrow (c, message, now_us);
+      break;
+    case LT_MESSAGE_QUOTA_LENT:
+      lt_quota_take_lent (c, message, now_us);
+      break;
     }
 }
 
@@ -244,6 +273,7 @@
     }
   lt_quota_buckets_configure (c->alone, rates, count, now_us);
   lt_quota_buckets_configure (c->home, rates, count, now_us);
+  lt_quota_buckets_configure (c->reserve, rates, count, now_us);
   free (rates);
 }
 
@@ -272,6 +302,8 @@
   }
   lt_quota_buckets_destroy (c->alone);
   lt_quota_buckets_destroy (c->home);
+  lt_quota_buckets_destroy (c->reserve);
+  lt_quota_destroy_borrows (c);
   lt_quota_members_destroy (c->members);
   lt_quota_parent_destroy (c->parent);
   base->node->quota_controller = NULL;
@@ -283,7 +315,9 @@
         .types = LT_TYPE_BIT (LT_MESSAGE_QUOTA_ASK)
                  | LT_TYPE_BIT (LT_MESSAGE_QUOTA_GRANT)
                  | LT_TYPE_BIT (LT_MESSAGE_QUOTA_REPORT)
-                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_SHARES),
+                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_SHARES)
+                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_BORROW)
+                 | LT_TYPE_BIT (LT_MESSAGE_QUOTA_LENT),
         .tick = tick,
         .on_frame = on_frame,
         .on_config = on_config,
@@ -299,6 +333,7 @@
   c->times = LT_QUOTA_TIMES_DEFAULT;
   c->alone = lt_quota_buckets_create (&c->times, &node->rng);
   c->home = lt_quota_buckets_create (&c->times, &node->rng);
+  c->reserve = lt_quota_buckets_create (&c->times, &node->rng);
   c->members = lt_quota_members_create (&c->times);
   c->parent = lt_quota_parent_create (&c->times);
   for (int i = 0; i < QUOTA_COUNTS; i++)
--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -21,6 +21,8 @@
   X (QUOTA_COUNT_ALONE, "admitted-alone")                                     \
   X (QUOTA_COUNT_EXPIRED, "expired")                                          \
   X (QUOTA_COUNT_SERVED, "served-as-home")                                    \
+  X (QUOTA_COUNT_BORROWED, "borrowed")                                        \
+  X (QUOTA_COUNT_NOT_LENT, "not-lent")                                        \
   X (QUOTA_COUNT_MALFORMED, "malformed")
 
 #define QUOTA_ENUM(name, text) name,
@@ -43,6 +45,31 @@
   bool asked;
 } quota_waiting_t;
 
+/* A member's question, or a request of this VM, that waits for the parent's
+   reserve.  */
+typedef struct quota_borrow
+{
+  struct quota_borrow *prev;
+  struct quota_borrow *next;
+  uint64_t number;
+  uint64_t workspace;
+  int64_t since_us;
+  char member[QUOTA_NAME_BYTES]; /* "": this VM itself. */
+  uint64_t correlation;          /* Of the member's question, or own number. */
+} quota_borrow_t;
+
+/* Workspaces that the reserve just had nothing for.  */
+enum
+{
+  QUOTA_EMPTY_MAX = 32
+};
+
+typedef struct quota_empty
+{
+  uint64_t workspace;
+  int64_t until_us;
+} quota_empty_t;
+
 /* The VM that this one has lent its right to, or reports to.  */
 typedef struct quota_upper
 {
@@ -63,6 +90,9 @@
   lt_quota_buckets_t *home;  /* Of this VM as a home. */
   lt_quota_members_t *members;
   lt_quota_parent_t *parent;
+  lt_quota_buckets_t *reserve; /* Of this VM as a parent. */
+  quota_borrow_t *borrows;
+  quota_empty_t empty[QUOTA_EMPTY_MAX];
   quota_upper_t to_home;
   quota_upper_t to_parent;
   int64_t signed_us;   /* Last message to the home. */
@@ -94,6 +124,24 @@
 void lt_quota_send_ask (lt_quota_controller_t *c, uint64_t workspace,
                         uint32_t count, uint64_t number, int64_t now_us);
 
+/** Asks the parent's reserve for one request; see quota_borrow.c.  Returns
+    false when that is of no use now.  MEMBER "" is this VM itself.  */
+bool lt_quota_borrow (lt_quota_controller_t *c, str_t member,
+                      uint64_t correlation, uint64_t workspace,
+                      int64_t now_us);
+void lt_quota_take_borrow (lt_quota_controller_t *c,
+                           const lt_peer_message_t *message, int64_t now_us);
+void lt_quota_take_lent (lt_quota_controller_t *c,
+                         const lt_peer_message_t *message, int64_t now_us);
+void lt_quota_expire_borrows (lt_quota_controller_t *c, int64_t now_us);
+void lt_quota_destroy_borrows (lt_quota_controller_t *c);
+/** Answers a member's question.  */
+void lt_quota_send_grant (lt_quota_controller_t *c, str_t member,
+                          uint64_t correlation, uint64_t workspace,
+                          bool admitted, int64_t now_us);
+/** The home's answer to this VM's own request NUMBER.  */
+void lt_quota_finish (lt_quota_controller_t *c, uint64_t number, bool admitted);
+
 /** Reports to the parent; see quota_shares.c.  */
 void lt_quota_follow_parent (lt_quota_controller_t *c, int64_t now_us);
 void lt_quota_take_report (lt_quota_controller_t *c,
--- a/packages/node/src/quota_members.c
+++ b/packages/node/src/quota_members.c
@@ -142,23 +142,38 @@
       lt_quota_count (c, QUOTA_COUNT_MALFORMED);
       return;
     }
-  lt_node_t *node = c->base.node;
-  lt_wire_quota_tokens_t grant = { .workspace = ask.workspace };
-  /* A home that stops gives its members their loans back.  */
-  if (!node->leaving)
+  bool admitted = false;
+  if (!c->base.node->leaving)
     {
-      grant.home_us = now_us;
       lt_quota_members_note (c->members, lt_hash64 (message->sender),
                              ask.home_us, now_us);
-      if (ask.count > 0
-          && lt_quota_buckets_take (c->home, ask.workspace, true, now_us))
-        grant.count = 1;
       lt_quota_count (c, QUOTA_COUNT_SERVED);
+      admitted = ask.count > 0
+                 && lt_quota_buckets_take (c->home, ask.workspace, true,
+                                           now_us);
+      if (ask.count > 0 && !admitted
+          && lt_quota_borrow (c, message->sender, message->correlation,
+                              ask.workspace, now_us))
+        return;
     }
+  lt_quota_send_grant (c, message->sender, message->correlation,
+                       ask.workspace, admitted, now_us);
+}
+
+void
+lt_quota_send_grant (lt_quota_controller_t *c, str_t member,
+                     uint64_t correlation, uint64_t workspace, bool admitted,
+                     int64_t now_us)
+{
+  /* A home that stops gives its members their loans back.  */
+  lt_wire_quota_tokens_t grant
+      = { .workspace = workspace,
+          .count = admitted ? 1 : 0,
+          .home_us = c->base.node->leaving ? 0 : now_us };
   lt_buf_t payload = { 0 };
   lt_wire_quota_tokens_encode (&grant, &payload);
-  lt_node_send (node, message->sender, LT_MESSAGE_QUOTA_GRANT,
-                message->correlation, lt_buf_str (&payload));
+  lt_node_send (c->base.node, member, LT_MESSAGE_QUOTA_GRANT, correlation,
+                lt_buf_str (&payload));
   lt_buf_destroy (&payload);
 }
 
--- a/packages/node/src/quota_shares.c
+++ b/packages/node/src/quota_shares.c
@@ -102,6 +102,10 @@
                               .count = report->count };
   shares->serial = lt_quota_parent_report (c->parent, &plain, lt_quota_vms (c),
                                            dealt, now_us);
+  lt_quota_buckets_set_all (
+      c->reserve,
+      lt_quota_parent_reserve_ppm (c->parent, lt_quota_vms (c), now_us),
+      now_us);
   shares->parent_us = now_us;
   shares->members = 0;
   shares->vms = lt_quota_vms (c);
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -125,7 +125,8 @@
              uint32_t upstream)
 {
   lt_upstream_controller_t *c = from_pools (pools);
-  lt_choice_begin (c->choice, upstream_id (&snapshot->upstreams[upstream]));
+  lt_choice_begin (c->choice, upstream_id (&snapshot->upstreams[upstream]),
+                   lt_node_now_us (c->base.node));
   note_news (c, &snapshot->upstreams[upstream]);
 }
 
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -56,6 +56,14 @@
     int64_t shed_us;
     int64_t peer_load_us; /**< A peer's load counts this long. */
     double jitter;        /**< Breaks ties at random. */
+    /** An upstream of the failure domain that nobody has used this long gets a
+        repeatable request: its state is known again, and a suspicion that was
+        wrong takes no capacity for long.  */
+    int64_t trial_us;
+    /** The same with any request, while more than trial_share of a service's
+        requests fail: then the choice is of no help.  */
+    double trial_share;
+    int64_t share_us; /**< Time constant of that share. */
   } lt_choice_options_t;
 
 /* Rates and losses: the platform's notes on prices, and the times for which
@@ -75,7 +83,10 @@
                           .shed_loss = 0.15,                                  \
                           .shed_us = 300 * 1000,                              \
                           .peer_load_us = 3 * 1000 * 1000,                    \
-                          .jitter = 0.01 })
+                          .jitter = 0.01,                                     \
+                          .trial_us = 1200 * 1000,                            \
+                          .trial_share = 0.08,                                \
+                          .share_us = 2 * 1000 * 1000 })
 
   /** One upstream as the configuration names it.  */
   typedef struct lt_choice_upstream
@@ -120,7 +131,7 @@
   int64_t lt_choice_pick (lt_choice_t *choice,
                           const lt_choice_request_t *request, int64_t now_us);
   /** An attempt of this VM begins or ends.  Unknown ids are ignored.  */
-  void lt_choice_begin (lt_choice_t *choice, uint64_t id);
+  void lt_choice_begin (lt_choice_t *choice, uint64_t id, int64_t now_us);
   void lt_choice_end (lt_choice_t *choice, uint64_t id);
   /** Evidence from an attempt of this VM.  */
   void lt_choice_observe (lt_choice_t *choice, uint64_t id,
--- a/packages/policy/include/lt/policy/quota.h
+++ b/packages/policy/include/lt/policy/quota.h
@@ -2,8 +2,8 @@
     Fleet-wide rates in two levels, without a record in a store.  Each of the N
     VMs that are known has the right to 1/N of every rate and burst.  It lends
     that right to the home of its failure domain, which admits for its members
-    from one token bucket; the homes lend theirs to a parent, which deals the
-    sum out by demand.  What is lent is not used by its owner until the loan
+    from one token bucket; the homes lend theirs to a parent, which deals most
+    of the sum out by demand and keeps a reserve for peaks.  What is lent is not used by its owner until the loan
     has ended for both sides, so the parts never add up to more than the whole,
     whoever is cut off.  A VM that reaches nobody has its own 1/N.  */
 #ifndef LT_POLICY_QUOTA_H
@@ -117,6 +117,10 @@
                                    uint32_t vms, lt_quota_share_t *rows,
                                    int64_t now_us);
 
+  /** Returns the part of the whole that the parent keeps as a reserve.  */
+  uint32_t lt_quota_parent_reserve_ppm (lt_quota_parent_t *parent,
+                                        uint32_t vms, int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -34,12 +34,21 @@
   int64_t no_path_us;
   int64_t shed_until_us;
   int64_t evidence_us;
+  int64_t used_us; /* By any VM that reports. */
   bool elsewhere;
   int32_t own;
   peer_load_t peers[PEERS_MAX];
   uint32_t peer_count;
 } belief_t;
 
+/* How the requests of a service end of late; counts decay.  */
+typedef struct service_share
+{
+  double good;
+  double bad;
+  int64_t updated_us;
+} service_share_t;
+
 struct lt_choice
 {
   lt_choice_options_t options;
@@ -47,6 +56,8 @@
   belief_t *beliefs;
   belief_t **by_index;
   uint32_t count;
+  service_share_t *shares; /* By service. */
+  uint32_t service_count;
 };
 
 lt_choice_t *
@@ -77,6 +88,7 @@
     forget (choice, belief);
   }
   free (choice->by_index);
+  free (choice->shares);
   free (choice);
 }
 
@@ -117,6 +129,45 @@
                 now_us - belief->no_path_us);
 }
 
+/* Services may be numbered anew; their shares are then learned again.  */
+static void
+size_shares (lt_choice_t *choice, const lt_choice_upstream_t *upstreams,
+             uint32_t count)
+{
+  uint32_t services = 0;
+  for (uint32_t i = 0; i < count; i++)
+    if (upstreams[i].service >= services)
+      services = upstreams[i].service + 1;
+  if (services == choice->service_count)
+    return;
+  free (choice->shares);
+  choice->shares = lt_alloc ((services + 1) * sizeof (*choice->shares));
+  choice->service_count = services;
+}
+
+static void
+note_share (lt_choice_t *choice, const belief_t *belief, uint32_t good,
+            uint32_t bad, int64_t now_us)
+{
+  if (!belief->current || belief->upstream.service >= choice->service_count)
+    return;
+  service_share_t *share = &choice->shares[belief->upstream.service];
+  double kept = exp (-(double)(now_us - share->updated_us)
+                     / (double)choice->options.share_us);
+  share->good = share->good * kept + good;
+  share->bad = share->bad * kept + bad;
+  share->updated_us = now_us;
+}
+
+static bool
+__attribute__((unused)) is_failing (const lt_choice_t *choice, uint32_t service)
+{
+  if (service >= choice->service_count)
+    return false;
+  const service_share_t *share = &choice->shares[service];
+  return share->bad > choice->options.trial_share * (share->good + share->bad);
+}
+
 void
 lt_choice_configure (lt_choice_t *choice,
                      const lt_choice_upstream_t *upstreams, uint32_t count,
@@ -128,6 +179,7 @@
   {
     belief->current = false;
   }
+  size_shares (choice, upstreams, count);
   free (choice->by_index);
   choice->by_index = lt_alloc ((count + 1) * sizeof (belief_t *));
   choice->count = count;
@@ -140,6 +192,7 @@
           belief->id = upstreams[i].id;
           belief->gray = stationary (&choice->options);
           belief->gray_us = now_us;
+          belief->used_us = now_us;
           HASH_ADD (hh, choice->beliefs, id, sizeof (belief->id), belief);
         }
       belief->upstream = upstreams[i];
@@ -205,18 +258,50 @@
   return false;
 }
 
+static bool
+can_take (const belief_t *belief, const lt_choice_request_t *request,
+          uint32_t index)
+{
+  return belief->upstream.service == request->service
+         && !belief->upstream.leaving && !belief->elsewhere
+         && !was_tried (request, index);
+}
+
+/* Returns the upstream that has waited longest for a trial, or -1.  */
+static int64_t
+pick_trial (const lt_choice_t *choice, const lt_choice_request_t *request,
+            int64_t now_us)
+{
+  int64_t found = -1;
+  int64_t oldest_us = now_us - choice->options.trial_us;
+  if (request->tried_count > 0
+      || !request->repeatable)
+    return -1;
+  for (uint32_t i = 0; i < choice->count; i++)
+    {
+      const belief_t *belief = choice->by_index[i];
+      if (belief->upstream.distance != LT_DISTANCE_DOMAIN
+          || belief->used_us > oldest_us || !can_take (belief, request, i))
+        continue;
+      oldest_us = belief->used_us;
+      found = i;
+    }
+  return found;
+}
+
 int64_t
 lt_choice_pick (lt_choice_t *choice, const lt_choice_request_t *request,
                 int64_t now_us)
 {
   int64_t best = -LT_EUNAVAILABLE;
   double least = INFINITY;
+  int64_t trial = pick_trial (choice, request, now_us);
+  if (trial >= 0)
+    return trial;
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const belief_t *belief = choice->by_index[i];
-      if (belief->upstream.service != request->service
-          || belief->upstream.leaving || belief->elsewhere
-          || was_tried (request, i))
+      if (!can_take (belief, request, i))
         continue;
       double loss = expected_loss (choice, belief, request, now_us)
                     + choice->options.jitter * lt_rng_unit (choice->rng);
@@ -229,11 +314,13 @@
 }
 
 void
-lt_choice_begin (lt_choice_t *choice, uint64_t id)
+lt_choice_begin (lt_choice_t *choice, uint64_t id, int64_t now_us)
 {
   belief_t *belief = find (choice, id);
-  if (belief != NULL)
-    belief->own++;
+  if (belief == NULL)
+    return;
+  belief->own++;
+  belief->used_us = now_us;
 }
 
 void
@@ -271,9 +358,11 @@
     {
     case LT_CHOICE_GOOD:
       belief->no_path = 0;
+      note_share (choice, belief, 1, 0, now_us);
       update_gray (choice, belief, true, now_us);
       break;
     case LT_CHOICE_BAD:
+      note_share (choice, belief, 0, 1, now_us);
       update_gray (choice, belief, false, now_us);
       break;
     case LT_CHOICE_SHED:
@@ -296,6 +385,8 @@
   belief_t *belief = find (choice, id);
   if (belief == NULL)
     return;
+  note_share (choice, belief, good, bad, now_us);
+  belief->used_us = now_us;
   for (uint32_t i = 0; i < good; i++)
     update_gray (choice, belief, true, now_us);
   for (uint32_t i = 0; i < bad; i++)
--- a/packages/policy/src/quota_parent.c
+++ b/packages/policy/src/quota_parent.c
@@ -7,6 +7,9 @@
 /* Part of a share that follows the demand; the rest follows the number of VMs,
    so that a domain whose demand begins is not without.  */
 #define BY_DEMAND 0.8
+/* Part that the parent lends request by request: peaks of the domains seldom
+   coincide.  */
+#define RESERVE 0.4
 
 typedef struct member
 {
@@ -243,6 +246,7 @@
   double pool = members / vms * LT_QUOTA_WHOLE_PPM;
   if (pool > LT_QUOTA_WHOLE_PPM)
     pool = LT_QUOTA_WHOLE_PPM;
+  pool *= 1 - RESERVE;
   double by_members = to->members / members;
   double by_demand
       = demand > 0 ? (double)holding->demand_milli / demand : by_members;
@@ -252,6 +256,18 @@
   return part > 0 ? (uint32_t)part : 0;
 }
 
+uint32_t
+lt_quota_parent_reserve_ppm (lt_quota_parent_t *parent, uint32_t vms,
+                             int64_t now_us)
+{
+  double members = 0;
+  for (home_t *home = parent->homes; home != NULL; home = home->hh.next)
+    if (is_lending (parent, home, now_us))
+      members += home->members;
+  double part = members / vms < 1 ? members / vms : 1;
+  return (uint32_t)(part * RESERVE * LT_QUOTA_WHOLE_PPM);
+}
+
 uint64_t
 lt_quota_parent_report (lt_quota_parent_t *parent,
                         const lt_quota_report_t *report, uint32_t vms,
