--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -1,3 +1,26 @@
+# Defines one GoogleTest program per file of FOLDER/test.
+function (lt_tests NAME FOLDER)
+  cmake_parse_arguments (ARG "" "" "LIBS" ${ARGN})
+  if (NOT LT_TESTS)
+    return ()
+  endif ()
+  file (GLOB TESTS CONFIGURE_DEPENDS ${FOLDER}/test/test_*.cc)
+  foreach (TEST ${TESTS})
+    get_filename_component (STEM ${TEST} NAME_WE)
+    set (TARGET ${NAME}_${STEM})
+    add_executable (${TARGET} ${TEST})
+    target_include_directories (${TARGET} PRIVATE ${FOLDER}/src ${FOLDER}/test)
+    target_compile_definitions (
+      ${TARGET} PRIVATE LT_TEST_DIR="${FOLDER}/test"
+                        LT_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
+                        LT_BINARY_DIR="${CMAKE_BINARY_DIR}")
+    target_link_libraries (${TARGET} PRIVATE ${ARG_LIBS} GTest::gtest
+                           GTest::gtest_main Threads::Threads)
+    add_test (NAME ${TARGET} COMMAND ${TARGET})
+    set_tests_properties (${TARGET} PROPERTIES TIMEOUT 600)
+  endforeach ()
+endfunction ()
+
 # Defines the static library lt_NAME from all files of src/ (main.c excluded)
 # and one GoogleTest program per file of test/.
 function (lt_package NAME)
@@ -14,24 +37,8 @@
     target_link_libraries (lt_${NAME} INTERFACE ${ARG_LIBS})
   endif ()
 
-  set (TESTS "")
-  if (LT_TESTS)
-    file (GLOB TESTS CONFIGURE_DEPENDS test/test_*.cc)
-  endif ()
-  foreach (TEST ${TESTS})
-    get_filename_component (STEM ${TEST} NAME_WE)
-    set (TARGET ${NAME}_${STEM})
-    add_executable (${TARGET} ${TEST})
-    target_include_directories (${TARGET} PRIVATE src test)
-    target_compile_definitions (
-      ${TARGET} PRIVATE LT_TEST_DIR="${CMAKE_CURRENT_SOURCE_DIR}/test"
-                        LT_SOURCE_DIR="${CMAKE_SOURCE_DIR}"
-                        LT_BINARY_DIR="${CMAKE_BINARY_DIR}")
-    target_link_libraries (${TARGET} PRIVATE lt_${NAME} ${ARG_TEST_LIBS}
-                           GTest::gtest GTest::gtest_main Threads::Threads)
-    add_test (NAME ${TARGET} COMMAND ${TARGET})
-    set_tests_properties (${TARGET} PROPERTIES TIMEOUT 600)
-  endforeach ()
+  lt_tests (${NAME} ${CMAKE_CURRENT_SOURCE_DIR} LIBS lt_${NAME}
+            ${ARG_TEST_LIBS})
 
   # Bench drivers are built by the target `bench` only, outside CI.
   file (GLOB BENCHES CONFIGURE_DEPENDS bench/bench_*.c)
--- a/packages/base/include/lt/base/str.h
+++ b/packages/base/include/lt/base/str.h
@@ -24,7 +24,10 @@
 #define STR_LIT(s) ((str_t){ (s), sizeof (s) - 1 })
 
 /** The same as a constant initializer, for static data.  */
-#define STR_CONST(s) { (s), sizeof (s) - 1 }
+#define STR_CONST(s)                                                          \
+  {                                                                           \
+    (s), sizeof (s) - 1                                                       \
+  }
 
 /** printf arguments for "%.*s".  */
 #define STR_ARG(s) (int)(s).len, (s).data
--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -108,12 +108,12 @@
     bool all_workspaces;
     uint32_t *workspaces; /**< Sorted indexes when not all_workspaces. */
     uint32_t workspace_count;
-    str_t host;               /**< Of a deployment's route; else empty. */
-    lt_split_t *splits;       /**< Services and their parts, or NULL. */
-    uint32_t split_count;     /**< 0: all requests go to service. */
-    int32_t attempts_max;     /**< Upstreams per request; 0: built-in. */
+    str_t host;                /**< Of a deployment's route; else empty. */
+    lt_split_t *splits;        /**< Services and their parts, or NULL. */
+    uint32_t split_count;      /**< 0: all requests go to service. */
+    int32_t attempts_max;      /**< Upstreams per request; 0: built-in. */
     int32_t latency_target_ms; /**< 0: none. */
-    int32_t priority;         /**< 0: highest. */
+    int32_t priority;          /**< 0: highest. */
   } lt_route_t;
 
   /** A planned stop of an upstream, in microseconds since the epoch (UTC).  */
--- a/packages/config/src/deployment.c
+++ b/packages/config/src/deployment.c
@@ -50,8 +50,8 @@
 static int
 add_workspaces (lt_snapshot_t *s, const lt_deployment_t *d)
 {
-  s->workspaces = lt_arena_alloc (s->arena,
-                                  d->workspace_count * sizeof (*s->workspaces));
+  s->workspaces = lt_arena_alloc (s->arena, d->workspace_count
+                                                * sizeof (*s->workspaces));
   s->workspace_count = d->workspace_count;
   for (uint32_t i = 0; i < d->workspace_count; i++)
     {
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -76,10 +76,10 @@
     LT_ATTEMPT_REFUSED, /**< No connection. */
     LT_ATTEMPT_SHED,    /**< 503 with Retry-After. */
     LT_ATTEMPT_TIMEOUT,
-    LT_ATTEMPT_TRUNCATED, /**< Body cut short. */
-    LT_ATTEMPT_MIXED_UP, /**< The answer was not the request's own. */
+    LT_ATTEMPT_TRUNCATED,   /**< Body cut short. */
+    LT_ATTEMPT_MIXED_UP,    /**< The answer was not the request's own. */
     LT_ATTEMPT_MISDIRECTED, /**< Another upstream has the address. */
-    LT_ATTEMPT_CANCELED   /**< By the caller or a hedge; no evidence. */
+    LT_ATTEMPT_CANCELED     /**< By the caller or a hedge; no evidence. */
   } lt_attempt_outcome_t;
 
   /** Told to every controller when an attempt ends.  */
@@ -109,7 +109,7 @@
     const lt_dialect_t *dialect;
     lt_metrics_t *metrics;
     lt_platform_t platform;
-    lt_registry_t *registry; /**< NULL unless hosted. */
+    lt_registry_t *registry;   /**< NULL unless hosted. */
     uint64_t incarnation;      /**< Grows with each start of this VM id. */
     lt_snapshot_ref_t *config; /**< In force; NULL before the first. */
     lt_peers_t *peers;         /**< NULL without other VMs. */
--- a/packages/node/include/lt/node/quota_controller.h
+++ b/packages/node/include/lt/node/quota_controller.h
@@ -19,10 +19,11 @@
 
   /** Creates the controller and sets node->quota_controller.  */
   lt_controller_t *lt_quota_controller_create (struct lt_node *node);
-  /** Spends one request of the workspace's rate; the filter's state SLOT of the
-      request holds what waits for an answer.  */
-  lt_filter_result_t lt_quota_controller_spend (
-      lt_quota_controller_t *controller, struct lt_request *request, int slot);
+  /** Spends one request of the workspace's rate; the filter's state SLOT of
+     the request holds what waits for an answer.  */
+  lt_filter_result_t
+  lt_quota_controller_spend (lt_quota_controller_t *controller,
+                             struct lt_request *request, int slot);
   /** The request has ended.  */
   void lt_quota_controller_forget (struct lt_request *request, int slot);
 
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -312,8 +312,7 @@
 
 static void
 on_connection (void *cls, struct MHD_Connection *connection,
-               void **socket_context,
-               enum MHD_ConnectionNotificationCode code)
+               void **socket_context, enum MHD_ConnectionNotificationCode code)
 {
   lt_caller_server_t *server = cls;
   if (code == MHD_CONNECTION_NOTIFY_STARTED)
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -255,8 +255,8 @@
   node->loop = loop;
   node->clock = clock;
   node->settings = settings;
-  node->dialect
-      = settings->hosting == NULL ? &lt_dialect_default : settings->hosting->dialect;
+  node->dialect = settings->hosting == NULL ? &lt_dialect_default
+                                            : settings->hosting->dialect;
   node->metrics = lt_metrics_create ();
   node->incarnation = (uint64_t)lt_clock_wall_us (clock);
   lt_rng_init (&node->rng, seed);
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -18,7 +18,7 @@
 typedef struct attempt
 {
   lt_dispatch_t *dispatch;
-  lt_transfer_t *transfer; /* NULL when the attempt is not open. */
+  lt_transfer_t *transfer;   /* NULL when the attempt is not open. */
   lt_snapshot_ref_t *config; /* What UPSTREAM refers to. */
   uint32_t upstream;
   int64_t started_us;
@@ -43,7 +43,7 @@
   attempt_t attempts[ATTEMPTS_MAX];
   uint32_t attempt_count;
   uint32_t may_have_run; /* Attempts sent and not refused as not run. */
-  attempt_t *winner; /* The attempt whose answer is used. */
+  attempt_t *winner;     /* The attempt whose answer is used. */
   lt_buf_t target;
   uint64_t service_hash;
   uint64_t workspace_hash;
@@ -54,8 +54,8 @@
   ev_timer hedge_timer;
 };
 
-/** Brings DISPATCH to the configuration of the pools and picks an upstream that
-    was not tried yet.  Returns its index or -LT_EUNAVAILABLE.  */
+/** Brings DISPATCH to the configuration of the pools and picks an upstream
+   that was not tried yet.  Returns its index or -LT_EUNAVAILABLE.  */
 int64_t lt_dispatch_pick (lt_dispatch_t *dispatch);
 /** Reads the header of an answer: whether the request did not run, and whether
     the answer is that of another request.  */
--- a/packages/node/src/filter_record.c
+++ b/packages/node/src/filter_record.c
@@ -64,9 +64,9 @@
   if (s != NULL && request->workspace != LT_NO_INDEX)
     copy_text (r->workspace, sizeof (r->workspace),
                s->workspaces[request->workspace].name);
-  copy_text (r->ran, sizeof (r->ran),
-             lt_header_list_get (&request->answer.headers,
-                                 node->dialect->ran));
+  copy_text (
+      r->ran, sizeof (r->ran),
+      lt_header_list_get (&request->answer.headers, node->dialect->ran));
 }
 
 static void
--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -82,7 +82,8 @@
 add_vm (mesh_controller_t *c, const lt_registry_vm_t *from)
 {
   vm_t fresh = { .id = "" };
-  if (!copy_name (fresh.id, from->id) || !copy_name (fresh.region, from->region)
+  if (!copy_name (fresh.id, from->id)
+      || !copy_name (fresh.region, from->region)
       || !copy_name (fresh.address, from->address)
       || !copy_name (fresh.domain, from->failure_domain))
     {
@@ -144,12 +145,11 @@
 static bool
 is_near (const lt_node_t *node, const vm_t *vm, bool in_domain)
 {
-  bool same = str_equal (str_from (vm->domain),
-                         node->settings->failure_domain);
+  bool same
+      = str_equal (str_from (vm->domain), node->settings->failure_domain);
   if (in_domain)
     return same;
-  return !same
-         && str_equal (str_from (vm->region), node->settings->region);
+  return !same && str_equal (str_from (vm->region), node->settings->region);
 }
 
 static size_t
@@ -178,11 +178,11 @@
          && lt_peer_transport_is_connected (c->transport, vm_id);
 }
 
-static const lt_vm_directory_t directory = { .address = directory_address,
-                                             .others = directory_others,
-                                             .near = directory_near,
-                                             .is_connected
-                                             = directory_is_connected };
+static const lt_vm_directory_t directory
+    = { .address = directory_address,
+        .others = directory_others,
+        .near = directory_near,
+        .is_connected = directory_is_connected };
 
 /* Connections need the secret, so the listener opens when it is known.  */
 static void
@@ -368,10 +368,8 @@
   free (c);
 }
 
-static const lt_controller_vtable_t vtable = { .name = "mesh",
-                                               .tick = tick,
-                                               .status = status,
-                                               .destroy = destroy };
+static const lt_controller_vtable_t vtable
+    = { .name = "mesh", .tick = tick, .status = status, .destroy = destroy };
 
 lt_controller_t *
 lt_mesh_controller_create (lt_node_t *node)
--- a/packages/node/src/outgoing.c
+++ b/packages/node/src/outgoing.c
@@ -10,9 +10,8 @@
         "Trailer",    "Transfer-Encoding", "Upgrade" };
 
 /* Set by the proxy or by libcurl, or carrying credentials.  */
-static const char *const replaced[]
-    = { "Authorization", "Proxy-Authorization", "Host", "Content-Length",
-        "Expect" };
+static const char *const replaced[] = { "Authorization", "Proxy-Authorization",
+                                        "Host", "Content-Length", "Expect" };
 
 static const char *const replaced_in_answer[]
     = { "Content-Length", "Proxy-Authenticate" };
@@ -59,8 +58,7 @@
   for (size_t i = 0; i < name.len; i++)
     folded[i] = name.data[i] == '_' ? '-' : name.data[i];
   str_t text = str_make (folded, name.len);
-  return LISTED (text, replaced)
-         || str_equal_nocase (text, dialect->workspace)
+  return LISTED (text, replaced) || str_equal_nocase (text, dialect->workspace)
          || str_equal_nocase (text, dialect->request_id)
          || str_equal_nocase (text, dialect->deadline)
          || (dialect->instance.len > 0
@@ -95,7 +93,8 @@
   for (size_t i = 0; i < in->count; i++)
     {
       const lt_header_t *header = &in->items[i];
-      if (LISTED (header->name, hop_by_hop) || is_replaced (dialect, header->name)
+      if (LISTED (header->name, hop_by_hop)
+          || is_replaced (dialect, header->name)
           || named_by_connection (in, header->name) || holds_key (header, key))
         continue;
       lt_header_list_add (out, header->name, header->value);
--- a/packages/node/src/quota_borrow.c
+++ b/packages/node/src/quota_borrow.c
@@ -54,8 +54,7 @@
 static bool
 take_reserve (lt_quota_controller_t *c, uint64_t workspace, int64_t now_us)
 {
-  bool taken
-      = lt_quota_buckets_take (c->reserve, workspace, true, now_us);
+  bool taken = lt_quota_buckets_take (c->reserve, workspace, true, now_us);
   lt_quota_count (c, taken ? QUOTA_COUNT_BORROWED : QUOTA_COUNT_NOT_LENT);
   return taken;
 }
@@ -75,8 +74,8 @@
 lt_quota_borrow (lt_quota_controller_t *c, str_t member, uint64_t correlation,
                  uint64_t workspace, int64_t now_us)
 {
-  bool in_force = c->shares_us > 0
-                  && now_us - c->shares_us < c->times.share_us;
+  bool in_force
+      = c->shares_us > 0 && now_us - c->shares_us < c->times.share_us;
   if (!in_force || member.len >= QUOTA_NAME_BYTES
       || is_empty (c, workspace, now_us))
     return false;
@@ -98,8 +97,8 @@
   if (member.len > 0)
     memcpy (borrow->member, member.data, member.len);
   DL_APPEND (c->borrows, borrow);
-  send (c, str_from (c->to_parent.id), LT_MESSAGE_QUOTA_BORROW,
-        borrow->number, workspace, 1);
+  send (c, str_from (c->to_parent.id), LT_MESSAGE_QUOTA_BORROW, borrow->number,
+        workspace, 1);
   return true;
 }
 
--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -59,13 +59,12 @@
   lt_log (LT_LOG_INFO, "quota",
           "msg=\"over the rate\" request=%s workspace=%.*s place=%s home=%s "
           "rate_milli=%lld heard_ms=%lld vms=%u",
-          request->request_id, STR_ARG (workspace->name), place,
-          c->to_home.id, (long long)workspace->rate_milli_per_s,
-          c->to_home.heard_us == 0
-              ? -1
-              : (long long)((lt_node_now_us (c->base.node)
-                             - c->to_home.heard_us)
-                            / LT_US_PER_MS),
+          request->request_id, STR_ARG (workspace->name), place, c->to_home.id,
+          (long long)workspace->rate_milli_per_s,
+          c->to_home.heard_us == 0 ? -1
+                                   : (long long)((lt_node_now_us (c->base.node)
+                                                  - c->to_home.heard_us)
+                                                 / LT_US_PER_MS),
           lt_quota_vms (c));
   return lt_request_refuse_after (request, LT_REFUSE_RATE, RETRY_AFTER_MS);
 }
@@ -296,10 +295,7 @@
   lt_quota_controller_t *c = (lt_quota_controller_t *)base;
   quota_waiting_t *waiting;
   quota_waiting_t *next;
-  DL_FOREACH_SAFE (c->waiting, waiting, next)
-  {
-    waiting_free (c, waiting);
-  }
+  DL_FOREACH_SAFE (c->waiting, waiting, next) { waiting_free (c, waiting); }
   lt_quota_buckets_destroy (c->alone);
   lt_quota_buckets_destroy (c->home);
   lt_quota_buckets_destroy (c->reserve);
--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -73,11 +73,11 @@
 /* The VM that this one has lent its right to, or reports to.  */
 typedef struct quota_upper
 {
-  char id[QUOTA_NAME_BYTES]; /* "": nobody; this VM's own id: itself. */
-  int64_t upper_us;          /* Its clock in its last answer. */
-  int64_t heard_us;          /* When that came. */
-  int64_t asked_us;          /* First question since; 0: none is open. */
-  int64_t loan_until_us;     /* What was lent is not used before. */
+  char id[QUOTA_NAME_BYTES];      /* "": nobody; this VM's own id: itself. */
+  int64_t upper_us;               /* Its clock in its last answer. */
+  int64_t heard_us;               /* When that came. */
+  int64_t asked_us;               /* First question since; 0: none is open. */
+  int64_t loan_until_us;          /* What was lent is not used before. */
   char avoided[QUOTA_NAME_BYTES]; /* Gave no answer... */
   int64_t avoided_until_us;       /* ...and is left out until then. */
 } quota_upper_t;
@@ -140,7 +140,8 @@
                           uint64_t correlation, uint64_t workspace,
                           bool admitted, int64_t now_us);
 /** The home's answer to this VM's own request NUMBER.  */
-void lt_quota_finish (lt_quota_controller_t *c, uint64_t number, bool admitted);
+void lt_quota_finish (lt_quota_controller_t *c, uint64_t number,
+                      bool admitted);
 
 /** Reports to the parent; see quota_shares.c.  */
 void lt_quota_follow_parent (lt_quota_controller_t *c, int64_t now_us);
--- a/packages/node/src/quota_members.c
+++ b/packages/node/src/quota_members.c
@@ -119,9 +119,8 @@
                    uint32_t count, uint64_t number, int64_t now_us)
 {
   quota_upper_t *home = &c->to_home;
-  lt_wire_quota_tokens_t ask = { .workspace = workspace,
-                                 .count = count,
-                                 .home_us = home->upper_us };
+  lt_wire_quota_tokens_t ask
+      = { .workspace = workspace, .count = count, .home_us = home->upper_us };
   lt_buf_t payload = { 0 };
   lt_wire_quota_tokens_encode (&ask, &payload);
   lt_node_send (c->base.node, str_from (home->id), LT_MESSAGE_QUOTA_ASK,
@@ -148,16 +147,16 @@
       lt_quota_members_note (c->members, lt_hash64 (message->sender),
                              ask.home_us, now_us);
       lt_quota_count (c, QUOTA_COUNT_SERVED);
-      admitted = ask.count > 0
-                 && lt_quota_buckets_take (c->home, ask.workspace, true,
-                                           now_us);
+      admitted
+          = ask.count > 0
+            && lt_quota_buckets_take (c->home, ask.workspace, true, now_us);
       if (ask.count > 0 && !admitted
           && lt_quota_borrow (c, message->sender, message->correlation,
                               ask.workspace, now_us))
         return;
     }
-  lt_quota_send_grant (c, message->sender, message->correlation,
-                       ask.workspace, admitted, now_us);
+  lt_quota_send_grant (c, message->sender, message->correlation, ask.workspace,
+                       admitted, now_us);
 }
 
 void
--- a/packages/node/src/quota_shares.c
+++ b/packages/node/src/quota_shares.c
@@ -111,9 +111,9 @@
   shares->vms = lt_quota_vms (c);
   shares->count = report->count;
   for (uint32_t i = 0; i < report->count; i++)
-    shares->items[i] = (lt_wire_quota_share_t){
-      .workspace = dealt[i].workspace, .ppm = dealt[i].ppm
-    };
+    shares->items[i]
+        = (lt_wire_quota_share_t){ .workspace = dealt[i].workspace,
+                                   .ppm = dealt[i].ppm };
 }
 
 static void
@@ -164,8 +164,10 @@
   find_parent (c, now_us, best);
   if (strcmp (best, parent->id) == 0)
     return;
-  lt_log (LT_LOG_INFO, "quota", "msg=\"parent of the homes\" parent=%s "
-          "before=%s", best, parent->id);
+  lt_log (LT_LOG_INFO, "quota",
+          "msg=\"parent of the homes\" parent=%s "
+          "before=%s",
+          best, parent->id);
   memcpy (parent->id, best, sizeof (parent->id));
   parent->upper_us = parent->asked_us = 0;
   c->shares_serial = 0;
@@ -185,8 +187,7 @@
                 "msg=\"shares ended\" parent=%s members=%u", c->to_parent.id,
                 members);
       c->shares_us = 0;
-      uint64_t ppm
-          = (uint64_t)members * LT_QUOTA_WHOLE_PPM / lt_quota_vms (c);
+      uint64_t ppm = (uint64_t)members * LT_QUOTA_WHOLE_PPM / lt_quota_vms (c);
       if (ppm > LT_QUOTA_WHOLE_PPM)
         ppm = LT_QUOTA_WHOLE_PPM;
       lt_quota_buckets_set_all (c->home, (uint32_t)ppm, now_us);
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -40,7 +40,7 @@
   bool lost;
   int failures;
   int64_t next_us;
-  int64_t answered_us;  /* 0: never. */
+  int64_t answered_us; /* 0: never. */
   int64_t regained_us;
 } follow_t;
 
@@ -77,8 +77,7 @@
 install (lt_source_controller_t *c)
 {
   lt_node_t *node = c->base.node;
-  if (c->configuration == NULL
-      || !c->follows[LT_REGISTRY_UPSTREAMS].whole)
+  if (c->configuration == NULL || !c->follows[LT_REGISTRY_UPSTREAMS].whole)
     return;
   uint32_t count = HASH_COUNT (c->entries);
   lt_deployment_upstream_t *upstreams
@@ -90,8 +89,8 @@
   {
     upstreams[used++] = entry->upstream;
   }
-  int64_t version = (c->configuration->source_version << INSTALL_BITS)
-                    + ++c->installs;
+  int64_t version
+      = (c->configuration->source_version << INSTALL_BITS) + ++c->installs;
   lt_snapshot_t *snapshot = NULL;
   int error = lt_snapshot_with_upstreams (c->configuration, version, upstreams,
                                           used, &snapshot);
@@ -110,8 +109,7 @@
 }
 
 static void
-take_deployment (lt_source_controller_t *c,
-                 const lt_registry_record_t *record)
+take_deployment (lt_source_controller_t *c, const lt_registry_record_t *record)
 {
   const lt_deployment_t *deployment = record->deployment;
   int64_t current
@@ -282,10 +280,7 @@
   entry_t *entry;
   entry_t *next;
   if (reading && follow->kind == LT_REGISTRY_UPSTREAMS)
-    HASH_ITER (hh, c->entries, entry, next)
-    {
-      entry->seen = false;
-    }
+    HASH_ITER (hh, c->entries, entry, next) { entry->seen = false; }
   for (size_t i = 0; i < result->count; i++)
     if (follow->kind == LT_REGISTRY_CONFIG)
       take_deployment (c, &result->records[i]);
@@ -440,10 +435,10 @@
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   int64_t version
       = c->configuration == NULL ? -1 : c->configuration->source_version;
-  return json_pack (
-      "{s:I, s:I, s:I}", "version", (json_int_t)version, "upstreams",
-      (json_int_t)HASH_COUNT (c->entries), "age_us",
-      (json_int_t)lt_source_controller_age_us (c, lt_node_now_us (base->node)));
+  return json_pack ("{s:I, s:I, s:I}", "version", (json_int_t)version,
+                    "upstreams", (json_int_t)HASH_COUNT (c->entries), "age_us",
+                    (json_int_t)lt_source_controller_age_us (
+                        c, lt_node_now_us (base->node)));
 }
 
 static void
@@ -452,10 +447,7 @@
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   entry_t *entry;
   entry_t *next;
-  HASH_ITER (hh, c->entries, entry, next)
-  {
-    entry_destroy (c, entry);
-  }
+  HASH_ITER (hh, c->entries, entry, next) { entry_destroy (c, entry); }
   lt_snapshot_destroy (c->configuration);
   base->node->source_controller = NULL;
   free (c);
--- a/packages/node/src/upstream_client.h
+++ b/packages/node/src/upstream_client.h
@@ -57,7 +57,7 @@
     str_t body;                      /**< Must outlive the transfer. */
     int64_t timeout_ms;
     bool fresh_connection; /**< Use a new connection for this request alone. */
-    int64_t connect_ms; /**< Bound of the connection; 0: built-in. */
+    int64_t connect_ms;    /**< Bound of the connection; 0: built-in. */
   } lt_transfer_options_t;
 
   int lt_upstream_client_create (struct ev_loop *loop, int64_t connections,
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -180,7 +180,7 @@
         continue;
       uint64_t id = upstream_id (&s->upstreams[i]);
       lt_choice_view_t view = { 0 };
-      lt_choice_view (c->choice, id, now_us, &view);
+      lt_choice_look_up (c->choice, id, now_us, &view);
       news.items[news.count++] = (lt_wire_news_item_t){
         .upstream = id,
         .in_flight = view.own > 0 ? (uint32_t)view.own : 0,
@@ -259,9 +259,9 @@
   uint64_t id = upstream_id (upstream);
   lt_choice_view_t before = { 0 };
   lt_choice_view_t after = { 0 };
-  lt_choice_view (c->choice, id, now_us, &before);
+  lt_choice_look_up (c->choice, id, now_us, &before);
   lt_choice_observe (c->choice, id, evidence, now_us);
-  lt_choice_view (c->choice, id, now_us, &after);
+  lt_choice_look_up (c->choice, id, now_us, &after);
   log_change (upstream, before.gray, after.gray, "own");
   pending_news_t *pending = note_news (c, upstream);
   if (pending == NULL)
@@ -350,13 +350,13 @@
     {
       const lt_upstream_t *u = &c->config->snapshot->upstreams[i];
       lt_choice_view_t view = { 0 };
-      lt_choice_view (c->choice, upstream_id (u), now_us, &view);
+      lt_choice_look_up (c->choice, upstream_id (u), now_us, &view);
       json_array_append_new (
-          list, json_pack ("{s:s%, s:f, s:f, s:i, s:i, s:b}", "upstream",
-                           u->name.data, u->name.len, "gray", view.gray,
-                           "no_path", view.no_path, "in_flight", view.own,
-                           "peers_in_flight", view.peers, "leaving",
-                           (int)u->drained));
+          list,
+          json_pack ("{s:s%, s:f, s:f, s:i, s:i, s:b}", "upstream",
+                     u->name.data, u->name.len, "gray", view.gray, "no_path",
+                     view.no_path, "in_flight", view.own, "peers_in_flight",
+                     view.peers, "leaving", (int)u->drained));
     }
   return list;
 }
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -40,19 +40,19 @@
 
   typedef struct lt_choice_options
   {
-    double gray_fails;    /**< Share of failures of a gray upstream. */
-    double sound_fails;   /**< Of a sound one. */
-    double turn_per_s;    /**< Rate at which a sound one turns gray. */
-    double recover_per_s; /**< Rate at which a gray one recovers. */
+    double gray_fails;            /**< Share of failures of a gray upstream. */
+    double sound_fails;           /**< Of a sound one. */
+    double turn_per_s;            /**< Rate at which a sound one turns gray. */
+    double recover_per_s;         /**< Rate at which a gray one recovers. */
     double no_path_recover_per_s; /**< The same for a failed path. */
     /** Losses as shares of a request's worth.  */
-    double repeat_loss;   /**< Of a failure that may be repeated. */
-    double no_path_loss;  /**< Of a failed connection. */
+    double repeat_loss;  /**< Of a failure that may be repeated. */
+    double no_path_loss; /**< Of a failed connection. */
     double distance_loss[LT_DISTANCES];
-    double busy_loss;     /**< With all slots busy but one. */
-    double queue_loss;    /**< For each request before this one, by slots. */
-    double warm_up_loss;  /**< Of an upstream that has just started. */
-    double shed_loss;     /**< Within shed_us of a refusal. */
+    double busy_loss;    /**< With all slots busy but one. */
+    double queue_loss;   /**< For each request before this one, by slots. */
+    double warm_up_loss; /**< Of an upstream that has just started. */
+    double shed_loss;    /**< Within shed_us of a refusal. */
     int64_t shed_us;
     int64_t peer_load_us; /**< A peer's load counts this long. */
     double jitter;        /**< Breaks ties at random. */
@@ -60,10 +60,6 @@
         repeatable request: its state is known again, and a suspicion that was
         wrong takes no capacity for long.  */
     int64_t trial_us;
-    /** The same with any request, while more than trial_share of a service's
-        requests fail: then the choice is of no help.  */
-    double trial_share;
-    int64_t share_us; /**< Time constant of that share. */
   } lt_choice_options_t;
 
 /* Rates and losses: the platform's notes on prices, and the times for which
@@ -84,9 +80,7 @@
                           .shed_us = 300 * 1000,                              \
                           .peer_load_us = 3 * 1000 * 1000,                    \
                           .jitter = 0.01,                                     \
-                          .trial_us = 1200 * 1000,                            \
-                          .trial_share = 0.08,                                \
-                          .share_us = 2 * 1000 * 1000 })
+                          .trial_us = 1200 * 1000 })
 
   /** One upstream as the configuration names it.  */
   typedef struct lt_choice_upstream
@@ -110,10 +104,10 @@
   /** What the module believes of an upstream.  */
   typedef struct lt_choice_view
   {
-    double gray;    /**< Probability, now. */
-    double no_path; /**< Probability, now. */
-    int32_t own;    /**< Requests in flight from this VM. */
-    int32_t peers;  /**< From other VMs that report. */
+    double gray;         /**< Probability, now. */
+    double no_path;      /**< Probability, now. */
+    int32_t own;         /**< Requests in flight from this VM. */
+    int32_t peers;       /**< From other VMs that report. */
     int64_t evidence_us; /**< Time of the last evidence; 0: none. */
   } lt_choice_view_t;
 
@@ -143,8 +137,8 @@
   void lt_choice_peer_load (lt_choice_t *choice, uint64_t id, uint64_t peer,
                             int32_t in_flight, int64_t now_us);
   /** Returns 0 or -LT_ENOTFOUND.  */
-  int lt_choice_view (const lt_choice_t *choice, uint64_t id, int64_t now_us,
-                      lt_choice_view_t *view);
+  int lt_choice_look_up (const lt_choice_t *choice, uint64_t id,
+                         int64_t now_us, lt_choice_view_t *view);
 
 #ifdef __cplusplus
 }
--- a/packages/policy/include/lt/policy/quota.h
+++ b/packages/policy/include/lt/policy/quota.h
@@ -3,9 +3,10 @@
     VMs that are known has the right to 1/N of every rate and burst.  It lends
     that right to the home of its failure domain, which admits for its members
     from one token bucket; the homes lend theirs to a parent, which deals most
-    of the sum out by demand and keeps a reserve for peaks.  What is lent is not used by its owner until the loan
-    has ended for both sides, so the parts never add up to more than the whole,
-    whoever is cut off.  A VM that reaches nobody has its own 1/N.  */
+    of the sum out by demand and keeps a reserve for peaks.  What is lent is
+   not used by its owner until the loan has ended for both sides, so the parts
+   never add up to more than the whole, whoever is cut off.  A VM that reaches
+   nobody has its own 1/N.  */
 #ifndef LT_POLICY_QUOTA_H
 #define LT_POLICY_QUOTA_H
 
@@ -110,8 +111,8 @@
   lt_quota_parent_t *lt_quota_parent_create (const lt_quota_times_t *times);
   void lt_quota_parent_destroy (lt_quota_parent_t *parent);
   /** Takes a report and writes the home's new shares, one per row of the
-      report, into ROWS.  Returns the serial of these shares.  VMS is the number
-      of VMs that the parent knows.  */
+      report, into ROWS.  Returns the serial of these shares.  VMS is the
+     number of VMs that the parent knows.  */
   uint64_t lt_quota_parent_report (lt_quota_parent_t *parent,
                                    const lt_quota_report_t *report,
                                    uint32_t vms, lt_quota_share_t *rows,
--- a/packages/policy/include/lt/policy/retry.h
+++ b/packages/policy/include/lt/policy/retry.h
@@ -66,8 +66,8 @@
     int64_t hedge_min_samples; /**< No hedges before this many latencies. */
     int64_t backoff_us;        /**< Mean wait before the second attempt;
                                   doubles. */
-    bool unsent_is_free; /**< A repeat after a failed connection takes no
-                            budget: the upstream saw nothing. */
+    bool unsent_is_free;       /**< A repeat after a failed connection takes no
+                                  budget: the upstream saw nothing. */
   } lt_retry_options_t;
 
 #define LT_RETRY_OPTIONS_DEFAULT                                              \
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -41,14 +41,6 @@
   uint32_t peer_count;
 } belief_t;
 
-/* How the requests of a service end of late; counts decay.  */
-typedef struct service_share
-{
-  double good;
-  double bad;
-  int64_t updated_us;
-} service_share_t;
-
 struct lt_choice
 {
   lt_choice_options_t options;
@@ -56,8 +48,6 @@
   belief_t *beliefs;
   belief_t **by_index;
   uint32_t count;
-  service_share_t *shares; /* By service. */
-  uint32_t service_count;
 };
 
 lt_choice_t *
@@ -83,12 +73,8 @@
     return;
   belief_t *belief;
   belief_t *next;
-  HASH_ITER (hh, choice->beliefs, belief, next)
-  {
-    forget (choice, belief);
-  }
+  HASH_ITER (hh, choice->beliefs, belief, next) { forget (choice, belief); }
   free (choice->by_index);
-  free (choice->shares);
   free (choice);
 }
 
@@ -129,45 +115,6 @@
                 now_us - belief->no_path_us);
 }
 
-/* Services may be numbered anew; their shares are then learned again.  */
-static void
-size_shares (lt_choice_t *choice, const lt_choice_upstream_t *upstreams,
-             uint32_t count)
-{
-  uint32_t services = 0;
-  for (uint32_t i = 0; i < count; i++)
-    if (upstreams[i].service >= services)
-      services = upstreams[i].service + 1;
-  if (services == choice->service_count)
-    return;
-  free (choice->shares);
-  choice->shares = lt_alloc ((services + 1) * sizeof (*choice->shares));
-  choice->service_count = services;
-}
-
-static void
-note_share (lt_choice_t *choice, const belief_t *belief, uint32_t good,
-            uint32_t bad, int64_t now_us)
-{
-  if (!belief->current || belief->upstream.service >= choice->service_count)
-    return;
-  service_share_t *share = &choice->shares[belief->upstream.service];
-  double kept = exp (-(double)(now_us - share->updated_us)
-                     / (double)choice->options.share_us);
-  share->good = share->good * kept + good;
-  share->bad = share->bad * kept + bad;
-  share->updated_us = now_us;
-}
-
-static bool
-__attribute__((unused)) is_failing (const lt_choice_t *choice, uint32_t service)
-{
-  if (service >= choice->service_count)
-    return false;
-  const service_share_t *share = &choice->shares[service];
-  return share->bad > choice->options.trial_share * (share->good + share->bad);
-}
-
 void
 lt_choice_configure (lt_choice_t *choice,
                      const lt_choice_upstream_t *upstreams, uint32_t count,
@@ -175,11 +122,7 @@
 {
   belief_t *belief;
   belief_t *next;
-  HASH_ITER (hh, choice->beliefs, belief, next)
-  {
-    belief->current = false;
-  }
-  size_shares (choice, upstreams, count);
+  HASH_ITER (hh, choice->beliefs, belief, next) { belief->current = false; }
   free (choice->by_index);
   choice->by_index = lt_alloc ((count + 1) * sizeof (belief_t *));
   choice->count = count;
@@ -274,8 +217,7 @@
 {
   int64_t found = -1;
   int64_t oldest_us = now_us - choice->options.trial_us;
-  if (request->tried_count > 0
-      || !request->repeatable)
+  if (request->tried_count > 0 || !request->repeatable)
     return -1;
   for (uint32_t i = 0; i < choice->count; i++)
     {
@@ -358,11 +300,9 @@
     {
     case LT_CHOICE_GOOD:
       belief->no_path = 0;
-      note_share (choice, belief, 1, 0, now_us);
       update_gray (choice, belief, true, now_us);
       break;
     case LT_CHOICE_BAD:
-      note_share (choice, belief, 0, 1, now_us);
       update_gray (choice, belief, false, now_us);
       break;
     case LT_CHOICE_SHED:
@@ -385,7 +325,6 @@
   belief_t *belief = find (choice, id);
   if (belief == NULL)
     return;
-  note_share (choice, belief, good, bad, now_us);
   belief->used_us = now_us;
   for (uint32_t i = 0; i < good; i++)
     update_gray (choice, belief, true, now_us);
@@ -411,8 +350,8 @@
 }
 
 int
-lt_choice_view (const lt_choice_t *choice, uint64_t id, int64_t now_us,
-                lt_choice_view_t *view)
+lt_choice_look_up (const lt_choice_t *choice, uint64_t id, int64_t now_us,
+                   lt_choice_view_t *view)
 {
   const belief_t *belief = find (choice, id);
   if (belief == NULL)
--- a/packages/policy/src/quota_buckets.c
+++ b/packages/policy/src/quota_buckets.c
@@ -54,10 +54,7 @@
     return;
   bucket_t *bucket;
   bucket_t *next;
-  HASH_ITER (hh, buckets->buckets, bucket, next)
-  {
-    drop (buckets, bucket);
-  }
+  HASH_ITER (hh, buckets->buckets, bucket, next) { drop (buckets, bucket); }
   free (buckets);
 }
 
@@ -170,19 +167,19 @@
   fill (bucket, now_us);
   relax_demand (buckets, bucket, now_us);
   if (first)
-    bucket->demand_per_s
-        += LT_US_PER_S / (double)buckets->times.demand_us;
+    bucket->demand_per_s += LT_US_PER_S / (double)buckets->times.demand_us;
   if (bucket->tokens >= 1)
     {
       bucket->tokens -= 1;
       return true;
     }
-  /* A bucket too small for a whole token admits with the probability that it
-     holds one, which is right on average over many buckets.  */
-  if (capacity (bucket) >= 1 || lt_rng_unit (buckets->rng) >= bucket->tokens)
+  if (capacity (bucket) >= 1)
     return false;
+  /* A bucket too small for a whole token gives its part of one for a part of
+     the chance, which is right on average over many buckets.  */
+  bool admitted = lt_rng_unit (buckets->rng) < bucket->tokens;
   bucket->tokens = 0;
-  return true;
+  return admitted;
 }
 
 uint32_t
--- a/packages/policy/src/quota_parent.c
+++ b/packages/policy/src/quota_parent.c
@@ -140,10 +140,7 @@
     return;
   home_t *home;
   home_t *next;
-  HASH_ITER (hh, parent->homes, home, next)
-  {
-    home_destroy (parent, home);
-  }
+  HASH_ITER (hh, parent->homes, home, next) { home_destroy (parent, home); }
   free (parent);
 }
 
--- /dev/null
+++ b/packages/policy/test/test_choice.cc
@@ -0,0 +1,235 @@
+// Guards against requests lost to upstreams that others already know to be
+// gray, against work for leaving ones, and against sound ones left idle.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <vector>
+
+#include "lt/base/clock.h"
+#include "lt/base/error.h"
+#include "lt/base/rng.h"
+#include "lt/policy/choice.h"
+
+namespace
+{
+
+const int64_t S = LT_US_PER_S;
+const uint64_t PEER = 77;
+
+class Choice : public testing::Test
+{
+protected:
+  Choice ()
+  {
+    lt_rng_init (&rng, 1);
+    options = LT_CHOICE_OPTIONS_DEFAULT;
+    choice = lt_choice_create (&options, &rng);
+    for (uint64_t id = 1; id <= 6; id++)
+      upstreams.push_back (
+          { id, 0,
+            id <= 3   ? LT_DISTANCE_DOMAIN
+            : id <= 5 ? LT_DISTANCE_REGION
+                      : LT_DISTANCE_FAR,
+            3, false, 0 });
+    configure ();
+  }
+  ~Choice () override { lt_choice_destroy (choice); }
+
+  void
+  configure ()
+  {
+    lt_choice_configure (choice, upstreams.data (),
+                         (uint32_t)upstreams.size (), now);
+  }
+
+  // Returns the id, or a negative error number.
+  int64_t
+  pick (bool repeatable = false, std::vector<uint32_t> tried = {})
+  {
+    lt_choice_request_t request
+        = { 0, tried.data (), (uint32_t)tried.size (), repeatable };
+    int64_t index = lt_choice_pick (choice, &request, now);
+    return index < 0 ? index : (int64_t)upstreams[(size_t)index].id;
+  }
+
+  // Picks and begins; all upstreams of the domain are used now and then.
+  std::set<int64_t>
+  picks (int count, bool repeatable = false)
+  {
+    std::set<int64_t> ids;
+    for (int i = 0; i < count; i++)
+      {
+        int64_t id = pick (repeatable);
+        ids.insert (id);
+        if (id <= 0)
+          continue;
+        lt_choice_begin (choice, (uint64_t)id, now);
+        lt_choice_end (choice, (uint64_t)id);
+        now += 10000;
+      }
+    return ids;
+  }
+
+  double
+  gray (uint64_t id)
+  {
+    lt_choice_view_t view = {};
+    EXPECT_EQ (0, lt_choice_look_up (choice, id, now, &view));
+    return view.gray;
+  }
+
+  lt_rng_t rng;
+  lt_choice_options_t options;
+  lt_choice_t *choice;
+  std::vector<lt_choice_upstream_t> upstreams;
+  int64_t now = 100 * S;
+};
+
+TEST_F (Choice, StaysInTheFailureDomain)
+{
+  EXPECT_EQ ((std::set<int64_t>{ 1, 2, 3 }), picks (100));
+}
+
+TEST_F (Choice, OneFailureIsEnough)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  EXPECT_EQ (0u, picks (50).count (2));
+}
+
+TEST_F (Choice, AFailureElsewhereIsEnough)
+{
+  lt_choice_peer_observe (choice, 2, 0, 1, now);
+  EXPECT_EQ (0u, picks (50).count (2));
+}
+
+TEST_F (Choice, SuspicionEnds)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  double first = gray (2);
+  now += 60 * S;
+  EXPECT_GT (first, 0.5);
+  EXPECT_NEAR (options.turn_per_s
+                   / (options.turn_per_s + options.recover_per_s),
+               gray (2), 0.01);
+}
+
+TEST_F (Choice, SuccessesClearASuspicion)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  for (int i = 0; i < 6; i++)
+    lt_choice_observe (choice, 2, LT_CHOICE_GOOD, now);
+  EXPECT_LT (gray (2), 0.1);
+}
+
+TEST_F (Choice, LeavesTheDomainWhenAllOfItIsGray)
+{
+  for (uint64_t id = 1; id <= 3; id++)
+    lt_choice_observe (choice, id, LT_CHOICE_BAD, now);
+  int64_t id = pick ();
+  EXPECT_TRUE (id == 4 || id == 5) << id;
+}
+
+TEST_F (Choice, LeavesTheDomainWhenItIsBusyWithWorkOfOthers)
+{
+  for (uint64_t id = 1; id <= 3; id++)
+    lt_choice_peer_load (choice, id, PEER, 6, now);
+  int64_t id = pick ();
+  EXPECT_TRUE (id == 4 || id == 5) << id;
+  now += options.peer_load_us;
+  EXPECT_LE (pick (), 3);
+}
+
+TEST_F (Choice, GivesNoWorkToLeavingOnes)
+{
+  upstreams[0].leaving = upstreams[1].leaving = true;
+  configure ();
+  std::set<int64_t> ids = picks (400, true);
+  EXPECT_EQ (0u, ids.count (1));
+  EXPECT_EQ (0u, ids.count (2));
+  for (auto &u : upstreams)
+    u.leaving = true;
+  configure ();
+  EXPECT_EQ (-LT_EUNAVAILABLE, pick ());
+}
+
+TEST_F (Choice, DoesNotPickTheSameTwice)
+{
+  EXPECT_EQ (3, pick (false, { 0, 1, 3, 4, 5 }));
+  EXPECT_EQ (-LT_EUNAVAILABLE, pick (false, { 0, 1, 2, 3, 4, 5 }));
+}
+
+TEST_F (Choice, AMissingPathConcernsThisVmForASecondOrTwo)
+{
+  lt_choice_observe (choice, 1, LT_CHOICE_NO_PATH, now);
+  EXPECT_EQ (0u, picks (30).count (1));
+  EXPECT_LT (gray (1), 0.5);
+  now += 30 * S;
+  EXPECT_EQ (1u, picks (200).count (1));
+}
+
+TEST_F (Choice, AMovedAddressGetsNothingMore)
+{
+  lt_choice_observe (choice, 1, LT_CHOICE_ELSEWHERE, now);
+  now += 600 * S;
+  EXPECT_EQ (0u, picks (200, true).count (1));
+}
+
+TEST_F (Choice, ANewIncarnationStartsWithoutTheOldBelief)
+{
+  lt_choice_observe (choice, 1, LT_CHOICE_ELSEWHERE, now);
+  upstreams[0].id = 11;
+  configure ();
+  EXPECT_EQ (1u, picks (100).count (11));
+}
+
+TEST_F (Choice, KeepsBeliefsWhenTheSetChanges)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  double before = gray (2);
+  upstreams.push_back ({ 7, 0, LT_DISTANCE_DOMAIN, 3, false, 0 });
+  configure ();
+  EXPECT_DOUBLE_EQ (before, gray (2));
+}
+
+// A suspicion that was wrong must not idle a sound upstream: repeatable
+// requests find out.
+TEST_F (Choice, RepeatableRequestsTryWhatNobodyUses)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  EXPECT_EQ (0u, picks (50, true).count (2));
+  now += options.trial_us;
+  EXPECT_EQ (2, pick (true));
+  lt_choice_begin (choice, 2, now);
+  EXPECT_NE (2, pick (true));
+}
+
+TEST_F (Choice, ATrialThatFailedIsNotRepeatedForTheSameRequest)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  now += options.trial_us + 1;
+  EXPECT_NE (2, pick (true, { 0 }));
+}
+
+// A gray upstream among three: the requests lost to it.
+TEST_F (Choice, LosesFewNeverRepeatRequests)
+{
+  int lost = 0;
+  int count = 2000;
+  for (int i = 0; i < count; i++)
+    {
+      now += 50000;
+      bool repeatable = i % 4 == 0;
+      int64_t id = pick (repeatable);
+      bool is_gray = id == 2 && now / (15 * S) % 2 == 1;
+      bool fails = is_gray && lt_rng_unit (&rng) < 0.85;
+      lt_choice_begin (choice, (uint64_t)id, now);
+      lt_choice_end (choice, (uint64_t)id);
+      lt_choice_observe (choice, (uint64_t)id,
+                         fails ? LT_CHOICE_BAD : LT_CHOICE_GOOD, now);
+      lost += fails && !repeatable;
+    }
+  // Gray for half of the time: an even choice loses about 14%.
+  EXPECT_LT (lost, count / 50) << lost;
+}
+
+} // namespace
--- /dev/null
+++ b/packages/policy/test/test_quota.cc
@@ -0,0 +1,249 @@
+// Guards against rates that add up to more than the whole (I5), and against
+// refusals while the whole has room.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <vector>
+
+#include "lt/base/clock.h"
+#include "lt/base/rng.h"
+#include "lt/policy/quota.h"
+
+namespace
+{
+
+const int64_t S = LT_US_PER_S;
+const int64_t MS = LT_US_PER_MS;
+const uint64_t W = 5;
+const lt_quota_times_t TIMES = LT_QUOTA_TIMES_DEFAULT;
+
+class Buckets : public testing::Test
+{
+protected:
+  Buckets ()
+  {
+    lt_rng_init (&rng, 1);
+    buckets = lt_quota_buckets_create (&TIMES, &rng);
+  }
+  ~Buckets () override { lt_quota_buckets_destroy (buckets); }
+
+  void
+  configure (int64_t rate, int64_t burst, uint32_t ppm)
+  {
+    lt_quota_rate_t r = { W, rate * 1000, burst };
+    lt_quota_buckets_set_all (buckets, ppm, now);
+    lt_quota_buckets_configure (buckets, &r, 1, now);
+  }
+
+  int
+  take (int count)
+  {
+    int taken = 0;
+    for (int i = 0; i < count; i++)
+      taken += lt_quota_buckets_take (buckets, W, true, now);
+    return taken;
+  }
+
+  lt_rng_t rng;
+  lt_quota_buckets_t *buckets;
+  int64_t now = 10 * S;
+};
+
+// A VM that just started may not have a burst that its predecessor spent.
+TEST_F (Buckets, StartEmptyAndFillToTheBurst)
+{
+  configure (100, 50, LT_QUOTA_WHOLE_PPM);
+  EXPECT_EQ (0, take (10));
+  now += 100 * MS;
+  EXPECT_EQ (10, take (30));
+  now += 60 * S;
+  EXPECT_EQ (50, take (100));
+}
+
+TEST_F (Buckets, AShareHasItsPartOfRateAndBurst)
+{
+  configure (100, 50, LT_QUOTA_WHOLE_PPM / 10);
+  now += 60 * S;
+  EXPECT_EQ (5, take (100));
+  now += S;
+  EXPECT_EQ (5, take (100));
+}
+
+TEST_F (Buckets, ALowerLimitBindsAtOnce)
+{
+  configure (100, 50, LT_QUOTA_WHOLE_PPM);
+  now += 60 * S;
+  configure (10, 5, LT_QUOTA_WHOLE_PPM);
+  EXPECT_EQ (5, take (100));
+}
+
+TEST_F (Buckets, UnknownWorkspacesHaveNothing)
+{
+  configure (100, 50, LT_QUOTA_WHOLE_PPM);
+  now += S;
+  EXPECT_FALSE (lt_quota_buckets_take (buckets, W + 1, true, now));
+}
+
+// A bucket that cannot hold a whole token still admits its part on average.
+TEST_F (Buckets, SmallPartsAdmitOnAverage)
+{
+  configure (10, 10, LT_QUOTA_WHOLE_PPM / 100);
+  int taken = 0;
+  for (int i = 0; i < 100000; i++)
+    {
+      now += 10 * MS;
+      taken += take (1);
+    }
+  // 1,000 s at a hundredth of 10 a second.
+  EXPECT_NEAR (100, taken, 35);
+}
+
+TEST (Members, CountsOnlyLoansThatHold)
+{
+  lt_quota_members_t *members = lt_quota_members_create (&TIMES);
+  int64_t now = 100 * S;
+  lt_quota_members_note (members, 1, 0, now);
+  EXPECT_EQ (0u, lt_quota_members_count (members, now));
+  lt_quota_members_note (members, 1, now - MS, now);
+  lt_quota_members_note (members, 2, now - TIMES.member_us - 1, now);
+  lt_quota_members_note (members, 3, now + S, now);
+  EXPECT_EQ (1u, lt_quota_members_count (members, now));
+  EXPECT_EQ (0u, lt_quota_members_count (members, now + TIMES.member_us));
+  lt_quota_members_destroy (members);
+}
+
+// Homes that report to one parent over a network that can be cut.
+class Parent : public testing::Test
+{
+protected:
+  struct Home
+  {
+    uint32_t members = 10;
+    uint64_t demand_milli = 0;
+    uint32_t ppm = 0;
+    int64_t heard_us = 0;
+    int64_t shares_us = 0; // Own time of the last shares.
+    uint64_t serial = 0;
+    bool cut = false;
+  };
+
+  Parent () : parent (lt_quota_parent_create (&TIMES))
+  {
+    for (uint64_t id = 1; id <= 4; id++)
+      homes[id] = Home ();
+  }
+  ~Parent () override { lt_quota_parent_destroy (parent); }
+
+  uint32_t
+  own_ppm (const Home &home)
+  {
+    return home.members * (LT_QUOTA_WHOLE_PPM / VMS);
+  }
+
+  // One round: each home reports, and goes back to its own part when its
+  // shares have ended.  Checks the sum after each step.
+  void
+  round ()
+  {
+    now += S;
+    for (auto &entry : homes)
+      {
+        Home &home = entry.second;
+        if (now - home.shares_us >= TIMES.share_us)
+          home.ppm = own_ppm (home);
+        if (!home.cut)
+          report (entry.first, home);
+        check ();
+      }
+  }
+
+  void
+  report (uint64_t id, Home &home)
+  {
+    lt_quota_share_t row = { W, home.demand_milli, home.ppm };
+    lt_quota_report_t r = { id, home.members, VMS, home.heard_us, home.serial,
+                            &row, 1 };
+    lt_quota_share_t share = {};
+    home.serial = lt_quota_parent_report (parent, &r, VMS, &share, now);
+    home.heard_us = home.shares_us = now;
+    home.ppm = share.ppm;
+  }
+
+  void
+  check ()
+  {
+    uint64_t sum = lt_quota_parent_reserve_ppm (parent, VMS, now);
+    for (const auto &entry : homes)
+      sum += entry.second.ppm;
+    most = std::max (most, sum);
+  }
+
+  static constexpr uint32_t VMS = 40;
+  lt_quota_parent_t *parent;
+  std::map<uint64_t, Home> homes;
+  int64_t now = 100 * S;
+  uint64_t most = 0;
+};
+
+TEST_F (Parent, FollowsTheDemand)
+{
+  homes[1].demand_milli = 9000;
+  homes[2].demand_milli = 1000;
+  for (int i = 0; i < 6; i++)
+    round ();
+  EXPECT_GT (homes[1].ppm, 4 * homes[2].ppm);
+  EXPECT_GT (homes[3].ppm, 0u);
+  most = 0;
+  round ();
+  EXPECT_LE (most, (uint64_t)LT_QUOTA_WHOLE_PPM);
+}
+
+TEST_F (Parent, NeverDealsOutMoreThanTheWholeWhileDemandMoves)
+{
+  for (int i = 0; i < 6; i++)
+    round ();
+  most = 0;
+  for (int i = 0; i < 200; i++)
+    {
+      homes[1 + i / 7 % 4].demand_milli = (uint64_t)(i * 7919 % 50000);
+      round ();
+    }
+  EXPECT_LE (most, (uint64_t)LT_QUOTA_WHOLE_PPM);
+}
+
+// A home that is cut off keeps its shares until they end and has its own part
+// after that; the others have given its part back by then.
+TEST_F (Parent, AHomeThatIsCutOffHasItsOwnPart)
+{
+  homes[1].demand_milli = 9000;
+  homes[2].demand_milli = 9000;
+  for (int i = 0; i < 6; i++)
+    round ();
+  most = 0;
+  homes[1].cut = true;
+  for (int i = 0; i < 10; i++)
+    round ();
+  EXPECT_EQ (own_ppm (homes[1]), homes[1].ppm);
+  EXPECT_LE (most, (uint64_t)LT_QUOTA_WHOLE_PPM);
+  homes[1].cut = false;
+  for (int i = 0; i < 10; i++)
+    round ();
+  EXPECT_GT (homes[1].ppm, 0u);
+  EXPECT_LE (most, (uint64_t)LT_QUOTA_WHOLE_PPM);
+}
+
+// A report that was held up on its way must not renew a loan that has ended.
+TEST_F (Parent, AnOldReportRenewsNothing)
+{
+  for (int i = 0; i < 6; i++)
+    round ();
+  now += TIMES.share_us;
+  lt_quota_share_t row = { W, 1000, homes[1].ppm };
+  lt_quota_report_t r
+      = { 1, 10, VMS, homes[1].heard_us, homes[1].serial, &row, 1 };
+  lt_quota_share_t share = {};
+  lt_quota_parent_report (parent, &r, VMS, &share, now);
+  EXPECT_EQ (0u, lt_quota_parent_reserve_ppm (parent, VMS, now));
+}
+
+} // namespace
--- a/packages/wire/test/test_wire.cc
+++ b/packages/wire/test/test_wire.cc
@@ -331,6 +331,10 @@
           false,
           { 7, UINT64_MAX },
           2 };
+  lt_wire_news_t news = { { { UINT64_MAX, 3, 1, 2 }, { 5, 0, 0, 1 } }, 2 };
+  lt_wire_quota_tokens_t tokens = { 77, 1, 123456789 };
+  static lt_wire_quota_shares_t shares;
+  shares = { 12, 3, 8, 44, { { 77, 9000, 250000 }, { 78, 0, 0 } }, 2 };
   switch (kind)
     {
     case 0:
@@ -351,8 +355,17 @@
     case 5:
       lt_wire_drain_encode (&drain, &out);
       break;
-    default:
+    case 6:
       lt_wire_quarantine_encode (&quarantine, &out);
+      break;
+    case 7:
+      lt_wire_news_encode (&news, &out);
+      break;
+    case 8:
+      lt_wire_quota_tokens_encode (&tokens, &out);
+      break;
+    default:
+      lt_wire_quota_shares_encode (&shares, &out);
     }
   std::string bytes (out.data, out.len);
   lt_buf_destroy (&out);
@@ -370,6 +383,9 @@
   lt_wire_snapshot_data_t data;
   lt_wire_drain_t drain;
   lt_wire_quarantine_t quarantine;
+  lt_wire_news_t news;
+  lt_wire_quota_tokens_t tokens;
+  static lt_wire_quota_shares_t shares;
   lt_buf_t out = {};
   int rc = 0;
 #define SAMPLE(n, name, value)                                                \
@@ -383,6 +399,9 @@
   SAMPLE (4, snapshot_data, data);
   SAMPLE (5, drain, drain);
   SAMPLE (6, quarantine, quarantine);
+  SAMPLE (7, news, news);
+  SAMPLE (8, quota_tokens, tokens);
+  SAMPLE (9, quota_shares, shares);
 #undef SAMPLE
   if (rc == 0)
     again->assign (out.data, out.len);
@@ -397,7 +416,7 @@
 {
   lt_rng_t rng;
   lt_rng_init (&rng, 7);
-  for (size_t kind = 0; kind <= 6; kind++)
+  for (size_t kind = 0; kind <= 9; kind++)
     {
       std::string bytes = encode_samples (kind);
       std::string again;
