--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -20,11 +20,15 @@
      configurations and leaving upstreams are ten times as long.  */
   PAUSE_MS = 200,
   RETRY_MIN_MS = 100,
-  RETRY_MAX_MS = 1000,
+  RETRY_MAX_MS = 700,
   /* The platform's heartbeats bring live entries back within about 2 s after
      an outage of the store.  */
   MISSING_KEEP_MS = 2200,
   OUTAGE_SHADOW_MS = 3000,
+  /* An outage that lets entries lapse takes most of a service.  Fewer missing
+     entries belong to upstreams that left meanwhile, or do without them for
+     the two seconds.  */
+  LAPSED_PARTS = 3,
   /* Changes of the register between two versions of the configuration.  */
   INSTALL_BITS = 20
 };
@@ -255,6 +259,43 @@
   return true;
 }
 
+static void
+count_missing (const lt_source_controller_t *c, str_t service, uint32_t *all,
+               uint32_t *missing)
+{
+  *all = 0;
+  *missing = 0;
+  for (const entry_t *e = c->entries; e != NULL; e = e->hh.next)
+    if (str_equal (e->upstream.service, service))
+      {
+        *all += 1;
+        *missing += e->missing_us != 0;
+      }
+}
+
+/* Drops entries that are missing and have not lapsed.  */
+static bool
+drop_left (lt_source_controller_t *c)
+{
+  bool changed = false;
+  entry_t *entry;
+  entry_t *next;
+  HASH_ITER (hh, c->entries, entry, next)
+  {
+    uint32_t all;
+    uint32_t missing;
+    if (entry->missing_us == 0)
+      continue;
+    count_missing (c, entry->upstream.service, &all, &missing);
+    if (missing * LAPSED_PARTS > all)
+      continue;
+    log_upstream (entry, "gone");
+    entry_destroy (c, entry);
+    changed = true;
+  }
+  return changed;
+}
+
 static bool
 drop_unseen (lt_source_controller_t *c, int64_t now_us)
 {
@@ -289,6 +330,8 @@
   follow->whole = true;
   if (reading && follow->kind == LT_REGISTRY_UPSTREAMS)
     changed = drop_unseen (c, now_us) || changed || c->installs == 0;
+  if (follow->kind == LT_REGISTRY_UPSTREAMS)
+    changed = drop_left (c) || changed;
   int64_t after
       = c->configuration == NULL ? -1 : c->configuration->source_version;
   if (changed || after != before)
@@ -329,6 +372,8 @@
     return;
   follow->lost = false;
   follow->regained_us = now_us;
+  for (int i = 0; i < 2; i++)
+    follow->controller->follows[i].next_us = now_us;
   lt_log (LT_LOG_INFO, "source",
           "msg=\"register regained\" part=%s version=%lld",
           kind_name (follow->kind), (long long)follow->version);
