Admit nothing before the number of VMs is known; choose a home at once

A VM knows the number once a list names it too, and is ready after that. The home is chosen from the list in place of the open connections, a silent one is left out for 3 s, and a loan is taken back by a message, so that a VM that starts has a home within 0.2 s in place of 1 to 3 s.

--- a/packages/config/test/test_deployment.cc
+++ b/packages/config/test/test_deployment.cc
@@ -127,9 +127,9 @@
   EXPECT_EQ (lt_snapshot_find_workspace (base, view ("one")), key->workspace);
   hash = lt_key_hash (SECRET, view ("key-of-nobody-01"));
   EXPECT_EQ (nullptr, lt_snapshot_find_key (base, &hash));
-  EXPECT_TRUE (base->workspaces[lt_snapshot_find_workspace (base,
-                                                            view ("two"))]
-                   .unlimited);
+  EXPECT_TRUE (
+      base->workspaces[lt_snapshot_find_workspace (base, view ("two"))]
+          .unlimited);
 }
 
 TEST_F (Deployment, WithoutWorkspacesNoRouteNeedsAKey)
@@ -171,8 +171,8 @@
       upstreams[i].slots = 3;
     }
   upstreams[1].draining = true;
-  ASSERT_EQ (0, lt_snapshot_with_upstreams (base, 9, upstreams.data (), 3,
-                                            &derived));
+  ASSERT_EQ (
+      0, lt_snapshot_with_upstreams (base, 9, upstreams.data (), 3, &derived));
   lt_snapshot_destroy (base); // Its rows are shared.
   base = derived;
   derived = nullptr;
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -65,6 +65,9 @@
     size_t (*near) (lt_node_t *node, bool in_domain, str_t *ids, size_t cap);
     /** Returns whether a connection to VM_ID is open.  May be NULL.  */
     bool (*is_connected) (lt_node_t *node, str_t vm_id);
+    /** Returns whether the other VMs are known: a list that names this VM too
+        has been read.  May be NULL.  */
+    bool (*is_complete) (lt_node_t *node);
   } lt_vm_directory_t;
 
   /** How an attempt at an upstream ended.  */
--- a/packages/node/include/lt/node/quota_controller.h
+++ b/packages/node/include/lt/node/quota_controller.h
@@ -24,6 +24,10 @@
   lt_filter_result_t
   lt_quota_controller_spend (lt_quota_controller_t *controller,
                              struct lt_request *request, int slot);
+  /** Returns whether requests can be admitted: the number of VMs is known, and
+      so is the home.  */
+  bool lt_quota_controller_is_settled (lt_quota_controller_t *controller,
+                                       int64_t now_us);
   /** The request has ended.  */
   void lt_quota_controller_forget (struct lt_request *request, int slot);
 
--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -18,6 +18,9 @@
   FIRST_LIST_MS = 1500,
   LIST_MS = 60000,
   CONNECT_MS = 1000,
+  /* VMs that start together find each other's listeners closed at first.  */
+  FIRST_CONNECT_MS = 200,
+  FIRST_CONNECTS = 10,
   SECRET_BYTES = 32,
   NAME_MAX_BYTES = 64
 };
@@ -45,9 +48,11 @@
   vm_t *vms;
   mesh_step_t step;
   bool announced;
+  bool complete; /* A list that names this VM has been read. */
   bool open;
   bool lost;
   int lists;
+  int connects; /* Rounds of connecting, up to FIRST_CONNECTS. */
   int64_t next_us;
   int64_t next_connect_us;
   char secret[2 * SECRET_BYTES + 1];
@@ -92,7 +97,10 @@
       return;
     }
   if (str_equal (from->id, c->base.node->settings->vm_id))
-    return;
+    {
+      c->complete = true;
+      return;
+    }
   vm_t *vm = NULL;
   HASH_FIND_STR (c->vms, fresh.id, vm);
   if (vm == NULL)
@@ -178,11 +186,19 @@
          && lt_peer_transport_is_connected (c->transport, vm_id);
 }
 
+static bool
+directory_is_complete (lt_node_t *node)
+{
+  const mesh_controller_t *c = find_mesh (node);
+  return c != NULL && c->complete;
+}
+
 static const lt_vm_directory_t directory
     = { .address = directory_address,
         .others = directory_others,
         .near = directory_near,
-        .is_connected = directory_is_connected };
+        .is_connected = directory_is_connected,
+        .is_complete = directory_is_complete };
 
 /* Connections need the secret, so the listener opens when it is known.  */
 static void
@@ -316,8 +332,10 @@
   lt_node_t *node = c->base.node;
   if (c->transport == NULL || now_us < c->next_connect_us)
     return;
-  bool first = c->next_connect_us == 0;
-  c->next_connect_us = now_us + CONNECT_MS * LT_US_PER_MS;
+  bool first = c->connects < FIRST_CONNECTS;
+  c->connects += first;
+  c->next_connect_us
+      = now_us + (first ? FIRST_CONNECT_MS : CONNECT_MS) * LT_US_PER_MS;
   for (vm_t *vm = c->vms; vm != NULL; vm = vm->hh.next)
     {
       if (!is_near (node, vm, true) && !is_near (node, vm, false))
@@ -325,7 +343,7 @@
       str_t id = str_from (vm->id);
       if (lt_peer_transport_is_connected (c->transport, id))
         continue;
-      if (first && str_compare (node->settings->vm_id, id) > 0)
+      if (c->connects == 1 && str_compare (node->settings->vm_id, id) > 0)
         continue;
       lt_peer_transport_connect (c->transport, str_from (vm->address));
     }
--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -13,6 +13,8 @@
   /* Longest wait for a home, about a tenth of the shortest deadlines.  */
   WAIT_MS = 150,
   RETRY_AFTER_MS = 500,
+  /* Time for the buckets to hold a few requests.  */
+  SETTLE_MS = 200,
   PERMILLE = 1000
 };
 
@@ -29,9 +31,17 @@
 lt_quota_vms (const lt_quota_controller_t *c)
 {
   lt_node_t *node = c->base.node;
-  size_t others
-      = node->directory == NULL ? 0 : node->directory->others (node, NULL, 0);
-  return (uint32_t)others + 1;
+  if (node->directory == NULL || !node->directory->is_complete (node))
+    return 0;
+  return (uint32_t)node->directory->others (node, NULL, 0) + 1;
+}
+
+bool
+lt_quota_controller_is_settled (lt_quota_controller_t *c, int64_t now_us)
+{
+  return c->vms > 0 && lt_quota_has_home (c, now_us)
+         && (lt_quota_is_self (c, c->to_home.id) || c->to_home.heard_us > 0)
+         && now_us - c->known_us >= SETTLE_MS * LT_US_PER_MS;
 }
 
 static void
@@ -208,8 +218,16 @@
 {
   lt_quota_controller_t *c = (lt_quota_controller_t *)base;
   uint32_t vms = lt_quota_vms (c);
+  /* Nothing is admitted before it is known how many VMs share the rates.  */
+  if (vms == 0)
+    {
+      ask_waiting (c, now_us);
+      return;
+    }
   if (vms != c->vms)
     {
+      if (c->vms == 0)
+        c->known_us = now_us;
       c->vms = vms;
       lt_quota_buckets_set_all (c->alone, LT_QUOTA_WHOLE_PPM / vms, now_us);
     }
--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -11,7 +11,8 @@
 
 enum
 {
-  QUOTA_NAME_BYTES = 65
+  QUOTA_NAME_BYTES = 65,
+  QUOTA_AVOIDED_MAX = 16
 };
 
 #define QUOTA_COUNT_TABLE(X)                                                  \
@@ -73,13 +74,16 @@
 /* The VM that this one has lent its right to, or reports to.  */
 typedef struct quota_upper
 {
-  char id[QUOTA_NAME_BYTES];      /* "": nobody; this VM's own id: itself. */
-  int64_t upper_us;               /* Its clock in its last answer. */
-  int64_t heard_us;               /* When that came. */
-  int64_t asked_us;               /* First question since; 0: none is open. */
-  int64_t loan_until_us;          /* What was lent is not used before. */
-  char avoided[QUOTA_NAME_BYTES]; /* Gave no answer... */
-  int64_t avoided_until_us;       /* ...and is left out until then. */
+  char id[QUOTA_NAME_BYTES]; /* "": nobody; this VM's own id: itself. */
+  int64_t upper_us;          /* Its clock in its last answer. */
+  int64_t heard_us;          /* When that came. */
+  int64_t asked_us;          /* First question since; 0: none is open. */
+  int64_t loan_until_us;     /* What was lent is not used before. */
+  struct
+  {
+    uint64_t vm; /* Hash of its id. */
+    int64_t until_us;
+  } avoided[QUOTA_AVOIDED_MAX]; /* Gave no answer. */
 } quota_upper_t;
 
 struct lt_quota_controller
@@ -99,17 +103,22 @@
   int64_t reported_us; /* Last report to the parent. */
   int64_t shares_us;   /* Last shares of the parent; 0: none in force. */
   uint64_t shares_serial;
-  uint32_t vms;
+  uint32_t vms;     /**< 0: not known yet. */
+  int64_t known_us; /**< Since when it is known. */
   quota_waiting_t *waiting;
   uint64_t next_number;
   lt_counter_t *counts[QUOTA_COUNTS];
 };
 
 bool lt_quota_is_self (const lt_quota_controller_t *c, const char *id);
-/** VMs of the fleet that are known, this one included.  */
+/** VMs of the fleet, this one included; 0: not known yet.  */
 uint32_t lt_quota_vms (const lt_quota_controller_t *c);
 void lt_quota_count (lt_quota_controller_t *c, quota_count_t count);
 
+/** Leaves the VM out of the choice until then.  */
+void lt_quota_avoid (quota_upper_t *upper, str_t id, int64_t until_us);
+bool lt_quota_avoids (const quota_upper_t *upper, str_t id, int64_t now_us);
+
 /** Chooses the home; see quota_members.c.  */
 void lt_quota_follow_home (lt_quota_controller_t *c, int64_t now_us);
 /** Whether the home can be asked now.  */
--- a/packages/node/src/quota_members.c
+++ b/packages/node/src/quota_members.c
@@ -10,12 +10,14 @@
   /* Within a failure domain an answer takes about a millisecond; a busy VM may
      need a few tens.  */
   HOME_SILENCE_MS = 400,
+  /* A VM that has ended refuses the connection at once.  */
+  HOME_CONNECT_MS = 150,
   HOME_AVOID_MS = 3000,
   /* Several signs of life fit into the time of a loan.  */
   SIGN_MS = 600,
-  /* A home whose connection has closed has most likely ended, and its members'
-     loans with it.  */
-  LOST_LOAN_MS = 300
+  /* A loan is taken back with a message; and a home whose connection has
+     closed has most likely ended, and its members' loans with it.  */
+  BACK_MS = 100
 };
 
 bool
@@ -38,21 +40,33 @@
     count = node->directory->near (node, true, ids, VMS_MAX);
   for (size_t i = 0; i < count; i++)
     {
-      bool avoided = now_us < c->to_home.avoided_until_us
-                     && str_equal (ids[i], str_from (c->to_home.avoided));
-      if (!avoided && node->directory->is_connected (node, ids[i])
-          && str_compare (ids[i], best) < 0)
+      if (str_compare (ids[i], best) < 0
+          && !lt_quota_avoids (&c->to_home, ids[i], now_us))
         best = ids[i];
     }
   memcpy (out, best.data, best.len);
   out[best.len] = '\0';
 }
 
-static void
-avoid (quota_upper_t *upper, int64_t until_us)
+bool
+lt_quota_avoids (const quota_upper_t *upper, str_t id, int64_t now_us)
 {
-  memcpy (upper->avoided, upper->id, sizeof (upper->avoided));
-  upper->avoided_until_us = until_us;
+  uint64_t vm = lt_hash64 (id);
+  for (int i = 0; i < QUOTA_AVOIDED_MAX; i++)
+    if (upper->avoided[i].vm == vm && now_us < upper->avoided[i].until_us)
+      return true;
+  return false;
+}
+
+void
+lt_quota_avoid (quota_upper_t *upper, str_t id, int64_t until_us)
+{
+  int oldest = 0;
+  for (int i = 1; i < QUOTA_AVOIDED_MAX; i++)
+    if (upper->avoided[i].until_us < upper->avoided[oldest].until_us)
+      oldest = i;
+  upper->avoided[oldest].vm = lt_hash64 (id);
+  upper->avoided[oldest].until_us = until_us;
 }
 
 static void
@@ -64,9 +78,17 @@
       && home->heard_us > 0)
     {
       int64_t until_us = home->heard_us + c->times.member_us;
-      if (!node->directory->is_connected (node, str_from (home->id))
-          && until_us > now_us + LOST_LOAN_MS * LT_US_PER_MS)
-        until_us = now_us + LOST_LOAN_MS * LT_US_PER_MS;
+      int64_t back_us = now_us + BACK_MS * LT_US_PER_MS;
+      bool answers
+          = home->asked_us == 0
+            || now_us - home->asked_us <= HOME_SILENCE_MS * LT_US_PER_MS;
+      bool connected
+          = node->directory->is_connected (node, str_from (home->id));
+      home->upper_us = 0;
+      if (connected)
+        lt_quota_send_ask (c, 0, 0, 0, now_us);
+      if ((answers || !connected) && until_us > back_us)
+        until_us = back_us;
       if (until_us > home->loan_until_us)
         home->loan_until_us = until_us;
     }
@@ -80,14 +102,27 @@
     lt_quota_buckets_empty (c->home, now_us);
 }
 
+static bool
+is_silent (const lt_quota_controller_t *c, int64_t now_us)
+{
+  const quota_upper_t *home = &c->to_home;
+  lt_node_t *node = c->base.node;
+  if (home->asked_us == 0)
+    return false;
+  int64_t limit_ms = node->directory->is_connected (node, str_from (home->id))
+                         ? HOME_SILENCE_MS
+                         : HOME_CONNECT_MS;
+  return now_us - home->asked_us > limit_ms * LT_US_PER_MS;
+}
+
 void
 lt_quota_follow_home (lt_quota_controller_t *c, int64_t now_us)
 {
   quota_upper_t *home = &c->to_home;
   char best[QUOTA_NAME_BYTES] = "";
-  if (home->asked_us > 0
-      && now_us - home->asked_us > HOME_SILENCE_MS * LT_US_PER_MS)
-    avoid (home, now_us + HOME_AVOID_MS * LT_US_PER_MS);
+  if (is_silent (c, now_us))
+    lt_quota_avoid (home, str_from (home->id),
+                    now_us + HOME_AVOID_MS * LT_US_PER_MS);
   find_home (c, now_us, best);
   if (strcmp (best, home->id) != 0)
     set_home (c, best, now_us);
@@ -186,7 +221,7 @@
   home->asked_us = 0;
   if (grant->home_us == 0)
     {
-      avoid (home, now_us + HOME_AVOID_MS * LT_US_PER_MS);
+      lt_quota_avoid (home, sender, now_us + HOME_AVOID_MS * LT_US_PER_MS);
       home->heard_us = 0;
       return;
     }
--- a/packages/node/src/quota_shares.c
+++ b/packages/node/src/quota_shares.c
@@ -28,9 +28,8 @@
     count = node->directory->others (node, ids, count);
   for (size_t i = 0; i < count; i++)
     {
-      bool avoided = now_us < c->to_parent.avoided_until_us
-                     && str_equal (ids[i], str_from (c->to_parent.avoided));
-      if (!avoided && str_compare (ids[i], best) < 0)
+      if (str_compare (ids[i], best) < 0
+          && !lt_quota_avoids (&c->to_parent, ids[i], now_us))
         best = ids[i];
     }
   memcpy (out, best.data, best.len);
@@ -157,10 +156,8 @@
   char best[QUOTA_NAME_BYTES] = "";
   if (parent->asked_us > 0
       && now_us - parent->asked_us > PARENT_SILENCE_MS * LT_US_PER_MS)
-    {
-      memcpy (parent->avoided, parent->id, sizeof (parent->avoided));
-      parent->avoided_until_us = now_us + PARENT_AVOID_MS * LT_US_PER_MS;
-    }
+    lt_quota_avoid (parent, str_from (parent->id),
+                    now_us + PARENT_AVOID_MS * LT_US_PER_MS);
   find_parent (c, now_us, best);
   if (strcmp (best, parent->id) == 0)
     return;
@@ -206,7 +203,7 @@
   lt_wire_quota_shares_t *shares = lt_alloc (sizeof (*shares));
   if (lt_wire_quota_shares_decode (message->payload, received) != 0)
     lt_quota_count (c, QUOTA_COUNT_MALFORMED);
-  else if (!c->base.node->leaving)
+  else if (!c->base.node->leaving && lt_quota_vms (c) > 0)
     {
       answer_report (c, lt_hash64 (message->sender), received, shares, now_us);
       send_shares (c, message->sender, LT_MESSAGE_QUOTA_SHARES, shares);
--- a/packages/node/src/readiness.c
+++ b/packages/node/src/readiness.c
@@ -8,6 +8,7 @@
 #include "http_loop.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
+#include "lt/node/quota_controller.h"
 
 enum
 {
@@ -24,9 +25,13 @@
 };
 
 static bool
-is_ready (const lt_node_t *node)
+is_ready (lt_node_t *node)
 {
-  return !node->leaving && node->config != NULL && node->was_confirmed;
+  if (node->leaving || node->config == NULL || !node->was_confirmed)
+    return false;
+  return node->quota_controller == NULL
+         || lt_quota_controller_is_settled (node->quota_controller,
+                                            lt_node_now_us (node));
 }
 
 static enum MHD_Result
--- a/packages/policy/include/lt/policy/quota.h
+++ b/packages/policy/include/lt/policy/quota.h
@@ -86,8 +86,8 @@
 
   lt_quota_members_t *lt_quota_members_create (const lt_quota_times_t *times);
   void lt_quota_members_destroy (lt_quota_members_t *members);
-  /** VM has heard from this home at HEARD_US of this home's clock (0: not
-      yet).  */
+  /** VM has heard from this home at HEARD_US of this home's clock; 0: it has
+      lent nothing, or takes back what it lent.  */
   void lt_quota_members_note (lt_quota_members_t *members, uint64_t vm,
                               int64_t heard_us, int64_t now_us);
   /** Counts the loans that hold, without this VM's own.  */
--- a/packages/policy/src/quota_parent.c
+++ b/packages/policy/src/quota_parent.c
@@ -52,11 +52,17 @@
                        int64_t heard_us, int64_t now_us)
 {
   int64_t until_us = heard_us + members->times.member_us;
+  member_t *member;
+  HASH_FIND (hh, members->members, &vm, sizeof (vm), member);
+  if (heard_us == 0 && member != NULL)
+    {
+      HASH_DEL (members->members, member); /* NOLINT(clang-analyzer-*) */
+      free (member);
+      return;
+    }
   /* A message that was held up tells nothing of the present.  */
   if (heard_us <= 0 || heard_us > now_us || until_us <= now_us)
     return;
-  member_t *member;
-  HASH_FIND (hh, members->members, &vm, sizeof (vm), member);
   if (member == NULL)
     {
       member = lt_alloc (sizeof (*member));
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -25,12 +25,11 @@
     options = LT_CHOICE_OPTIONS_DEFAULT;
     choice = lt_choice_create (&options, &rng);
     for (uint64_t id = 1; id <= 6; id++)
-      upstreams.push_back (
-          { id, 0,
-            id <= 3   ? LT_DISTANCE_DOMAIN
-            : id <= 5 ? LT_DISTANCE_REGION
-                      : LT_DISTANCE_FAR,
-            3, false, 0 });
+      upstreams.push_back ({ id, 0,
+                             id <= 3   ? LT_DISTANCE_DOMAIN
+                             : id <= 5 ? LT_DISTANCE_REGION
+                                       : LT_DISTANCE_FAR,
+                             3, false, 0 });
     configure ();
   }
   ~Choice () override { lt_choice_destroy (choice); }
--- a/packages/policy/test/test_quota.cc
+++ b/packages/policy/test/test_quota.cc
@@ -109,6 +109,9 @@
   lt_quota_members_note (members, 3, now + S, now);
   EXPECT_EQ (1u, lt_quota_members_count (members, now));
   EXPECT_EQ (0u, lt_quota_members_count (members, now + TIMES.member_us));
+  lt_quota_members_note (members, 1, now - MS, now);
+  lt_quota_members_note (members, 1, 0, now);
+  EXPECT_EQ (0u, lt_quota_members_count (members, now)) << "taken back";
   lt_quota_members_destroy (members);
 }
 
@@ -161,8 +164,8 @@
   report (uint64_t id, Home &home)
   {
     lt_quota_share_t row = { W, home.demand_milli, home.ppm };
-    lt_quota_report_t r = { id, home.members, VMS, home.heard_us, home.serial,
-                            &row, 1 };
+    lt_quota_report_t r
+        = { id, home.members, VMS, home.heard_us, home.serial, &row, 1 };
     lt_quota_share_t share = {};
     home.serial = lt_quota_parent_report (parent, &r, VMS, &share, now);
     home.heard_us = home.shares_us = now;
