Keep shares over a change of the parent; start buckets with a quarter of their part

A new parent lets homes go on with what they use, the old one is told; a part that comes within 3 s of a bucket's start brings a quarter of its burst, less than the fifth of the tolerance that is kept back and what accrues while a VM restarts.

--- a/packages/node/src/quota_shares.c
+++ b/packages/node/src/quota_shares.c
@@ -11,7 +11,9 @@
   REPORT_MS = 1000,
   /* Two round trips between regions, and a busy VM.  */
   PARENT_SILENCE_MS = 700,
-  PARENT_AVOID_MS = 5000
+  PARENT_AVOID_MS = 5000,
+  /* VMs that start together do not hear each other at first.  */
+  PARENT_START_MS = 1000
 };
 
 /* The VM with the lowest id of the fleet is the parent, if it answers.  */
@@ -149,6 +151,19 @@
   free (shares);
 }
 
+/* Ends the loan to the parent that is left for another.  */
+static void
+take_back (lt_quota_controller_t *c)
+{
+  if (c->to_parent.heard_us == 0 || lt_quota_is_self (c, c->to_parent.id))
+    return;
+  lt_wire_quota_shares_t *nothing = lt_alloc (sizeof (*nothing));
+  nothing->vms = lt_quota_vms (c);
+  send_shares (c, str_from (c->to_parent.id), LT_MESSAGE_QUOTA_REPORT,
+               nothing);
+  free (nothing);
+}
+
 static void
 choose_parent (lt_quota_controller_t *c, int64_t now_us)
 {
@@ -156,17 +171,21 @@
   char best[QUOTA_NAME_BYTES] = "";
   if (parent->asked_us > 0
       && now_us - parent->asked_us > PARENT_SILENCE_MS * LT_US_PER_MS)
-    lt_quota_avoid (parent, str_from (parent->id),
-                    now_us + PARENT_AVOID_MS * LT_US_PER_MS);
+    lt_quota_avoid (
+        parent, str_from (parent->id),
+        now_us
+            + (parent->heard_us == 0 ? PARENT_START_MS : PARENT_AVOID_MS)
+                  * LT_US_PER_MS);
   find_parent (c, now_us, best);
   if (strcmp (best, parent->id) == 0)
     return;
+  take_back (c);
   lt_log (LT_LOG_INFO, "quota",
           "msg=\"parent of the homes\" parent=%s "
           "before=%s",
           best, parent->id);
   memcpy (parent->id, best, sizeof (parent->id));
-  parent->upper_us = parent->asked_us = 0;
+  parent->upper_us = parent->asked_us = parent->heard_us = 0;
   c->shares_serial = 0;
 }
 
--- a/packages/policy/include/lt/policy/quota.h
+++ b/packages/policy/include/lt/policy/quota.h
@@ -31,13 +31,20 @@
     int64_t share_us;  /**< Loan of a home to the parent. */
     int64_t quiet_us;  /**< A home silent this long gets no part of others. */
     int64_t demand_us; /**< Time constant of the measured demand. */
+    /** A part that comes within start_us of a bucket's start brings this share
+        of its burst along: the fleet was away for some tenths of a second at
+        least, and the predecessor's use is not known.  */
+    int64_t start_us;
+    double start_share;
   } lt_quota_times_t;
 
 #define LT_QUOTA_TIMES_DEFAULT                                                \
   ((lt_quota_times_t){ .member_us = 2 * 1000 * 1000,                          \
                        .share_us = 3 * 1000 * 1000,                           \
                        .quiet_us = 1600 * 1000,                               \
-                       .demand_us = 2 * 1000 * 1000 })
+                       .demand_us = 2 * 1000 * 1000,                          \
+                       .start_us = 3 * 1000 * 1000,                           \
+                       .start_share = 0.25 })
 
   /** Rate and burst of one workspace.  */
   typedef struct lt_quota_rate
@@ -111,7 +118,8 @@
   lt_quota_parent_t *lt_quota_parent_create (const lt_quota_times_t *times);
   void lt_quota_parent_destroy (lt_quota_parent_t *parent);
   /** Takes a report and writes the home's new shares, one per row of the
-      report, into ROWS.  Returns the serial of these shares.  VMS is the
+      report, into ROWS.  A report without members takes back what the home has
+      lent and has no rows.  Returns the serial of these shares.  VMS is the
      number of VMs that the parent knows.  */
   uint64_t lt_quota_parent_report (lt_quota_parent_t *parent,
                                    const lt_quota_report_t *report,
--- a/packages/policy/src/quota_buckets.c
+++ b/packages/policy/src/quota_buckets.c
@@ -18,6 +18,7 @@
   uint32_t ppm;
   double tokens;
   int64_t filled_us;
+  int64_t started_us;
   double demand_per_s;
   int64_t demand_us;
   bool kept;
@@ -75,6 +76,19 @@
     bucket->tokens = capacity (bucket);
 }
 
+static void
+set_ppm (const lt_quota_buckets_t *buckets, bucket_t *bucket, uint32_t ppm,
+         int64_t now_us)
+{
+  fill (bucket, now_us);
+  if (ppm > bucket->ppm
+      && now_us - bucket->started_us < buckets->times.start_us)
+    bucket->tokens += buckets->times.start_share * bucket->burst
+                      * (ppm - bucket->ppm) / LT_QUOTA_WHOLE_PPM;
+  bucket->ppm = ppm;
+  fill (bucket, now_us);
+}
+
 void
 lt_quota_buckets_configure (lt_quota_buckets_t *buckets,
                             const lt_quota_rate_t *rates, uint32_t count,
@@ -92,8 +106,8 @@
         {
           bucket = lt_alloc (sizeof (*bucket));
           bucket->workspace = workspace;
-          bucket->ppm = buckets->ppm;
           bucket->filled_us = bucket->demand_us = now_us;
+          bucket->started_us = now_us;
           HASH_ADD (hh, buckets->buckets, workspace, sizeof (workspace),
                     bucket);
         }
@@ -101,6 +115,8 @@
       bucket->rate_per_s = (double)rates[i].rate_milli_per_s / MILLI;
       bucket->burst = (double)rates[i].burst;
       bucket->kept = true;
+      if (bucket->ppm == 0)
+        set_ppm (buckets, bucket, buckets->ppm, now_us);
       fill (bucket, now_us);
     }
   HASH_ITER (hh, buckets->buckets, bucket, next)
@@ -110,21 +126,13 @@
   }
 }
 
-static void
-set_ppm (bucket_t *bucket, uint32_t ppm, int64_t now_us)
-{
-  fill (bucket, now_us);
-  bucket->ppm = ppm;
-  fill (bucket, now_us);
-}
-
 void
 lt_quota_buckets_set_all (lt_quota_buckets_t *buckets, uint32_t ppm,
                           int64_t now_us)
 {
   buckets->ppm = ppm;
   for (bucket_t *b = buckets->buckets; b != NULL; b = b->hh.next)
-    set_ppm (b, ppm, now_us);
+    set_ppm (buckets, b, ppm, now_us);
 }
 
 void
@@ -134,7 +142,7 @@
   bucket_t *bucket;
   HASH_FIND (hh, buckets->buckets, &workspace, sizeof (workspace), bucket);
   if (bucket != NULL)
-    set_ppm (bucket, ppm, now_us);
+    set_ppm (buckets, bucket, ppm, now_us);
 }
 
 void
--- a/packages/policy/src/quota_parent.c
+++ b/packages/policy/src/quota_parent.c
@@ -242,10 +242,11 @@
       members += home->members;
       demand += holding == NULL ? 0 : (double)holding->demand_milli;
     }
-  double own = (double)to->members / vms * LT_QUOTA_WHOLE_PPM;
-  if (!is_lending (parent, to, now_us) || members == 0)
-    return (uint32_t)(own < LT_QUOTA_WHOLE_PPM ? own : LT_QUOTA_WHOLE_PPM);
   const holding_t *holding = holding_of (to, workspace, true);
+  /* A home that is new here goes on with what it has: its own part, or the
+     shares of the parent before.  */
+  if (!is_lending (parent, to, now_us) || members == 0)
+    return holding->used_ppm;
   double pool = members / vms * LT_QUOTA_WHOLE_PPM;
   if (pool > LT_QUOTA_WHOLE_PPM)
     pool = LT_QUOTA_WHOLE_PPM;
@@ -277,7 +278,16 @@
                         lt_quota_share_t *rows, int64_t now_us)
 {
   drop_ended (parent, now_us);
-  home_t *home = take_report (parent, report, now_us);
+  home_t *home;
+  if (report->members == 0)
+    {
+      HASH_FIND (hh, parent->homes, &report->home, sizeof (report->home),
+                 home);
+      if (home != NULL)
+        home_destroy (parent, home);
+      return ++parent->serial;
+    }
+  home = take_report (parent, report, now_us);
   if (vms < report->vms)
     vms = report->vms;
   home->serial = ++parent->serial;
