--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -92,6 +92,8 @@
     bool refused;
     bool ended;
     bool byte_sent; /**< A byte may have left for some upstream. */
+    int attempts;
+    char upstream[LT_REQUEST_ID_MAX + 1]; /**< Of the last attempt. */
     lt_refusal_t refusal;
     lt_answer_t answer;
   };
--- a/packages/node/include/lt/node/source_controller.h
+++ b/packages/node/include/lt/node/source_controller.h
@@ -6,6 +6,8 @@
 #ifndef LT_NODE_SOURCE_CONTROLLER_H
 #define LT_NODE_SOURCE_CONTROLLER_H
 
+#include <stdbool.h>
+
 #include "lt/node/controller.h"
 
 #ifdef __cplusplus
@@ -23,6 +25,11 @@
   int64_t lt_source_controller_age_us (lt_source_controller_t *controller,
                                        int64_t now_us);
 
+  /** Returns whether keys may be accepted: always, unless the deployment wants
+      them refused while the register cannot be reached.  */
+  bool lt_source_controller_allows_keyed (lt_source_controller_t *controller,
+                                          int64_t now_us);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -295,6 +295,15 @@
 handle_metrics (lt_admin_request_t *request)
 {
   lt_buf_t text = { 0 };
+  lt_log_counts_t lines = lt_log_get_counts ();
+  lt_buf_printf (&text,
+                 "# TYPE lavendertrack_log_lines_total counter\n"
+                 "lavendertrack_log_lines_total{event=\"written\"} %llu\n"
+                 "lavendertrack_log_lines_total{event=\"over-bound\"} %llu\n"
+                 "lavendertrack_log_lines_total{event=\"blocked\"} %llu\n",
+                 (unsigned long long)lines.written,
+                 (unsigned long long)lines.over_bound,
+                 (unsigned long long)lines.blocked);
   lt_metrics_print (request->node->metrics, &text);
   lt_admin_respond_text (request, 200, "text/plain; version=0.0.4",
                          lt_buf_str (&text));
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "dispatch_internal.h"
@@ -418,6 +419,16 @@
   return transfer;
 }
 
+/* For the log line of the request, which outlives the dispatch.  */
+static void
+note_attempt (lt_request_t *request, const attempt_t *attempt)
+{
+  const lt_snapshot_t *snapshot = attempt->config->snapshot;
+  request->attempts++;
+  snprintf (request->upstream, sizeof (request->upstream), "%.*s",
+            STR_ARG (snapshot->upstreams[attempt->upstream].name));
+}
+
 /* Returns false when no upstream can take the request.  */
 static bool
 start_attempt (lt_dispatch_t *dispatch)
@@ -437,6 +448,7 @@
     return false;
   lt_snapshot_ref_acquire (attempt->config);
   dispatch->attempt_count++;
+  note_attempt (dispatch->request, attempt);
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
   return true;
 }
--- a/packages/node/src/filter_record.c
+++ b/packages/node/src/filter_record.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "lt/base/log.h"
 #include "lt/node/node.h"
 
 enum
@@ -40,6 +41,33 @@
   out[text.len] = '\0';
 }
 
+/* The one line that each request has.  */
+static void
+log_request (const lt_request_t *request, const lt_request_record_t *record)
+{
+  const char *outcome = "answered";
+  if (request->refused)
+    outcome = "refused";
+  else if (!request->answer.header_ready)
+    outcome = "caller-left";
+  else if (request->answer.failed)
+    outcome = "cut";
+  lt_log (LT_LOG_INFO, "request",
+          "msg=\"request ended\" request=%s method=%s route=%s workspace=%s "
+          "outcome=%s status=%d reason=%s ran=%s attempts=%d upstream=%s "
+          "ms=%lld config=%lld",
+          request->request_id, record->method, record->route,
+          record->workspace, outcome, record->status,
+          record->reason == NULL ? "" : record->reason, record->ran,
+          request->attempts, request->upstream,
+          (long long)(record->duration_us / LT_US_PER_MS),
+          request->snapshot == NULL
+              ? -1
+              : (long long)(request->snapshot->source_version > 0
+                                ? request->snapshot->source_version
+                                : request->snapshot->version));
+}
+
 static void
 filter_done (lt_filter_t *base, lt_request_t *request)
 {
@@ -67,6 +95,7 @@
   copy_text (
       r->ran, sizeof (r->ran),
       lt_header_list_get (&request->answer.headers, node->dialect->ran));
+  log_request (request, r);
 }
 
 static void
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -15,7 +15,10 @@
   READ_TIMEOUT_MS = 3000,
   /* Longest wait that the platform allows.  */
   WATCH_WAIT_MS = 30000,
-  WATCH_TIMEOUT_MS = WATCH_WAIT_MS + 2000,
+  WATCH_EXTRA_MS = 2000,
+  /* Where keys end with the register, it is asked this often within the time
+     in which a withdrawn key must be dead.  */
+  ASKS_PER_REVOCATION = 3,
   /* Changes that come together are read together; the bounds for new
      configurations and leaving upstreams are ten times as long.  */
   PAUSE_MS = 200,
@@ -410,14 +413,31 @@
   follow_next (follow);
 }
 
+static int64_t
+watch_wait_ms (const lt_settings_t *settings)
+{
+  return settings->fail_closed ? settings->revoke_ms / ASKS_PER_REVOCATION
+                               : WATCH_WAIT_MS;
+}
+
+bool
+lt_source_controller_allows_keyed (lt_source_controller_t *c, int64_t now_us)
+{
+  const lt_settings_t *settings = c->base.node->settings;
+  int64_t age_us = lt_source_controller_age_us (c, now_us);
+  return !settings->fail_closed
+         || (age_us >= 0 && age_us < settings->revoke_ms * LT_US_PER_MS);
+}
+
 static void
 follow_next (follow_t *follow)
 {
+  int64_t wait_ms = watch_wait_ms (follow->controller->base.node->settings);
   lt_registry_t *registry = follow->controller->base.node->registry;
   int error
       = follow->whole
             ? registry->vtable->watch (registry, follow->kind, follow->version,
-                                       WATCH_WAIT_MS, WATCH_TIMEOUT_MS,
+                                       wait_ms, wait_ms + WATCH_EXTRA_MS,
                                        on_result, follow)
             : registry->vtable->read (registry, follow->kind, READ_TIMEOUT_MS,
                                       on_result, follow);
