--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
   libcurl4-openssl-dev libjansson-dev libsodium-dev libcsv-dev uthash-dev \
   libgtest-dev curl git tzdata
 
-.PHONY: all deps build check run bench format format-check lint test test-asan
+.PHONY: all deps build check run bench format format-check lint test test-asan words
 
 all: build
 
@@ -29,7 +29,7 @@
 	git ls-files '*.c' '*.h' '*.cc' | xargs clang-format --dry-run -Werror
 
 lint: build
-	git ls-files 'packages/*/src/*.c' \
+	git ls-files 'packages/*/src/*.c' 'platform/*.c' \
 	  | xargs -P 10 -n 4 clang-tidy --quiet -p $(BUILD)
 
 test: build
@@ -40,7 +40,10 @@
 	cmake --build $(BUILD_ASAN)
 	ctest --test-dir $(BUILD_ASAN) --output-on-failure -j 4
 
-check: format-check lint test test-asan
+words:
+	sh tools/check-words.sh
+
+check: format-check words lint test test-asan
 
 run: build
 	sh tools/run-example.sh $(BUILD)
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -105,6 +105,8 @@
   /** Runs the chain from the first filter, with the configuration in force
       now.  */
   void lt_request_start (lt_request_t *request);
+  /** Goes on with the configuration in force now.  */
+  void lt_request_use_current_config (lt_request_t *request);
   /** Goes on after LT_FILTER_WAIT.  */
   void lt_request_resume (lt_request_t *request);
   /** Answers with a problem document; returns LT_FILTER_REFUSED.  */
--- a/packages/node/src/admin.c
+++ b/packages/node/src/admin.c
@@ -297,6 +297,8 @@
   lt_buf_t text = { 0 };
   lt_log_counts_t lines = lt_log_get_counts ();
   lt_buf_printf (&text,
+                 "# HELP lavendertrack_log_lines_total Lines of the log, and "
+                 "lines dropped.\n"
                  "# TYPE lavendertrack_log_lines_total counter\n"
                  "lavendertrack_log_lines_total{event=\"written\"} %llu\n"
                  "lavendertrack_log_lines_total{event=\"over-bound\"} %llu\n"
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -133,6 +133,8 @@
 {
   lt_node_add_filter (node, lt_filter_request_id_create ());
   lt_node_add_filter (node, lt_filter_record_create ());
+  if (node->settings->hosting != NULL)
+    lt_node_add_filter (node, lt_filter_await_config_create ());
   lt_node_add_filter (node, lt_filter_route_create ());
   lt_node_add_filter (node, lt_filter_size_create ());
   lt_node_add_filter (node, lt_filter_authenticate_create ());
--- /dev/null
+++ b/packages/node/src/filter_await_config.c
@@ -0,0 +1,108 @@
+#include <ev.h>
+#include <stdlib.h>
+#include <utlist.h>
+
+#include "filters.h"
+#include "lt/node/node.h"
+#include "lt/node/request.h"
+
+/* A VM that starts reads its configuration in about 0.1 s; a caller that waits
+   for it is better off than one that is refused.  */
+#define AWAIT_US (500 * LT_US_PER_MS)
+#define LOOK_S 0.02
+
+typedef struct waiting
+{
+  struct waiting *prev;
+  struct waiting *next;
+  lt_request_t *request;
+  int64_t since_us;
+} waiting_t;
+
+typedef struct await_filter
+{
+  lt_filter_t base;
+  waiting_t *waiting;
+  ev_timer look;
+} await_filter_t;
+
+static void
+forget (await_filter_t *filter, waiting_t *waiting)
+{
+  waiting->request->filter_state[filter->base.slot] = NULL;
+  DL_DELETE (filter->waiting, waiting); /* NOLINT(clang-analyzer-*) */
+  free (waiting);
+}
+
+static void
+on_look (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)events;
+  await_filter_t *filter = timer->data;
+  int64_t now_us = lt_node_now_us (filter->base.node);
+  bool known = filter->base.node->config != NULL;
+  waiting_t *waiting;
+  waiting_t *next;
+  DL_FOREACH_SAFE (filter->waiting, waiting, next)
+  {
+    lt_request_t *request = waiting->request;
+    if (!known && now_us - waiting->since_us < AWAIT_US)
+      continue;
+    forget (filter, waiting);
+    lt_request_use_current_config (request);
+    lt_request_resume (request);
+  }
+  if (filter->waiting == NULL)
+    ev_timer_stop (loop, &filter->look);
+}
+
+/* The next filters refuse what still has no configuration.  */
+static lt_filter_result_t
+filter_request (lt_filter_t *base, lt_request_t *request)
+{
+  await_filter_t *filter = (await_filter_t *)base;
+  if (request->snapshot != NULL)
+    return LT_FILTER_CONTINUE;
+  waiting_t *waiting = lt_alloc (sizeof (*waiting));
+  waiting->request = request;
+  waiting->since_us = lt_node_now_us (base->node);
+  request->filter_state[base->slot] = waiting;
+  DL_APPEND (filter->waiting, waiting);
+  if (!ev_is_active (&filter->look))
+    {
+      ev_timer_set (&filter->look, LOOK_S, LOOK_S);
+      ev_timer_start (base->node->loop, &filter->look);
+    }
+  return LT_FILTER_WAIT;
+}
+
+static void
+filter_done (lt_filter_t *base, lt_request_t *request)
+{
+  waiting_t *waiting = request->filter_state[base->slot];
+  if (waiting != NULL)
+    forget ((await_filter_t *)base, waiting);
+}
+
+static void
+filter_destroy (lt_filter_t *base)
+{
+  await_filter_t *filter = (await_filter_t *)base;
+  ev_timer_stop (base->node->loop, &filter->look);
+  free (filter);
+}
+
+static const lt_filter_vtable_t vtable = { .name = "await-config",
+                                           .request = filter_request,
+                                           .done = filter_done,
+                                           .destroy = filter_destroy };
+
+lt_filter_t *
+lt_filter_await_config_create (void)
+{
+  await_filter_t *filter = lt_alloc (sizeof (*filter));
+  filter->base.vtable = &vtable;
+  ev_timer_init (&filter->look, on_look, LOOK_S, LOOK_S);
+  filter->look.data = filter;
+  return &filter->base;
+}
--- a/packages/node/src/filters.h
+++ b/packages/node/src/filters.h
@@ -14,6 +14,8 @@
 
   /** Keeps a well-formed X-Request-Id, or makes one.  */
   lt_filter_t *lt_filter_request_id_create (void);
+  /** Holds requests back for a moment while there is no configuration.  */
+  lt_filter_t *lt_filter_await_config_create (void);
   /** Finds the route; refuses paths that are not in normal form.  */
   lt_filter_t *lt_filter_route_create (void);
   /** Refuses bodies over the route's limit.  */
--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -10,8 +10,10 @@
 
 enum
 {
-  /* Longest wait for a home, about a tenth of the shortest deadlines.  */
+  /* Longest wait for a home, about a tenth of the shortest deadlines; longer
+     on a VM that starts and has nobody to ask yet.  */
   WAIT_MS = 150,
+  START_WAIT_MS = 500,
   RETRY_AFTER_MS = 500,
   /* Time for the buckets to hold a few requests.  */
   SETTLE_MS = 200,
@@ -99,7 +101,7 @@
   uint64_t hash = lt_hash64 (workspace->name);
   if (workspace->unlimited)
     return LT_FILTER_CONTINUE;
-  if (lt_quota_is_alone (c, now_us))
+  if (c->vms > 0 && lt_quota_is_alone (c, now_us))
     {
       lt_quota_count (c, QUOTA_COUNT_ALONE);
       return admit (c, request,
@@ -185,9 +187,11 @@
 {
   quota_waiting_t *waiting;
   quota_waiting_t *next;
+  int64_t wait_ms
+      = lt_quota_controller_is_settled (c, now_us) ? WAIT_MS : START_WAIT_MS;
   DL_FOREACH_SAFE (c->waiting, waiting, next)
   {
-    if (now_us - waiting->since_us > WAIT_MS * LT_US_PER_MS)
+    if (now_us - waiting->since_us > wait_ms * LT_US_PER_MS)
       {
         lt_request_t *request = waiting->request;
         lt_quota_count (c, QUOTA_COUNT_EXPIRED);
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -12,8 +12,8 @@
 /* The body may have taken long to arrive.  Key, route and limits are those of
    the configuration in force now, or a withdrawn key would work for as long as
    a caller sends its body slowly (I4).  */
-static void
-use_current_config (lt_request_t *request)
+void
+lt_request_use_current_config (lt_request_t *request)
 {
   lt_snapshot_ref_release (request->config);
   request->config = lt_snapshot_ref_acquire (request->node->config);
@@ -29,7 +29,7 @@
   request->sequence = ++node->next_sequence;
   request->workspace = LT_NO_INDEX;
   request->started_us = lt_node_now_us (node);
-  use_current_config (request);
+  lt_request_use_current_config (request);
   request->answer.length = -1;
   node->in_flight++;
   node->in_flight_gauge->value = (double)node->in_flight;
@@ -121,7 +121,7 @@
 void
 lt_request_start (lt_request_t *request)
 {
-  use_current_config (request);
+  lt_request_use_current_config (request);
   run_filters (request);
 }
 
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -28,6 +28,8 @@
 #define NEWS_DELAY_S 0.1
 /* Above this probability an upstream counts as gray in logs and gauges.  */
 #define SUSPECT 0.5
+/* The gauge of suspected upstreams is a second old at most.  */
+#define COUNT_US LT_US_PER_S
 
 typedef struct pending_news
 {
@@ -47,6 +49,8 @@
   lt_counter_t *sent;
   lt_counter_t *received;
   lt_counter_t *malformed;
+  lt_gauge_t *suspected;
+  int64_t counted_us; /* Last update of that gauge. */
 };
 
 static lt_upstream_controller_t *
@@ -339,6 +343,25 @@
   c->news = lt_alloc ((count + 1) * sizeof (*c->news));
 }
 
+static void
+tick (lt_controller_t *base, int64_t now_us)
+{
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  if (c->config == NULL || now_us - c->counted_us < COUNT_US)
+    return;
+  c->counted_us = now_us;
+  const lt_snapshot_t *s = c->config->snapshot;
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < s->upstream_count; i++)
+    {
+      lt_choice_view_t view = { 0 };
+      lt_choice_look_up (c->choice, upstream_id (&s->upstreams[i]), now_us,
+                         &view);
+      count += view.gray >= SUSPECT;
+    }
+  c->suspected->value = count;
+}
+
 static json_t *
 status (lt_controller_t *base)
 {
@@ -375,6 +398,7 @@
 static const lt_controller_vtable_t vtable
     = { .name = "upstreams",
         .types = LT_TYPE_BIT (LT_MESSAGE_NEWS),
+        .tick = tick,
         .on_frame = on_frame,
         .on_config = on_config,
         .on_observation = on_observation,
@@ -397,6 +421,9 @@
   c->sent = lt_metrics_counter (node->metrics, name, help, "event=\"sent\"");
   c->received
       = lt_metrics_counter (node->metrics, name, help, "event=\"received\"");
+  c->suspected
+      = lt_metrics_gauge (node->metrics, "lavendertrack_upstreams_suspected",
+                          "Upstreams that are more likely gray than not.", "");
   c->malformed
       = lt_metrics_counter (node->metrics, name, help, "event=\"malformed\"");
   return &c->base;
