--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -60,6 +60,13 @@
         repeatable request: its state is known again, and a suspicion that was
         wrong takes no capacity for long.  */
     int64_t trial_us;
+    /** A service without repeatable requests has such trials with the others,
+        but only while more than this share of its requests fails: then the
+        choice does not help, and a wrong suspicion costs more than a trial. */
+    double failing_share;
+    double failing_least; /**< Failures that this share must stand on. */
+    int64_t failing_trial_us;
+    int64_t failing_us; /**< Time constant of the share. */
   } lt_choice_options_t;
 
 /* Rates and losses: the platform's notes on prices, and the times for which
@@ -80,7 +87,11 @@
                           .shed_us = 300 * 1000,                              \
                           .peer_load_us = 3 * 1000 * 1000,                    \
                           .jitter = 0.01,                                     \
-                          .trial_us = 1200 * 1000 })
+                          .trial_us = 1200 * 1000,                            \
+                          .failing_share = 0.1,                               \
+                          .failing_least = 2,                                 \
+                          .failing_trial_us = 1600 * 1000,                    \
+                          .failing_us = 4 * 1000 * 1000 })
 
   /** One upstream as the configuration names it.  */
   typedef struct lt_choice_upstream
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -41,6 +41,15 @@
   uint32_t peer_count;
 } belief_t;
 
+/* How requests of a service end of late; the counts decay.  */
+typedef struct service_state
+{
+  double good;
+  double bad;
+  int64_t updated_us;
+  int64_t repeatable_us; /* Last repeatable request. */
+} service_state_t;
+
 struct lt_choice
 {
   lt_choice_options_t options;
@@ -48,6 +57,8 @@
   belief_t *beliefs;
   belief_t **by_index;
   uint32_t count;
+  service_state_t *services;
+  uint32_t service_count;
 };
 
 lt_choice_t *
@@ -75,6 +86,7 @@
   belief_t *next;
   HASH_ITER (hh, choice->beliefs, belief, next) { forget (choice, belief); }
   free (choice->by_index);
+  free (choice->services);
   free (choice);
 }
 
@@ -115,6 +127,36 @@
                 now_us - belief->no_path_us);
 }
 
+/* When services are numbered anew, their states are learned again.  */
+static void
+size_services (lt_choice_t *choice, const lt_choice_upstream_t *upstreams,
+               uint32_t count)
+{
+  uint32_t services = 0;
+  for (uint32_t i = 0; i < count; i++)
+    if (upstreams[i].service >= services)
+      services = upstreams[i].service + 1;
+  if (services == choice->service_count)
+    return;
+  free (choice->services);
+  choice->services = lt_alloc ((services + 1) * sizeof (*choice->services));
+  choice->service_count = services;
+}
+
+static void
+note_ends (lt_choice_t *choice, const belief_t *belief, uint32_t good,
+           uint32_t bad, int64_t now_us)
+{
+  if (!belief->current || belief->upstream.service >= choice->service_count)
+    return;
+  service_state_t *state = &choice->services[belief->upstream.service];
+  double kept = exp (-(double)(now_us - state->updated_us)
+                     / (double)choice->options.failing_us);
+  state->good = state->good * kept + good;
+  state->bad = state->bad * kept + bad;
+  state->updated_us = now_us;
+}
+
 void
 lt_choice_configure (lt_choice_t *choice,
                      const lt_choice_upstream_t *upstreams, uint32_t count,
@@ -123,6 +165,7 @@
   belief_t *belief;
   belief_t *next;
   HASH_ITER (hh, choice->beliefs, belief, next) { belief->current = false; }
+  size_services (choice, upstreams, count);
   free (choice->by_index);
   choice->by_index = lt_alloc ((count + 1) * sizeof (belief_t *));
   choice->count = count;
@@ -210,14 +253,37 @@
          && !was_tried (request, index);
 }
 
+/* Returns how long an upstream must have been idle for REQUEST to try it, or
+   -1 when it tries none.  */
+static int64_t
+trial_idle_us (lt_choice_t *choice, const lt_choice_request_t *request,
+               int64_t now_us)
+{
+  const lt_choice_options_t *o = &choice->options;
+  if (request->tried_count > 0 || request->service >= choice->service_count)
+    return -1;
+  service_state_t *state = &choice->services[request->service];
+  if (request->repeatable)
+    {
+      state->repeatable_us = now_us;
+      return o->trial_us;
+    }
+  bool repeatable = state->repeatable_us != 0
+                    && now_us - state->repeatable_us < o->failing_us;
+  bool failing = state->bad >= o->failing_least
+                 && state->bad > o->failing_share * (state->good + state->bad);
+  return failing && !repeatable ? o->failing_trial_us : -1;
+}
+
 /* Returns the upstream that has waited longest for a trial, or -1.  */
 static int64_t
-pick_trial (const lt_choice_t *choice, const lt_choice_request_t *request,
+pick_trial (lt_choice_t *choice, const lt_choice_request_t *request,
             int64_t now_us)
 {
   int64_t found = -1;
-  int64_t oldest_us = now_us - choice->options.trial_us;
-  if (request->tried_count > 0 || !request->repeatable)
+  int64_t idle_us = trial_idle_us (choice, request, now_us);
+  int64_t oldest_us = now_us - idle_us;
+  if (idle_us < 0)
     return -1;
   for (uint32_t i = 0; i < choice->count; i++)
     {
@@ -299,10 +365,12 @@
   switch (evidence)
     {
     case LT_CHOICE_GOOD:
+      note_ends (choice, belief, 1, 0, now_us);
       belief->no_path = 0;
       update_gray (choice, belief, true, now_us);
       break;
     case LT_CHOICE_BAD:
+      note_ends (choice, belief, 0, 1, now_us);
       update_gray (choice, belief, false, now_us);
       break;
     case LT_CHOICE_SHED:
@@ -325,6 +393,7 @@
   belief_t *belief = find (choice, id);
   if (belief == NULL)
     return;
+  note_ends (choice, belief, good, bad, now_us);
   belief->used_us = now_us;
   for (uint32_t i = 0; i < good; i++)
     update_gray (choice, belief, true, now_us);
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -209,6 +209,37 @@
   EXPECT_NE (2, pick (true, { 0 }));
 }
 
+// FLOOR on kovacic-gw trouble-3: three sound upstreams of a service without
+// repeatable requests got nothing for 2 s while a tenth of its requests
+// failed.
+TEST_F (Choice, AFailingServiceWithoutRepeatableRequestsTriesWhatIsIdle)
+{
+  for (uint64_t id = 1; id <= 3; id++)
+    lt_choice_observe (choice, id, LT_CHOICE_BAD, now);
+  std::set<int64_t> ids;
+  for (int i = 0; i < 60; i++)
+    {
+      now += 50000;
+      int64_t id = pick ();
+      ids.insert (id);
+      lt_choice_begin (choice, (uint64_t)id, now);
+      lt_choice_end (choice, (uint64_t)id);
+      lt_choice_observe (choice, (uint64_t)id,
+                         i % 5 == 0 ? LT_CHOICE_BAD : LT_CHOICE_GOOD, now);
+    }
+  for (int64_t id = 1; id <= 3; id++)
+    EXPECT_EQ (1u, ids.count (id)) << id;
+}
+
+TEST_F (Choice, AServiceThatDoesWellTriesNothingWithNeverRepeatRequests)
+{
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  for (int i = 0; i < 60; i++)
+    lt_choice_observe (choice, 1, LT_CHOICE_GOOD, now);
+  now += 2 * S;
+  EXPECT_NE (2, pick ());
+}
+
 // A gray upstream among three: the requests lost to it.
 TEST_F (Choice, LosesFewNeverRepeatRequests)
 {
