--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -14,7 +14,7 @@
   CALL_TIMEOUT_MS = 3000,
   RETRY_MS = 500,
   /* VMs that start together are all announced after about a second.  */
-  FIRST_LISTS = 2,
+  FIRST_LISTS = 1,
   FIRST_LIST_MS = 1500,
   LIST_MS = 60000,
   CONNECT_MS = 1000,
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -20,8 +20,8 @@
      in which a withdrawn key must be dead.  */
   ASKS_PER_REVOCATION = 3,
   /* Changes that come together are read together; the bounds for new
-     configurations and leaving upstreams are ten times as long.  */
-  PAUSE_MS = 200,
+     configurations and leaving upstreams are five times as long.  */
+  PAUSE_MS = 500,
   RETRY_MIN_MS = 100,
   RETRY_MAX_MS = 700,
   /* The platform's heartbeats bring live entries back within about 2 s after
