Choose the last attempt of a repeatable request with care

Cause: the choice took every request of a safe route as repeatable, also the last attempt that its route or the budget allows, so it weighed a failure little; after a trial at a gray upstream the second attempt went to another one. Ruled out: late news (the failures lay more than 0.3 s back).

An attempt counts as repeatable only if its route and the budgets let a failure be repeated.

--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -21,6 +21,22 @@
       = lt_snapshot_find_service (config->snapshot, dispatch->service_name);
 }
 
+/* Whether a failure of the next attempt could be made good by another one.  */
+static bool
+can_repeat_next (const lt_dispatch_t *dispatch)
+{
+  lt_node_t *node = dispatch->request->node;
+  int32_t attempts_max = dispatch->request->route->attempts_max;
+  uint32_t most = attempts_max > 0 && attempts_max < ATTEMPTS_MAX
+                      ? (uint32_t)attempts_max
+                      : ATTEMPTS_MAX;
+  return lt_dispatch_is_idempotent (dispatch)
+         && dispatch->attempt_count + 1 < most
+         && lt_retry_has_budget (node->retry, dispatch->service_hash,
+                                 dispatch->workspace_hash,
+                                 lt_node_now_us (node));
+}
+
 int64_t
 lt_dispatch_pick (lt_dispatch_t *dispatch)
 {
@@ -49,7 +65,7 @@
     .service = dispatch->service,
     .tried = tried,
     .tried_count = count,
-    .repeatable = lt_dispatch_is_idempotent (dispatch),
+    .repeatable = can_repeat_next (dispatch),
     .body_bytes = (int64_t)request->body.len,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -19,7 +19,7 @@
     uint32_t service;
     const uint32_t *tried; /**< Upstreams that are not picked again. */
     uint32_t tried_count;
-    bool repeatable; /**< A failed attempt may be repeated elsewhere. */
+    bool repeatable; /**< A failure would be repeated elsewhere. */
     int64_t body_bytes;
   } lt_pick_t;
 
--- a/packages/policy/include/lt/policy/retry.h
+++ b/packages/policy/include/lt/policy/retry.h
@@ -124,6 +124,10 @@
   lt_retry_decision_t lt_retry_decide (lt_retry_t *retry,
                                        const lt_retry_attempt_t *attempt,
                                        int64_t now_us);
+  /** Returns whether the budgets would let one more failed attempt be repeated
+      now.  */
+  bool lt_retry_has_budget (lt_retry_t *retry, uint64_t service,
+                            uint64_t workspace, int64_t now_us);
   /** Returns how long after its start a first attempt may be hedged, or -1
       while too little is known.  */
   int64_t lt_retry_hedge_delay_us (const lt_retry_t *retry, uint64_t service);
--- a/packages/policy/src/retry.c
+++ b/packages/policy/src/retry.c
@@ -203,6 +203,17 @@
   return (int64_t)(mean * (0.5 + lt_rng_unit (retry->rng)));
 }
 
+bool
+lt_retry_has_budget (lt_retry_t *retry, uint64_t service, uint64_t workspace,
+                     int64_t now_us)
+{
+  service_t *s = service_get (retry, service);
+  budget_t *of_workspace = workspace_budget (retry, service, workspace);
+  budget_add (retry, &s->retries, 0, retry->options.budget_per_s, now_us);
+  budget_add (retry, of_workspace, 0, retry->options.budget_per_s, now_us);
+  return s->retries.tokens >= 1 && of_workspace->tokens >= 1;
+}
+
 lt_retry_decision_t
 lt_retry_decide (lt_retry_t *retry, const lt_retry_attempt_t *attempt,
                  int64_t now_us)
--- a/packages/policy/test/test_retry.cc
+++ b/packages/policy/test/test_retry.cc
@@ -211,4 +211,42 @@
   EXPECT_EQ (0, lt_retry_decide (retry, &a, 0).delay_us);
 }
 
+// A caller of the module asks beforehand whether a failure could be repeated.
+TEST_F (Retry, TellsWhetherTheBudgetsAllowARepeat)
+{
+  options.budget_burst = 1;
+  options.budget_per_s = 0;
+  make ();
+  EXPECT_TRUE (lt_retry_has_budget (retry, 1, 2, S));
+  EXPECT_TRUE (lt_retry_has_budget (retry, 1, 2, S)) << "asking is free";
+  lt_retry_attempt_t a = attempt ();
+  EXPECT_TRUE (lt_retry_decide (retry, &a, S).retry);
+  EXPECT_FALSE (lt_retry_has_budget (retry, 1, 2, S));
+  EXPECT_TRUE (lt_retry_has_budget (retry, 3, 2, S)) << "another service";
+}
+
+// A connection that failed showed the upstream nothing.
+TEST_F (Retry, AFailedConnectionIsFreeWhereTheOptionsSaySo)
+{
+  options.budget_burst = 1;
+  options.budget_per_s = 0;
+  options.unsent_is_free = true;
+  make ();
+  lt_retry_attempt_t a = attempt ();
+  a.failure = LT_RETRY_CONNECT_FAILED;
+  a.byte_sent = false;
+  for (int i = 0; i < 5; i++)
+    EXPECT_TRUE (lt_retry_decide (retry, &a, S).retry);
+  EXPECT_TRUE (lt_retry_has_budget (retry, 1, 2, S));
+}
+
+// The route's own bound goes before that of the options.
+TEST_F (Retry, ARouteMayAllowFewerAttempts)
+{
+  lt_retry_attempt_t a = attempt ();
+  a.attempts = 2;
+  a.attempts_max = 2;
+  EXPECT_EQ (LT_RETRY_ATTEMPTS_USED, lt_retry_decide (retry, &a, S).reason);
+}
+
 } // namespace
