--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -28,6 +28,18 @@
     lt_daemon_drain (daemon);
 }
 
+/* Settings are read once: what a process listens on and who it is does not
+   change while it runs.  */
+static void
+on_reload (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)loop;
+  (void)watcher;
+  (void)events;
+  lt_log (LT_LOG_INFO, "daemon",
+          "msg=\"reload\" changed=0 note=\"settings are read at start\"");
+}
+
 static int
 print_findings (lt_findings_t *findings)
 {
@@ -53,6 +65,9 @@
     }
   ev_signal terminate;
   ev_signal interrupt;
+  ev_signal reload;
+  ev_signal_init (&reload, on_reload, SIGHUP);
+  ev_signal_start (loop, &reload);
   ev_signal_init (&terminate, on_terminate, SIGTERM);
   ev_signal_init (&interrupt, on_terminate, SIGINT);
   terminate.data = daemon;
