--- a/packages/node/include/lt/node/settings.h
+++ b/packages/node/include/lt/node/settings.h
@@ -48,8 +48,7 @@
     bool check_only;
     /** Bounds of a hosted fleet.  */
     int64_t retry_permille;     /**< Repeats per 1,000 requests. */
-    int64_t retry_slack;        /**< Repeats of the fleet besides, in... */
-    int64_t retry_window_ms;    /**< ...any time of this length. */
+    int64_t retry_slack;        /**< Repeats of the fleet besides. */
     int64_t rate_over_permille; /**< By which rates may be exceeded... */
     int64_t rate_slack;         /**< ...and requests besides. */
     int64_t stop_grace_ms;      /**< From SIGTERM to SIGKILL. */
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -35,6 +35,8 @@
 /* Hosted: from this part of the time to SIGKILL on, no request is taken: those
    taken before have more than the other half to end.  */
 #define HOSTED_QUIESCE_SHARE 0.45
+/* Of the allowed repeats a tenth is kept for those that are on their way.  */
+#define RESERVED 0.9
 /* Connections whose request is not read yet do not count as in flight, so the
    end waits this long for open connections after the listener has closed.  */
 #define LINGER_US (1 * LT_US_PER_S)
@@ -108,6 +110,18 @@
     ev_break (node->loop, EVBREAK_ALL);
 }
 
+/* The repeats that the fleet has beside the ratio are divided among the VMs, a
+   tenth kept back; one at least, or a VM alone could never repeat.  */
+static void
+divide_retry_slack (lt_node_t *node)
+{
+  if (node->registry == NULL || !node->directory->is_complete (node))
+    return;
+  double vms = (double)node->directory->others (node, NULL, 0) + 1;
+  double part = (double)node->settings->retry_slack * RESERVED / vms;
+  lt_retry_set_burst (node->retry, part > 1 ? part : 1);
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -124,6 +138,7 @@
     node->was_confirmed
         = node->config != NULL
           && lt_freshness_allows_keyed (node->freshness, now_us);
+  divide_retry_slack (node);
   if (node->leaving)
     continue_drain (daemon, now_us);
 }
@@ -233,12 +248,10 @@
   return 0;
 }
 
-/* The fleet's allowance beside the ratio is shared by the VMs, so each has
-   little of it; the ratio keeps a tenth in reserve.  */
 static void
 use_hosted_budget (const lt_settings_t *settings, lt_retry_options_t *options)
 {
-  options->retry_ratio = (double)settings->retry_permille * 0.9 / 1000;
+  options->retry_ratio = (double)settings->retry_permille * RESERVED / 1000;
   options->workspace_ratio = 1;
   options->hedge_ratio = 0;
   options->budget_burst = 1;
--- a/packages/node/src/settings.c
+++ b/packages/node/src/settings.c
@@ -41,7 +41,6 @@
   CONNECTIONS_MAX = 100000,
   RETENTION_MAX_DAYS = 36500,
   RETRY_SLACK_MAX = 1000000,
-  RETRY_WINDOW_MAX_MS = 3600000,
   SECRET_MIN_BYTES = 16,
   ID_MAX_BYTES = 64
 };
@@ -87,9 +86,7 @@
   { "retry-permille", SETTING_NUMBER, AT (retry_permille), 0, 1000, "N",
     "Hosted: repeats per 1,000 requests of a service" },
   { "retry-slack", SETTING_NUMBER, AT (retry_slack), 0, RETRY_SLACK_MAX, "N",
-    "Hosted: repeats of the fleet besides, in a window" },
-  { "retry-window-ms", SETTING_NUMBER, AT (retry_window_ms), 1,
-    RETRY_WINDOW_MAX_MS, "MS", "Hosted: length of that window" },
+    "Hosted: repeats of the fleet besides" },
   { "rate-over-permille", SETTING_NUMBER, AT (rate_over_permille), 0, 1000,
     "N", "Hosted: excess of rates and bursts that is tolerated" },
   { "rate-slack", SETTING_NUMBER, AT (rate_slack), 0, RETRY_SLACK_MAX, "N",
@@ -350,7 +347,6 @@
     .max_connections = 4096,
     .retry_permille = 200,
     .retry_slack = 50,
-    .retry_window_ms = 10000,
     .stop_grace_ms = 6000,
     .revoke_ms = 5000,
   };
--- a/packages/node/test/test_reference.cc
+++ b/packages/node/test/test_reference.cc
@@ -133,8 +133,11 @@
           for (std::sregex_iterator m (line.begin (), line.end (), name), end;
                line[0] == '|' && m != end; ++m)
             if ((*m)[1].matched)
-              sources += read_file (LT_SOURCE_DIR "/packages/" + (*m)[1].str ()
-                                    + "/test/" + (*m)[2].str ());
+              sources += read_file (
+                  LT_SOURCE_DIR
+                  + std::string ((*m)[1].str () == "platform" ? "/"
+                                                              : "/packages/")
+                  + (*m)[1].str () + "/test/" + (*m)[2].str ());
             else
               names.push_back ("(" + (*m)[3].str () + ", " + (*m)[4].str ()
                                + ")");
