Let homes report as soon as their members have changed

Cause: after all VMs have ended, a home's first report to the parent names the one or two members that it has then. Ruled out: the list of VMs (known 0.1 s after the start), the wait for a home (3 refusals).

Change: lt_quota_report_is_due () lets a home report after 0.1 s when the number of its members or the state of its loan has changed, else after 1 s as before. Tests: Reports.* in policy_test_quota (failed before: no such rule).

--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -99,9 +99,9 @@
   quota_empty_t empty[QUOTA_EMPTY_MAX];
   quota_upper_t to_home;
   quota_upper_t to_parent;
-  int64_t signed_us;   /* Last message to the home. */
-  int64_t reported_us; /* Last report to the parent. */
-  int64_t shares_us;   /* Last shares of the parent; 0: none in force. */
+  int64_t signed_us; /* Last message to the home. */
+  lt_quota_reported_t reported;
+  int64_t shares_us; /* Last shares of the parent; 0: none in force. */
   uint64_t shares_serial;
   uint32_t vms;     /**< 0: not known yet. */
   int64_t known_us; /**< Since when it is known. */
--- a/packages/node/src/quota_shares.c
+++ b/packages/node/src/quota_shares.c
@@ -7,8 +7,6 @@
 
 enum
 {
-  VMS_MAX = 4096,
-  REPORT_MS = 1000,
   /* Two round trips between regions, and a busy VM.  */
   PARENT_SILENCE_MS = 700,
   PARENT_AVOID_MS = 5000,
@@ -134,7 +132,9 @@
   lt_wire_quota_shares_t *shares = lt_alloc (sizeof (*shares));
   quota_upper_t *parent = &c->to_parent;
   fill_report (c, message, now_us);
-  c->reported_us = now_us;
+  c->reported = (lt_quota_reported_t){ .sent_us = now_us,
+                                       .members = message->members,
+                                       .lent = parent->upper_us != 0 };
   if (lt_quota_is_self (c, parent->id))
     {
       answer_report (c, lt_hash64 (c->base.node->settings->vm_id), message,
@@ -208,7 +208,8 @@
         ppm = LT_QUOTA_WHOLE_PPM;
       lt_quota_buckets_set_all (c->home, (uint32_t)ppm, now_us);
     }
-  if (members == 0 || now_us - c->reported_us < REPORT_MS * LT_US_PER_MS)
+  if (!lt_quota_report_is_due (&c->times, &c->reported, members,
+                               c->to_parent.upper_us != 0, now_us))
     return;
   choose_parent (c, now_us);
   report (c, now_us);
--- a/packages/policy/include/lt/policy/quota.h
+++ b/packages/policy/include/lt/policy/quota.h
@@ -36,6 +36,11 @@
         least, and the predecessor's use is not known.  */
     int64_t start_us;
     double start_share;
+    int64_t report_us; /**< Between two reports of a home to the parent. */
+    /** The same when what the home has to lend has changed: its shares hold
+        for a whole report_us, so a fleet that starts would be kept to the few
+        VMs that were there first.  */
+    int64_t report_changed_us;
   } lt_quota_times_t;
 
 #define LT_QUOTA_TIMES_DEFAULT                                                \
@@ -44,7 +49,9 @@
                        .quiet_us = 1600 * 1000,                               \
                        .demand_us = 2 * 1000 * 1000,                          \
                        .start_us = 3 * 1000 * 1000,                           \
-                       .start_share = 0.25 })
+                       .start_share = 0.25,                                   \
+                       .report_us = 1000 * 1000,                              \
+                       .report_changed_us = 100 * 1000 })
 
   /** Rate and burst of one workspace.  */
   typedef struct lt_quota_rate
@@ -101,6 +108,19 @@
   uint32_t lt_quota_members_count (lt_quota_members_t *members,
                                    int64_t now_us);
 
+  /** What a home told the parent last.  */
+  typedef struct lt_quota_reported
+  {
+    int64_t sent_us;
+    uint32_t members;
+    bool lent; /**< The parent's clock was known, so the report was a loan. */
+  } lt_quota_reported_t;
+
+  /** Returns whether a home with MEMBERS reports again.  */
+  bool lt_quota_report_is_due (const lt_quota_times_t *times,
+                               const lt_quota_reported_t *last,
+                               uint32_t members, bool lent, int64_t now_us);
+
   /** The parent: deals out what the homes have lent it.  */
   typedef struct lt_quota_parent lt_quota_parent_t;
 
--- a/packages/policy/src/quota_parent.c
+++ b/packages/policy/src/quota_parent.c
@@ -88,6 +88,18 @@
   return HASH_COUNT (members->members); /* NOLINT(clang-analyzer-*) */
 }
 
+bool
+lt_quota_report_is_due (const lt_quota_times_t *times,
+                        const lt_quota_reported_t *last, uint32_t members,
+                        bool lent, int64_t now_us)
+{
+  if (members == 0)
+    return false;
+  bool changed = members != last->members || lent != last->lent;
+  return now_us - last->sent_us
+         >= (changed ? times->report_changed_us : times->report_us);
+}
+
 /* One workspace at one home.  */
 typedef struct holding
 {
--- a/packages/policy/test/test_quota.cc
+++ b/packages/policy/test/test_quota.cc
@@ -112,6 +112,29 @@
   EXPECT_NEAR (100, taken, 35);
 }
 
+// Shares hold until the next report, so a home that waited a whole interval
+// would be kept to the members of its first moment: 1 s of refusals after all
+// VMs had ended (trouble-2 of the grown kovacic-gw).
+TEST (Reports, ComeSoonWhenTheMembersHaveChanged)
+{
+  const lt_quota_reported_t last = { 10 * S, 1, true };
+  auto due = [&last] (uint32_t members, bool lent, int64_t now) {
+    return lt_quota_report_is_due (&TIMES, &last, members, lent, now);
+  };
+  EXPECT_TRUE (due (2, true, 10 * S + 100 * MS));
+  EXPECT_FALSE (due (2, true, 10 * S + 99 * MS));
+  EXPECT_FALSE (due (1, true, 10 * S + 999 * MS));
+  EXPECT_TRUE (due (1, true, 11 * S));
+}
+
+TEST (Reports, BecomeALoanAsSoonAsTheParentHasAnswered)
+{
+  const lt_quota_reported_t last = { 10 * S, 1, false };
+  EXPECT_TRUE (
+      lt_quota_report_is_due (&TIMES, &last, 1, true, 10 * S + 100 * MS));
+  EXPECT_FALSE (lt_quota_report_is_due (&TIMES, &last, 0, true, 20 * S));
+}
+
 TEST (Members, CountsOnlyLoansThatHold)
 {
   lt_quota_members_t *members = lt_quota_members_create (&TIMES);
