Let requests ask again for a token while the fleet starts

Ruled out: the bucket's start of a quarter (no refusal once all members have lent).

Change: for 1 s after a VM knows how many VMs there are, a request that found no token stays waiting, up to the 0.5 s of a start, and asks with the next tick.

--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -14,6 +14,9 @@
      on a VM that starts and has nobody to ask yet.  */
   WAIT_MS = 150,
   START_WAIT_MS = 500,
+  /* VMs that start together have all lent their parts after about half a
+     second; requests for which there is no token yet ask again meanwhile.  */
+  START_MS = 1000,
   RETRY_AFTER_MS = 500,
   /* Time for the buckets to hold a few requests.  */
   SETTLE_MS = 200,
@@ -62,6 +65,20 @@
     waiting_free (request->node->quota_controller, waiting);
 }
 
+static bool
+is_starting (const lt_quota_controller_t *c, int64_t now_us)
+{
+  return now_us - c->known_us < START_MS * LT_US_PER_MS;
+}
+
+static bool
+may_ask_again (const lt_quota_controller_t *c, const quota_waiting_t *waiting,
+               int64_t now_us)
+{
+  return is_starting (c, now_us)
+         && now_us - waiting->since_us < START_WAIT_MS * LT_US_PER_MS;
+}
+
 static lt_filter_result_t
 deny (lt_quota_controller_t *c, lt_request_t *request, const char *place)
 {
@@ -126,6 +143,9 @@
       if (lt_quota_borrow (c, str_make (NULL, 0), waiting->number, hash,
                            now_us))
         return LT_FILTER_WAIT;
+      waiting->asked = false;
+      if (may_ask_again (c, waiting, now_us))
+        return LT_FILTER_WAIT;
       waiting_free (c, waiting);
       return deny (c, request, "home");
     }
@@ -137,8 +157,8 @@
   return LT_FILTER_WAIT;
 }
 
-void
-lt_quota_finish (lt_quota_controller_t *c, uint64_t number, bool admitted)
+static quota_waiting_t *
+find_waiting (const lt_quota_controller_t *c, uint64_t number)
 {
   quota_waiting_t *waiting;
   DL_FOREACH (c->waiting, waiting)
@@ -146,14 +166,46 @@
     if (waiting->number == number)
       break;
   }
-  if (waiting == NULL)
-    return;
+  return waiting;
+}
+
+static void
+finish_waiting (lt_quota_controller_t *c, quota_waiting_t *waiting,
+                bool admitted)
+{
+  if (!admitted && may_ask_again (c, waiting, lt_node_now_us (c->base.node)))
+    {
+      waiting->asked = false;
+      return;
+    }
   lt_request_t *request = waiting->request;
   waiting_free (c, waiting);
   if (admit (c, request, admitted, "home") == LT_FILTER_CONTINUE)
     lt_request_resume (request);
 }
 
+void
+lt_quota_finish (lt_quota_controller_t *c, uint64_t number, bool admitted)
+{
+  quota_waiting_t *waiting = find_waiting (c, number);
+  if (waiting != NULL)
+    finish_waiting (c, waiting, admitted);
+}
+
+static void
+ask_home (lt_quota_controller_t *c, quota_waiting_t *waiting, int64_t now_us)
+{
+  uint64_t number = waiting->number;
+  uint64_t workspace = waiting->workspace;
+  waiting->asked = true;
+  if (!lt_quota_is_self (c, c->to_home.id))
+    lt_quota_send_ask (c, workspace, 1, number, now_us);
+  else if (lt_quota_buckets_take (c->home, workspace, true, now_us))
+    lt_quota_finish (c, number, true);
+  else if (!lt_quota_borrow (c, str_make (NULL, 0), number, workspace, now_us))
+    lt_quota_finish (c, number, false);
+}
+
 static void
 take_grant (lt_quota_controller_t *c, const lt_peer_message_t *message,
             int64_t now_us)
@@ -166,19 +218,11 @@
       return;
     }
   lt_quota_note_grant (c, message->sender, &grant, now_us);
-  DL_FOREACH (c->waiting, waiting)
-  {
-    if (waiting->number == message->correlation)
-      break;
-  }
-  if (waiting == NULL)
-    return;
-  if (grant.home_us == 0)
-    {
-      waiting->asked = false; /* The next home is asked. */
-      return;
-    }
-  lt_quota_finish (c, message->correlation, grant.count > 0);
+  waiting = find_waiting (c, message->correlation);
+  if (waiting != NULL && grant.home_us == 0)
+    waiting->asked = false; /* The next home is asked. */
+  else if (waiting != NULL)
+    finish_waiting (c, waiting, grant.count > 0);
 }
 
 /* Requests that came while there was nobody to ask.  */
@@ -187,8 +231,9 @@
 {
   quota_waiting_t *waiting;
   quota_waiting_t *next;
-  int64_t wait_ms
-      = lt_quota_controller_is_settled (c, now_us) ? WAIT_MS : START_WAIT_MS;
+  bool starting
+      = is_starting (c, now_us) || !lt_quota_controller_is_settled (c, now_us);
+  int64_t wait_ms = starting ? START_WAIT_MS : WAIT_MS;
   DL_FOREACH_SAFE (c->waiting, waiting, next)
   {
     if (now_us - waiting->since_us > wait_ms * LT_US_PER_MS)
@@ -199,21 +244,7 @@
         deny (c, request, "no-answer");
       }
     else if (!waiting->asked && lt_quota_has_home (c, now_us))
-      {
-        waiting->asked = true;
-        if (!lt_quota_is_self (c, c->to_home.id))
-          {
-            lt_quota_send_ask (c, waiting->workspace, 1, waiting->number,
-                               now_us);
-            continue;
-          }
-        lt_request_t *request = waiting->request;
-        bool admitted = lt_quota_buckets_take (c->home, waiting->workspace,
-                                               true, now_us);
-        waiting_free (c, waiting);
-        if (admit (c, request, admitted, "home") == LT_FILTER_CONTINUE)
-          lt_request_resume (request);
-      }
+      ask_home (c, waiting, now_us);
   }
 }
 
