Read changes of the register as rarely as the bound for leaving upstreams allows

Change: the pause after an answer is a third of the new setting leave-ms (from the platform's file), at most 1 s; a deployment with a tight bound reads sooner than before.

--- a/packages/node/include/lt/node/settings.h
+++ b/packages/node/include/lt/node/settings.h
@@ -53,6 +53,8 @@
     int64_t rate_slack;         /**< ...and requests besides. */
     int64_t stop_grace_ms;      /**< From SIGTERM to SIGKILL. */
     int64_t revoke_ms;          /**< In which a withdrawn key is dead. */
+    int64_t leave_ms;           /**< In which new work for a leaving upstream
+                                     ends. */
     bool fail_closed;           /**< No keys while the register is away. */
     const struct lt_hosting *hosting; /**< The adapter; NULL: none. */
   } lt_settings_t;
--- a/packages/node/src/settings.c
+++ b/packages/node/src/settings.c
@@ -93,6 +93,8 @@
     "Hosted: requests over a burst that are tolerated" },
   { "stop-grace-ms", SETTING_NUMBER, AT (stop_grace_ms), 0, DRAIN_GRACE_MAX_MS,
     "MS", "Hosted: time from SIGTERM to SIGKILL" },
+  { "leave-ms", SETTING_NUMBER, AT (leave_ms), 0, DRAIN_GRACE_MAX_MS, "MS",
+    "Hosted: time in which new work for a leaving upstream ends" },
   { "revoke-ms", SETTING_NUMBER, AT (revoke_ms), 0, DRAIN_GRACE_MAX_MS, "MS",
     "Hosted: time in which a withdrawn key is dead" },
   { "seed", SETTING_NUMBER, AT (seed), 0, INT64_MAX, "N",
@@ -349,6 +351,7 @@
     .retry_slack = 50,
     .stop_grace_ms = 6000,
     .revoke_ms = 5000,
+    .leave_ms = 2500,
   };
 }
 
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -19,9 +19,11 @@
   /* Where keys end with the register, it is asked this often within the time
      in which a withdrawn key must be dead.  */
   ASKS_PER_REVOCATION = 3,
-  /* Changes that come together are read together; the bounds for new
-     configurations and leaving upstreams are five times as long.  */
-  PAUSE_MS = 500,
+  /* Changes that come together are read together, as each call is paid for.
+     The pause, a call and the use of what it says fit twice into the bound for
+     leaving upstreams; new configurations have a longer one.  */
+  PAUSES_PER_BOUND = 3,
+  PAUSE_MAX_MS = 1000,
   RETRY_MIN_MS = 100,
   RETRY_MAX_MS = 700,
   /* The platform's heartbeats bring live entries back within about 2 s after
@@ -382,6 +384,13 @@
           kind_name (follow->kind), (long long)follow->version);
 }
 
+static int64_t
+pause_ms (const lt_settings_t *settings)
+{
+  int64_t ms = settings->leave_ms / PAUSES_PER_BOUND;
+  return ms < PAUSE_MAX_MS ? ms : PAUSE_MAX_MS;
+}
+
 static void
 on_result (void *user, const lt_registry_result_t *result)
 {
@@ -406,7 +415,8 @@
     {
       take_records (c, follow, result, now_us);
       follow->version = result->version;
-      follow->next_us = now_us + PAUSE_MS * LT_US_PER_MS;
+      follow->next_us
+          = now_us + pause_ms (c->base.node->settings) * LT_US_PER_MS;
       if (result->count > 0)
         return; /* The tick goes on. */
     }
