Try idle upstreams of a service whose requests are refused for their rate

A service without repeatable requests tries idle upstreams only while a tenth of its attempts fail, and refusals are no attempts.

Change: a VM counts requests that it refuses before a choice; above 5 in 100 the service has such trials. Test: Choice.AServiceThatRefusesTriesWhatIsIdle (failed before: the idle ones got nothing). lt_pick_t.body_bytes and the unused index of a belief are gone.

--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -66,7 +66,6 @@
     .tried = tried,
     .tried_count = count,
     .repeatable = can_repeat_next (dispatch),
-    .body_bytes = (int64_t)request->body.len,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -20,7 +20,6 @@
     const uint32_t *tried; /**< Upstreams that are not picked again. */
     uint32_t tried_count;
     bool repeatable; /**< A failure would be repeated elsewhere. */
-    int64_t body_bytes;
   } lt_pick_t;
 
   typedef struct lt_pools_vtable
@@ -33,6 +32,10 @@
     /** Returns how long a connection to UPSTREAM may take, 0: built-in.  May
         be NULL.  */
     int64_t (*connect_ms) (lt_pools_t *pools, uint32_t upstream);
+    /** A request for SERVICE of SNAPSHOT was refused before a pick.  May be
+        NULL.  */
+    void (*refuse) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                    uint32_t service, int64_t now_us);
     /** An attempt at UPSTREAM begins or ends; SNAPSHOT is the one that the
         index refers to.  */
     void (*begin) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -95,6 +95,19 @@
   return lt_choice_pick (from_pools (pools)->choice, &request, now_us);
 }
 
+static void
+pools_refuse (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+              uint32_t service, int64_t now_us)
+{
+  lt_upstream_controller_t *c = from_pools (pools);
+  if (c->config == NULL)
+    return;
+  uint32_t index = lt_snapshot_find_service (c->config->snapshot,
+                                             snapshot->services[service].name);
+  if (index != LT_NO_INDEX)
+    lt_choice_refuse (c->choice, index, now_us);
+}
+
 static int64_t
 pools_connect_ms (lt_pools_t *pools, uint32_t upstream)
 {
@@ -144,6 +157,7 @@
 
 static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
                                                 .pick = pools_pick,
+                                                .refuse = pools_refuse,
                                                 .connect_ms = pools_connect_ms,
                                                 .begin = pools_begin,
                                                 .end = pools_end };
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -66,7 +66,11 @@
     double failing_share;
     double failing_least; /**< Failures that this share must stand on. */
     int64_t failing_trial_us;
-    int64_t failing_us; /**< Time constant of the share. */
+    int64_t failing_us; /**< Time constant of the shares. */
+    /** The same when this VM refuses more than this share of the service's
+        requests before a choice, for a rate say: they are not served either.
+        Half of failing_share, as one VM sees few of them.  */
+    double refused_share;
   } lt_choice_options_t;
 
 /* Rates and losses: the platform's notes on prices, and the times for which
@@ -91,7 +95,8 @@
                           .failing_share = 0.1,                               \
                           .failing_least = 2,                                 \
                           .failing_trial_us = 1600 * 1000,                    \
-                          .failing_us = 4 * 1000 * 1000 })
+                          .failing_us = 4 * 1000 * 1000,                      \
+                          .refused_share = 0.05 })
 
   /** One upstream as the configuration names it.  */
   typedef struct lt_choice_upstream
@@ -135,6 +140,9 @@
   /** Returns an index or -LT_EUNAVAILABLE.  */
   int64_t lt_choice_pick (lt_choice_t *choice,
                           const lt_choice_request_t *request, int64_t now_us);
+  /** A request for SERVICE was refused before a choice.  */
+  void lt_choice_refuse (lt_choice_t *choice, uint32_t service,
+                         int64_t now_us);
   /** An attempt of this VM begins or ends.  Unknown ids are ignored.  */
   void lt_choice_begin (lt_choice_t *choice, uint64_t id, int64_t now_us);
   void lt_choice_end (lt_choice_t *choice, uint64_t id);
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -25,7 +25,6 @@
 {
   UT_hash_handle hh;
   uint64_t id;
-  uint32_t index;
   bool current; /* In the last configuration. */
   lt_choice_upstream_t upstream;
   double gray;
@@ -44,9 +43,12 @@
 /* How requests of a service end of late; the counts decay.  */
 typedef struct service_state
 {
-  double good;
+  double good; /* Attempts of this VM and of others. */
   double bad;
   int64_t updated_us;
+  double asked; /* Requests at this VM. */
+  double refused;
+  int64_t asked_us;
   int64_t repeatable_us; /* Last repeatable request. */
 } service_state_t;
 
@@ -182,7 +184,6 @@
           HASH_ADD (hh, choice->beliefs, id, sizeof (belief->id), belief);
         }
       belief->upstream = upstreams[i];
-      belief->index = i;
       belief->current = true;
       choice->by_index[i] = belief;
     }
@@ -253,6 +254,33 @@
          && !was_tried (request, index);
 }
 
+static void
+note_asked (lt_choice_t *choice, service_state_t *state, bool refused,
+            int64_t now_us)
+{
+  double kept = exp (-(double)(now_us - state->asked_us)
+                     / (double)choice->options.failing_us);
+  state->asked = state->asked * kept + 1;
+  state->refused = state->refused * kept + (refused ? 1 : 0);
+  state->asked_us = now_us;
+}
+
+void
+lt_choice_refuse (lt_choice_t *choice, uint32_t service, int64_t now_us)
+{
+  if (service < choice->service_count)
+    note_asked (choice, &choice->services[service], true, now_us);
+}
+
+static bool
+is_failing (const lt_choice_options_t *o, const service_state_t *state)
+{
+  return (state->bad >= o->failing_least
+          && state->bad > o->failing_share * (state->good + state->bad))
+         || (state->refused >= o->failing_least
+             && state->refused > o->refused_share * state->asked);
+}
+
 /* Returns how long an upstream must have been idle for REQUEST to try it, or
    -1 when it tries none.  */
 static int64_t
@@ -263,6 +291,7 @@
   if (request->tried_count > 0 || request->service >= choice->service_count)
     return -1;
   service_state_t *state = &choice->services[request->service];
+  note_asked (choice, state, false, now_us);
   if (request->repeatable)
     {
       state->repeatable_us = now_us;
@@ -270,9 +299,7 @@
     }
   bool repeatable = state->repeatable_us != 0
                     && now_us - state->repeatable_us < o->failing_us;
-  bool failing = state->bad >= o->failing_least
-                 && state->bad > o->failing_share * (state->good + state->bad);
-  return failing && !repeatable ? o->failing_trial_us : -1;
+  return is_failing (o, state) && !repeatable ? o->failing_trial_us : -1;
 }
 
 /* Returns the upstream that has waited longest for a trial, or -1.  */
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -231,6 +231,24 @@
     EXPECT_EQ (1u, ids.count (id)) << id;
 }
 
+// Requests refused for their rate are not served either: a service of which
+// 23 in 100 were refused left 7 of 18 sound upstreams idle (fresh-2c42).
+TEST_F (Choice, AServiceThatRefusesTriesWhatIsIdle)
+{
+  for (int i = 0; i < 60; i++)
+    lt_choice_observe (choice, 3, LT_CHOICE_GOOD, now);
+  lt_choice_observe (choice, 1, LT_CHOICE_BAD, now);
+  lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+  now += 1700 * 1000;
+  EXPECT_EQ ((std::set<int64_t>{ 3 }), picks (20));
+  for (int i = 0; i < 4; i++)
+    lt_choice_refuse (choice, 0, now);
+  now += 1700 * 1000;
+  std::set<int64_t> ids = picks (20);
+  EXPECT_EQ (1u, ids.count (1));
+  EXPECT_EQ (1u, ids.count (2));
+}
+
 TEST_F (Choice, AServiceThatDoesWellTriesNothingWithNeverRepeatRequests)
 {
   lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
