Do not count failures of suspected upstreams towards the trials of a service

Change: a failure counts towards the share only if the upstream was not suspected; refusals count from the same tenth on, not from a twentieth. Test: Choice.FailedTrialsDoNotKeepTrialsGoing (failed before).

--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -61,16 +61,13 @@
         wrong takes no capacity for long.  */
     int64_t trial_us;
     /** A service without repeatable requests has such trials with the others,
-        but only while more than this share of its requests fails: then the
-        choice does not help, and a wrong suspicion costs more than a trial. */
+        but only while more than this share of its requests fails, or is
+       refused by this VM before a choice: then the choice does not help, and a
+       wrong suspicion costs more than a trial.  */
     double failing_share;
     double failing_least; /**< Failures that this share must stand on. */
     int64_t failing_trial_us;
     int64_t failing_us; /**< Time constant of the shares. */
-    /** The same when this VM refuses more than this share of the service's
-        requests before a choice, for a rate say: they are not served either.
-        Half of failing_share, as one VM sees few of them.  */
-    double refused_share;
   } lt_choice_options_t;
 
 /* Rates and losses: the platform's notes on prices, and the times for which
@@ -95,8 +92,7 @@
                           .failing_share = 0.1,                               \
                           .failing_least = 2,                                 \
                           .failing_trial_us = 1600 * 1000,                    \
-                          .failing_us = 4 * 1000 * 1000,                      \
-                          .refused_share = 0.05 })
+                          .failing_us = 4 * 1000 * 1000 })
 
   /** One upstream as the configuration names it.  */
   typedef struct lt_choice_upstream
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -14,6 +14,9 @@
   PEERS_MAX = 64
 };
 
+/* Above this probability an upstream is more likely gray than sound.  */
+#define SUSPECTED 0.5
+
 typedef struct peer_load
 {
   uint64_t peer;
@@ -145,12 +148,16 @@
   choice->service_count = services;
 }
 
+/* Failures of an upstream that was suspected before are expected: counted, the
+   trials would keep themselves going.  */
 static void
 note_ends (lt_choice_t *choice, const belief_t *belief, uint32_t good,
            uint32_t bad, int64_t now_us)
 {
   if (!belief->current || belief->upstream.service >= choice->service_count)
     return;
+  if (gray_now (choice, belief, now_us) >= SUSPECTED)
+    bad = 0;
   service_state_t *state = &choice->services[belief->upstream.service];
   double kept = exp (-(double)(now_us - state->updated_us)
                      / (double)choice->options.failing_us);
@@ -278,7 +285,7 @@
   return (state->bad >= o->failing_least
           && state->bad > o->failing_share * (state->good + state->bad))
          || (state->refused >= o->failing_least
-             && state->refused > o->refused_share * state->asked);
+             && state->refused > o->failing_share * state->asked);
 }
 
 /* Returns how long an upstream must have been idle for REQUEST to try it, or
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -249,6 +249,21 @@
   EXPECT_EQ (1u, ids.count (2));
 }
 
+// Trials of gray upstreams fail; counted, they kept a service above the share
+// at which it has trials: 108 of 197 lost orders of a quiet day.
+TEST_F (Choice, FailedTrialsDoNotKeepTrialsGoing)
+{
+  for (int i = 0; i < 30; i++)
+    lt_choice_observe (choice, 1, LT_CHOICE_GOOD, now);
+  for (int i = 0; i < 20; i++)
+    {
+      lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
+      lt_choice_observe (choice, 3, LT_CHOICE_BAD, now);
+    }
+  now += 1700 * 1000;
+  EXPECT_EQ ((std::set<int64_t>{ 1 }), picks (10));
+}
+
 TEST_F (Choice, AServiceThatDoesWellTriesNothingWithNeverRepeatRequests)
 {
   lt_choice_observe (choice, 2, LT_CHOICE_BAD, now);
