Leave out the announcement and the second list of a VM that starts again

Two of the five repeat what the store has: the VM's own record, and the list that was read a second before.

Change: a VM that finds its record with the same address and domain takes itself as announced, and reads the list again with the usual interval. Test: Register.AVmThatStartsAgainDoesNotAnnounceItselfAnew (failed before: one more write; a VM at another place still announces itself).

--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -96,8 +96,16 @@
               STR_ARG (from->id));
       return;
     }
-  if (str_equal (from->id, c->base.node->settings->vm_id))
+  const lt_settings_t *settings = c->base.node->settings;
+  if (str_equal (from->id, settings->vm_id))
     {
+      /* A VM that starts again where it was is known to the others.  */
+      c->announced
+          = c->announced
+            || (str_equal (from->address, settings->peer_listen)
+                && str_equal (from->region, settings->region)
+                && str_equal (from->failure_domain, settings->failure_domain));
+      c->lists += !c->complete && c->announced ? FIRST_LISTS : 0;
       c->complete = true;
       return;
     }
