Read the list of VMs a second time again, and believe peers that know more VMs

A VM that was killed while the fleet started found its own record in a list of three VMs, and since did not read the list again for a minute: its part was a third in place of a sixth (vms=3 in its log, vms=6 in the others'). Ruled out: the starting share of the buckets (one start in the 5 s that were over).

Change: the second list is back; only the announcement is left out. Homes and the parent also take the larger number of VMs that the other names.

--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -105,7 +105,6 @@
             || (str_equal (from->address, settings->peer_listen)
                 && str_equal (from->region, settings->region)
                 && str_equal (from->failure_domain, settings->failure_domain));
-      c->lists += !c->complete && c->announced ? FIRST_LISTS : 0;
       c->complete = true;
       return;
     }
--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -103,8 +103,9 @@
   lt_quota_reported_t reported;
   int64_t shares_us; /* Last shares of the parent; 0: none in force. */
   uint64_t shares_serial;
-  uint32_t vms;     /**< 0: not known yet. */
-  int64_t known_us; /**< Since when it is known. */
+  uint32_t vms;           /**< 0: not known yet. */
+  uint32_t vms_of_others; /**< Most that a home or parent has named. */
+  int64_t known_us;       /**< Since when it is known. */
   quota_waiting_t *waiting;
   uint64_t next_number;
   lt_counter_t *counts[QUOTA_COUNTS];
--- a/packages/node/src/quota_shares.c
+++ b/packages/node/src/quota_shares.c
@@ -7,6 +7,8 @@
 
 enum
 {
+  /* More than twice the fleet that docs/CAPACITY.md plans for.  */
+  VMS_MAX = 4096,
   /* Two round trips between regions, and a busy VM.  */
   PARENT_SILENCE_MS = 700,
   PARENT_AVOID_MS = 5000,
@@ -62,10 +64,20 @@
                                    .ppm = rows[i].ppm };
 }
 
+/* A VM that read its list while others were starting knows too few: its parts
+   of the rates would be too large.  */
+static void
+note_vms (lt_quota_controller_t *c, uint32_t vms)
+{
+  if (vms > c->vms_of_others && vms <= VMS_MAX)
+    c->vms_of_others = vms;
+}
+
 static void
 use_shares (lt_quota_controller_t *c, const lt_wire_quota_shares_t *shares,
             int64_t now_us)
 {
+  note_vms (c, shares->vms);
   c->to_parent.upper_us = shares->parent_us;
   c->to_parent.heard_us = now_us;
   c->to_parent.asked_us = 0;
@@ -87,6 +99,7 @@
 {
   static lt_quota_share_t rows[LT_WIRE_QUOTA_MAX];
   static lt_quota_share_t dealt[LT_WIRE_QUOTA_MAX];
+  note_vms (c, report->vms);
   for (uint32_t i = 0; i < report->count; i++)
     rows[i]
         = (lt_quota_share_t){ .workspace = report->items[i].workspace,
