Count every refusal before a choice as a request that is not served

Refusals for the rate let idle servers be tried; refusals for a key did not, and a VM of this site sees about one order a second, so two refusals within the time constant were rare.

Change: each refusal without an attempt counts, where requests are refused; one is enough for about a second.

--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -6,7 +6,6 @@
 #include "lt/base/hash.h"
 #include "lt/base/log.h"
 #include "lt/node/request.h"
-#include "pools.h"
 #include "quota_internal.h"
 
 enum
@@ -39,7 +38,8 @@
   lt_node_t *node = c->base.node;
   if (node->directory == NULL || !node->directory->is_complete (node))
     return 0;
-  return (uint32_t)node->directory->others (node, NULL, 0) + 1;
+  uint32_t listed = (uint32_t)node->directory->others (node, NULL, 0) + 1;
+  return listed > c->vms_of_others ? listed : c->vms_of_others;
 }
 
 bool
@@ -80,29 +80,12 @@
          && now_us - waiting->since_us < START_WAIT_MS * LT_US_PER_MS;
 }
 
-/* A service that refuses requests is one that does not serve them, whatever
-   the reason: its idle upstreams are tried.  */
-static void
-tell_pools (const lt_request_t *request, int64_t now_us)
-{
-  const lt_route_t *route = request->route;
-  lt_pools_t *pools = request->node->pools;
-  if (pools == NULL || pools->vtable->refuse == NULL)
-    return;
-  for (uint32_t i = 0; i < route->split_count; i++)
-    pools->vtable->refuse (pools, request->snapshot, route->splits[i].service,
-                           now_us);
-  if (route->split_count == 0)
-    pools->vtable->refuse (pools, request->snapshot, route->service, now_us);
-}
-
 static lt_filter_result_t
 deny (lt_quota_controller_t *c, lt_request_t *request, const char *place)
 {
   const lt_workspace_t *workspace
       = &request->snapshot->workspaces[request->workspace];
   lt_quota_count (c, QUOTA_COUNT_DENIED);
-  tell_pools (request, lt_node_now_us (c->base.node));
   lt_log (LT_LOG_INFO, "quota",
           "msg=\"over the rate\" request=%s workspace=%.*s place=%s home=%s "
           "rate_milli=%lld heard_ms=%lld vms=%u",
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/node/node.h"
 #include "node_counters.h"
+#include "pools.h"
 
 /* The body may have taken long to arrive.  Key, route and limits are those of
    the configuration in force now, or a withdrawn key would work for as long as
@@ -195,6 +196,24 @@
   return info->ran;
 }
 
+/* A service that refuses requests is one that does not serve them, whatever
+   the reason: its idle upstreams are tried.  */
+static void
+tell_pools (const lt_request_t *request)
+{
+  const lt_route_t *route = request->route;
+  lt_pools_t *pools = request->node->pools;
+  if (route == NULL || request->attempts > 0 || pools == NULL
+      || pools->vtable->refuse == NULL)
+    return;
+  int64_t now_us = lt_node_now_us (request->node);
+  for (uint32_t i = 0; i < route->split_count; i++)
+    pools->vtable->refuse (pools, request->snapshot, route->splits[i].service,
+                           now_us);
+  if (route->split_count == 0)
+    pools->vtable->refuse (pools, request->snapshot, route->service, now_us);
+}
+
 lt_filter_result_t
 lt_request_refuse_after (lt_request_t *request, lt_refusal_t refusal,
                          int64_t retry_after_ms)
@@ -203,6 +222,7 @@
   request->refused = true;
   request->refusal = refusal;
   request->node->refused[refusal]->value++;
+  tell_pools (request);
   fill_problem (request, info, refusal_ran (request, refusal, info),
                 retry_after_ms);
   lt_request_finish (request);
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -66,6 +66,9 @@
        wrong suspicion costs more than a trial.  */
     double failing_share;
     double failing_least; /**< Failures that this share must stand on. */
+    /** Refusals at this VM that it must stand on.  A VM sees about one request
+        a second of such a service, so one refusal counts for a second.  */
+    double refused_least;
     int64_t failing_trial_us;
     int64_t failing_us; /**< Time constant of the shares. */
   } lt_choice_options_t;
@@ -91,6 +94,7 @@
                           .trial_us = 1200 * 1000,                            \
                           .failing_share = 0.1,                               \
                           .failing_least = 2,                                 \
+                          .refused_least = 0.75,                              \
                           .failing_trial_us = 1600 * 1000,                    \
                           .failing_us = 4 * 1000 * 1000 })
 
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -284,7 +284,7 @@
 {
   return (state->bad >= o->failing_least
           && state->bad > o->failing_share * (state->good + state->bad))
-         || (state->refused >= o->failing_least
+         || (state->refused >= o->refused_least
              && state->refused > o->failing_share * state->asked);
 }
 
