Tell the story of a request from the logs of several VMs

Cause: the way from a request's id to its cause was three greps over the logs of all VMs, read side by side; on-call engineers have only logs.

Test: Ctl.TellsTheStoryFromLogs, golden files with one story of each of the three kinds of docs/OPERATIONS.md.

--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -20,7 +20,8 @@
 
 enum
 {
-  LT_CTL_ARGUMENTS_MAX = 4
+  /* A request and the logs of a failure domain or two.  */
+  LT_CTL_ARGUMENTS_MAX = 64
 };
 
 /** What a command line of one command holds besides the shared options.  */
--- a/packages/ctl/test/test_ctl.cc
+++ b/packages/ctl/test/test_ctl.cc
@@ -373,3 +373,25 @@
       EXPECT_NE (std::string::npos, own.output.find ("Example")) << command;
     }
 }
+
+// Guards the way from a request's id to its cause: lost to a gray upstream
+// that another VM already suspected, refused by a home that never answered,
+// and cut by an upstream that was leaving.
+TEST (Ctl, TellsTheStoryFromLogs)
+{
+  const std::string golden = "../packages/ctl/test/golden/";
+  std::string story;
+  for (const char *id : { "0d38", "2c22", "77aa", "none" })
+    {
+      Outcome outcome = run (std::string ("explain ") + id + " " + golden
+                                 + "edge-a.log " + golden + "edge-b.log",
+                             1);
+      story += std::string ("$ explain ") + id + "\n" + outcome.output
+               + "exit " + std::to_string (outcome.status) + "\n";
+    }
+  std::ifstream in (LT_TEST_DIR "/golden/story.txt");
+  std::stringstream expected;
+  expected << in.rdbuf ();
+  EXPECT_EQ (expected.str (), story);
+  EXPECT_EQ (1, run ("explain 0d38 no-such.log", 1).status);
+}
