Take entries that are missing 2.2 s after the store's return as gone

The VMs took its removal for a lapse: the watch of the register shows the store's return only with its first change, the next one was read 0.83 s later, and the 2.2 s for lapsed entries counted from that notice. Ruled out: a late read (the removal was read within the pause).

Change: the time counts from the store's return as the first table shows it; while entries are missing the register is read each 0.25 s, so that live ones are back in time.

--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -9,10 +9,6 @@
 #include "drain_controller.h"
 #include "filter_record.h"
 #include "filters.h"
-#include "lt/node/source_controller.h"
-#include "lt/node/upstream_controller.h"
-#include "mesh_controller.h"
-#include "readiness.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 #include "lt/config/sheet.h"
@@ -24,10 +20,14 @@
 #include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "lt/node/quota_controller.h"
+#include "lt/node/source_controller.h"
+#include "lt/node/upstream_controller.h"
 #include "lt/policy/freshness.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
+#include "mesh_controller.h"
 #include "node_counters.h"
+#include "readiness.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -192,7 +192,7 @@
 
 /* A hosting platform holds the configuration and the register, so nothing of
    that is agreed on between the VMs.  */
-static int
+static void
 add_hosted_controllers (lt_node_t *node)
 {
   lt_node_add_controller (node, lt_mesh_controller_create (node));
@@ -202,14 +202,16 @@
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
   lt_node_add_controller (node, lt_quota_controller_create (node));
   lt_node_add_controller (node, lt_source_controller_create (node));
-  return 0;
 }
 
 static int
 add_controllers (lt_node_t *node)
 {
   if (node->registry != NULL)
-    return add_hosted_controllers (node);
+    {
+      add_hosted_controllers (node);
+      return 0;
+    }
   lt_node_add_controller (node, lt_config_controller_create (node));
   if (node->settings->peer_listen.len > 0)
     {
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -27,9 +27,10 @@
   RETRY_MIN_MS = 100,
   RETRY_MAX_MS = 700,
   /* The platform's heartbeats bring live entries back within about 2 s after
-     an outage of the store.  */
+     an outage of the store; one that is missing then is gone.  */
   MISSING_KEEP_MS = 2200,
-  OUTAGE_SHADOW_MS = 3000,
+  /* Pause while entries are missing, so that they are back in time.  */
+  MISSING_PAUSE_MS = 250,
   /* An outage that lets entries lapse takes most of a service.  Fewer missing
      entries belong to upstreams that left meanwhile, or do without them for
      the two seconds.  */
@@ -44,21 +45,20 @@
   struct lt_source_controller *controller;
   lt_registry_kind_t kind;
   int64_t version;
-  bool whole; /* Read completely; now watched. */
-  bool open;  /* A call is under way. */
-  bool lost;
+  bool whole;      /* Read completely; now watched. */
+  bool open;       /* A call is under way. */
+  int64_t lost_us; /* Since when calls fail; 0: they do not. */
   int failures;
   int64_t next_us;
   int64_t answered_us; /* 0: never. */
-  int64_t regained_us;
 } follow_t;
 
 typedef struct entry
 {
   UT_hash_handle hh;
   int64_t version;
-  int64_t missing_us; /* Since when the register lacks it; 0: it is there. */
-  bool seen;          /* In the read under way. */
+  bool missing; /* The register lacks it. */
+  bool seen;    /* In the read under way. */
   lt_deployment_upstream_t upstream;
   lt_buf_t texts;
 } entry_t;
@@ -70,6 +70,7 @@
   lt_snapshot_t *configuration; /* Without upstreams; NULL at first. */
   entry_t *entries;
   int64_t installs;
+  int64_t regained_us; /* End of the last outage, on any table. */
   lt_counter_t *failures[2];
   lt_gauge_t *version_gauge;
   lt_gauge_t *age_gauge;
@@ -195,7 +196,7 @@
   to->warm_until_us
       = from->warm_until_us > 0 ? now_us + from->warm_until_us : 0;
   entry->version = record->version;
-  entry->missing_us = 0;
+  entry->missing = false;
 }
 
 static void
@@ -210,21 +211,19 @@
 }
 
 static bool
-is_after_outage (const follow_t *follow, int64_t now_us)
+is_after_outage (const lt_source_controller_t *c, int64_t now_us)
 {
-  return follow->regained_us > 0
-         && now_us - follow->regained_us < OUTAGE_SHADOW_MS * LT_US_PER_MS;
+  return c->regained_us > 0
+         && now_us - c->regained_us < MISSING_KEEP_MS * LT_US_PER_MS;
 }
 
 static bool
 remove_upstream (lt_source_controller_t *c, entry_t *entry, int64_t now_us)
 {
   /* An entry may have lapsed because the store was away.  */
-  if (is_after_outage (&c->follows[LT_REGISTRY_UPSTREAMS], now_us)
-      && !entry->upstream.draining)
+  if (is_after_outage (c, now_us) && !entry->upstream.draining)
     {
-      if (entry->missing_us == 0)
-        entry->missing_us = now_us;
+      entry->missing = true;
       return false;
     }
   log_upstream (entry, "gone");
@@ -274,7 +273,7 @@
     if (str_equal (e->upstream.service, service))
       {
         *all += 1;
-        *missing += e->missing_us != 0;
+        *missing += e->missing;
       }
 }
 
@@ -289,7 +288,7 @@
   {
     uint32_t all;
     uint32_t missing;
-    if (entry->missing_us == 0)
+    if (!entry->missing)
       continue;
     count_missing (c, entry->upstream.service, &all, &missing);
     if (missing * LAPSED_PARTS > all)
@@ -359,9 +358,9 @@
   follow->failures++;
   follow->next_us = now_us + wait_ms * LT_US_PER_MS;
   c->failures[follow->kind]->value++;
-  if (follow->lost)
+  if (follow->lost_us != 0)
     return;
-  follow->lost = true;
+  follow->lost_us = now_us;
   lt_log (LT_LOG_WARN, "source",
           "msg=\"register lost\" part=%s version=%lld error=\"%s\"",
           kind_name (follow->kind), (long long)follow->version,
@@ -373,21 +372,28 @@
 {
   follow->failures = 0;
   follow->answered_us = now_us;
-  if (!follow->lost)
+  lt_source_controller_t *c = follow->controller;
+  const follow_t *other = &c->follows[follow == &c->follows[0]];
+  if (follow->lost_us == 0)
     return;
-  follow->lost = false;
-  follow->regained_us = now_us;
+  /* The other table may have shown before that the register is back.  */
+  if (other->lost_us != 0 || c->regained_us < follow->lost_us)
+    c->regained_us = now_us;
+  follow->lost_us = 0;
   for (int i = 0; i < 2; i++)
-    follow->controller->follows[i].next_us = now_us;
+    c->follows[i].next_us = now_us;
   lt_log (LT_LOG_INFO, "source",
           "msg=\"register regained\" part=%s version=%lld",
           kind_name (follow->kind), (long long)follow->version);
 }
 
 static int64_t
-pause_ms (const lt_settings_t *settings)
+pause_ms (const lt_source_controller_t *c)
 {
-  int64_t ms = settings->leave_ms / PAUSES_PER_BOUND;
+  int64_t ms = c->base.node->settings->leave_ms / PAUSES_PER_BOUND;
+  for (const entry_t *e = c->entries; e != NULL; e = e->hh.next)
+    if (e->missing && ms > MISSING_PAUSE_MS)
+      return MISSING_PAUSE_MS;
   return ms < PAUSE_MAX_MS ? ms : PAUSE_MAX_MS;
 }
 
@@ -415,8 +421,7 @@
     {
       take_records (c, follow, result, now_us);
       follow->version = result->version;
-      follow->next_us
-          = now_us + pause_ms (c->base.node->settings) * LT_US_PER_MS;
+      follow->next_us = now_us + pause_ms (c) * LT_US_PER_MS;
       if (result->count > 0)
         return; /* The tick goes on. */
     }
@@ -463,10 +468,11 @@
   bool changed = false;
   entry_t *entry;
   entry_t *next;
+  if (is_after_outage (c, now_us))
+    return;
   HASH_ITER (hh, c->entries, entry, next)
   {
-    if (entry->missing_us == 0
-        || now_us - entry->missing_us < MISSING_KEEP_MS * LT_US_PER_MS)
+    if (!entry->missing)
       continue;
     log_upstream (entry, "did not come back");
     entry_destroy (c, entry);
