Block signals until their handlers are installed

Change: main blocks them first and unblocks them after the handlers. Before main the loader's few milliseconds remain. Before: Signals.WhileStarting failed at 0, 300, 1000 and 3000 us after the start of main (SIGHUP and SIGTERM). After: passes at all five delays.

--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -53,6 +53,20 @@
   return EXIT_FINDINGS;
 }
 
+/* Blocks or unblocks the signals that the daemon handles.  They stay blocked
+   until the handlers are installed, as their default action ends the process
+   and would cut requests that it has accepted.  */
+static void
+mask_signals (int how)
+{
+  sigset_t signals;
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGHUP);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigprocmask (how, &signals, NULL);
+}
+
 static int
 run (const lt_settings_t *settings)
 {
@@ -76,6 +90,7 @@
   interrupt.data = daemon;
   ev_signal_start (loop, &terminate);
   ev_signal_start (loop, &interrupt);
+  mask_signals (SIG_UNBLOCK);
   lt_log (LT_LOG_INFO, "daemon",
           "msg=\"started\" vm=%.*s listen=%.*s admin=%.*s",
           STR_ARG (settings->vm_id), STR_ARG (settings->listen),
@@ -92,6 +107,7 @@
 {
   lt_settings_t settings;
   lt_findings_t findings = { 0 };
+  mask_signals (SIG_BLOCK);
   signal (SIGPIPE, SIG_IGN);
   if (sodium_init () < 0)
     return EXIT_FAILURE;
