Let one VM of each failure domain read the registry for the others

Ruled out: longer pauses for all (an upstream that leaves must be known within leave-ms, and the calls fall only by the factor of the pause); one reader a region (bytes between domains are priced, and a region of 147 VMs takes a narrow link too long to tell); a relay without a proof of freshness (followers of a VM that was cut off from the store would keep upstreams that had left). Change: policy/relay decides. The lowest id of the domain reads and reports; its watch of upstreams ends within a quarter of leave-ms, so a report proves that it reaches the store. Clocks are compared by the fastest report, so a report that was held up counts as old. A VM that drains or whose calls fail says so. During an outage three VMs a domain repeat calls fast, the others every 1.5 to 4.5 s. Changes up to 8 KiB are passed on in the registry's own encoding; VMs with a gap read once, without waiting. A result older than what a VM has is dropped: it could bring back an upstream that has left. A VM that restarts does not read the list of VMs twice. Tests in virtual time: Relay (7: steady state at 1 to 200 VMs, pairs of faults of the reader, partial refusal, outage), SourceRelay (6, fake registry and peers; OldResultDoesNotBringBackAnUpstream fails without the check of versions), RegistryRelay (2, three VMs with sockets). With knowledge fresh for all of leave-ms Relay.ReaderIsReplacedWithinTheBound fails.

--- a/packages/node/include/lt/node/registry.h
+++ b/packages/node/include/lt/node/registry.h
@@ -56,6 +56,9 @@
     int64_t version;   /**< Version to watch from next. */
     const lt_registry_record_t *records;
     size_t count;
+    /** The records in the registry's own encoding, for decode; may be
+        empty.  */
+    str_t encoded;
   } lt_registry_result_t;
 
   typedef void (*lt_registry_done_t) (void *user,
@@ -73,6 +76,10 @@
     int (*watch) (lt_registry_t *registry, lt_registry_kind_t kind,
                   int64_t version, int64_t wait_ms, int64_t timeout_ms,
                   lt_registry_done_t done, void *user);
+    /** Calls DONE, before it returns, with records of KIND that the registry
+        had encoded for another VM; error -LT_EPROTO: unreadable.  */
+    void (*decode) (lt_registry_t *registry, lt_registry_kind_t kind,
+                    str_t encoded, lt_registry_done_t done, void *user);
     /** Writes the record of VM.  Also writes SECRET, unless it is empty, as
         the fleet's secret; fails with -LT_ECONFLICT when the fleet already
         has one.  Returns as read does.  */
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -1,12 +1,11 @@
-#include "lt/node/source_controller.h"
+#include "source_internal.h"
 
 #include <jansson.h>
 #include <stdlib.h>
-#include <uthash.h>
 
 #include "lt/base/error.h"
 #include "lt/base/log.h"
-#include "lt/node/node.h"
+#include "lt/wire/frame.h"
 
 enum
 {
@@ -27,59 +26,22 @@
   PAUSE_MAX_MS = 1000,
   RETRY_MIN_MS = 100,
   RETRY_MAX_MS = 700,
-  /* After an outage of the store, the platform's heartbeats restore the
-     entries of live upstreams within about 2 s; entries that are still missing
-     then belong to upstreams that have left.  */
-  MISSING_RETENTION_MS = 2200,
+  /* Pause of a VM that leaves it to others of its domain to notice that the
+     registry is back.  */
+  SLOW_RETRY_MS = 3000,
+  /* A VM that reads for its domain pauses for less than others, as its
+     knowledge must stay fresh, and each of its watches ends within a part of
+     the time for leaving upstreams.  */
+  READER_PAUSES_PER_LEAVE_TIME = 6,
+  READER_WAITS_PER_LEAVE_TIME = 4,
   /* Shorter pause while entries are missing, so that restored entries are read
      within the retention time.  */
   MISSING_PAUSE_MS = 250,
-  /* An outage in which entries expire removes most entries of a service.  When
-     at most one in this many is missing, the upstreams are taken to have left
-     during the outage; if they did not, the service lacks them for 2 s.  */
-  OUTAGE_MISSING_DIVISOR = 3,
   /* Low bits of a snapshot's version: number of snapshots installed since the
      configuration changed.  */
   INSTALL_COUNT_BITS = 20
 };
 
-/* One kind of registry records, which is read once and then watched.  */
-typedef struct record_watch
-{
-  struct lt_source_controller *controller;
-  lt_registry_kind_t kind;
-  int64_t version;
-  bool complete;            /* Completely read; now watched. */
-  bool in_flight;           /* A call is in flight. */
-  int64_t failing_since_us; /* When calls began to fail; 0: they succeed. */
-  int failures;
-  int64_t next_us;
-  int64_t responded_us; /* Last response; 0: none. */
-} record_watch_t;
-
-typedef struct upstream_entry
-{
-  UT_hash_handle hh;
-  int64_t version;
-  bool missing; /* Absent from the registry; kept for now. */
-  bool listed;  /* Listed by the read in flight. */
-  lt_deployment_upstream_t upstream;
-  lt_buf_t strings;
-} upstream_entry_t;
-
-struct lt_source_controller
-{
-  lt_controller_t base;
-  record_watch_t watches[2];
-  lt_snapshot_t *configuration; /* Without upstreams; NULL at first. */
-  upstream_entry_t *entries;
-  int64_t install_count;
-  int64_t recovered_us; /* End of the last outage, of any kind; 0: none. */
-  lt_counter_t *failures[2];
-  lt_gauge_t *version_gauge;
-  lt_gauge_t *age_gauge;
-};
-
 static const char *
 kind_name (lt_registry_kind_t kind)
 {
@@ -166,171 +128,6 @@
           snapshot->workspace_count);
 }
 
-static void
-entry_destroy (lt_source_controller_t *c, upstream_entry_t *entry)
-{
-  HASH_DEL (c->entries, entry); /* NOLINT(clang-analyzer-*) */
-  lt_buf_destroy (&entry->strings);
-  free (entry);
-}
-
-/* Copies TEXT and returns its offset.  Appending may move the buffer, so views
-   are made from the offsets afterwards.  */
-static size_t
-append (lt_buf_t *strings, str_t text)
-{
-  size_t at = strings->len;
-  lt_buf_append_str (strings, text);
-  return at;
-}
-
-static void
-entry_set (upstream_entry_t *entry, const lt_registry_record_t *record,
-           int64_t now_us)
-{
-  const lt_deployment_upstream_t *source = &record->upstream;
-  lt_deployment_upstream_t *to = &entry->upstream;
-  lt_buf_clear (&entry->strings);
-  size_t name = append (&entry->strings, record->name);
-  size_t service = append (&entry->strings, source->service);
-  size_t address = append (&entry->strings, source->address);
-  size_t domain = append (&entry->strings, source->failure_domain);
-  size_t region = append (&entry->strings, source->region);
-  const char *bytes = entry->strings.data;
-  *to = *source;
-  to->name = str_make (bytes + name, record->name.len);
-  to->service = str_make (bytes + service, source->service.len);
-  to->address = str_make (bytes + address, source->address.len);
-  to->failure_domain = str_make (bytes + domain, source->failure_domain.len);
-  to->region = str_make (bytes + region, source->region.len);
-  to->warm_until_us
-      = source->warm_until_us > 0 ? now_us + source->warm_until_us : 0;
-  entry->version = record->version;
-  entry->missing = false;
-}
-
-static void
-log_upstream (const upstream_entry_t *entry, const char *event)
-{
-  const lt_deployment_upstream_t *u = &entry->upstream;
-  lt_log (LT_LOG_INFO, "source",
-          "msg=\"upstream %s\" upstream=%.*s service=%.*s address=%.*s "
-          "record=%lld",
-          event, STR_ARG (u->name), STR_ARG (u->service), STR_ARG (u->address),
-          (long long)entry->version);
-}
-
-static bool
-is_after_outage (const lt_source_controller_t *c, int64_t now_us)
-{
-  return c->recovered_us > 0
-         && now_us - c->recovered_us < MISSING_RETENTION_MS * LT_US_PER_MS;
-}
-
-/* Removes ENTRY, or marks it as missing shortly after an outage.  Returns
-   whether it was removed.  */
-static bool
-remove_upstream (lt_source_controller_t *c, upstream_entry_t *entry,
-                 int64_t now_us)
-{
-  /* The entry may have expired because the store was unavailable.  */
-  if (is_after_outage (c, now_us) && !entry->upstream.draining)
-    {
-      entry->missing = true;
-      return false;
-    }
-  log_upstream (entry, "gone");
-  entry_destroy (c, entry);
-  return true;
-}
-
-/* Returns whether the set of upstreams changed.  */
-static bool
-apply_upstream (lt_source_controller_t *c, const lt_registry_record_t *record,
-                int64_t now_us)
-{
-  upstream_entry_t *entry = NULL;
-  HASH_FIND (hh, c->entries, record->name.data, record->name.len, entry);
-  if (entry != NULL && record->version < entry->version)
-    return false;
-  if (record->removed)
-    return entry != NULL && remove_upstream (c, entry, now_us);
-  bool is_new = entry == NULL;
-  bool was_draining = !is_new && entry->upstream.draining;
-  bool restarted
-      = !is_new && entry->upstream.incarnation != record->upstream.incarnation;
-  if (is_new)
-    entry = lt_alloc (sizeof (*entry));
-  else
-    HASH_DEL (c->entries, entry); /* NOLINT(clang-analyzer-*) */
-  entry_set (entry, record, now_us);
-  entry->listed = true;
-  HASH_ADD_KEYPTR (hh, c->entries, entry->upstream.name.data,
-                   entry->upstream.name.len, entry);
-  if (is_new)
-    log_upstream (entry, "new");
-  else if (restarted)
-    log_upstream (entry, "started again");
-  if (entry->upstream.draining && !was_draining)
-    log_upstream (entry, "draining");
-  return true;
-}
-
-static void
-count_missing (const lt_source_controller_t *c, str_t service, uint32_t *total,
-               uint32_t *missing)
-{
-  *total = 0;
-  *missing = 0;
-  for (const upstream_entry_t *e = c->entries; e != NULL; e = e->hh.next)
-    if (str_equal (e->upstream.service, service))
-      {
-        *total += 1;
-        *missing += e->missing;
-      }
-}
-
-/* Removes missing entries of services that lack too few entries for an expiry
-   by an outage (see OUTAGE_MISSING_DIVISOR).  Returns whether any was removed.
- */
-static bool
-remove_departed (lt_source_controller_t *c)
-{
-  bool changed = false;
-  upstream_entry_t *entry;
-  upstream_entry_t *next;
-  HASH_ITER (hh, c->entries, entry, next)
-  {
-    uint32_t total;
-    uint32_t missing;
-    if (!entry->missing)
-      continue;
-    count_missing (c, entry->upstream.service, &total, &missing);
-    if (missing * OUTAGE_MISSING_DIVISOR > total)
-      continue;
-    log_upstream (entry, "gone");
-    entry_destroy (c, entry);
-    changed = true;
-  }
-  return changed;
-}
-
-/* Removes entries that a complete read did not list.  Returns whether any was
-   removed.  */
-static bool
-remove_unlisted (lt_source_controller_t *c, int64_t now_us)
-{
-  bool changed = false;
-  upstream_entry_t *entry;
-  upstream_entry_t *next;
-  HASH_ITER (hh, c->entries, entry, next)
-  {
-    if (!entry->listed)
-      changed = remove_upstream (c, entry, now_us) || changed;
-  }
-  return changed;
-}
-
 static void
 apply_records (lt_source_controller_t *c, record_watch_t *watch,
                const lt_registry_result_t *result, int64_t now_us)
@@ -339,26 +136,50 @@
   bool full_read = !watch->complete;
   int64_t before
       = c->configuration == NULL ? -1 : c->configuration->source_version;
-  upstream_entry_t *entry;
-  upstream_entry_t *next;
   if (full_read && watch->kind == LT_REGISTRY_UPSTREAMS)
-    HASH_ITER (hh, c->entries, entry, next) { entry->listed = false; }
+    lt_source_unlist_all (c);
   for (size_t i = 0; i < result->count; i++)
     if (watch->kind == LT_REGISTRY_CONFIG)
       apply_deployment (c, &result->records[i]);
     else
-      changed = apply_upstream (c, &result->records[i], now_us) || changed;
+      changed = lt_source_apply_upstream (c, &result->records[i], now_us)
+                || changed;
   watch->complete = true;
   if (full_read && watch->kind == LT_REGISTRY_UPSTREAMS)
-    changed = remove_unlisted (c, now_us) || changed || c->install_count == 0;
+    changed = lt_source_remove_unlisted (c, now_us) || changed
+              || c->install_count == 0;
   if (watch->kind == LT_REGISTRY_UPSTREAMS)
-    changed = remove_departed (c) || changed;
+    changed = lt_source_remove_departed (c) || changed;
   int64_t after
       = c->configuration == NULL ? -1 : c->configuration->source_version;
   if (changed || after != before)
     install_snapshot (c);
 }
 
+void
+lt_source_apply (record_watch_t *watch, const lt_registry_result_t *result,
+                 int64_t now_us)
+{
+  bool full_read = !watch->complete;
+  /* An older result could bring back an upstream that has left since.  */
+  if (!full_read && result->version < watch->version)
+    return;
+  apply_records (watch->controller, watch, result, now_us);
+  watch->version = result->version;
+  if (full_read || result->count > 0)
+    watch->changed_version = result->version;
+  watch->behind = false;
+}
+
+bool
+lt_source_is_healthy (const lt_source_controller_t *c)
+{
+  for (int i = 0; i < 2; i++)
+    if (!c->watches[i].complete || c->watches[i].failing_since_us != 0)
+      return false;
+  return true;
+}
+
 static void submit_next (record_watch_t *watch);
 
 static void
@@ -370,14 +191,19 @@
     wait_ms *= 2;
   if (wait_ms > RETRY_MAX_MS)
     wait_ms = RETRY_MAX_MS;
+  if (!lt_relay_retries_fast (c->relay))
+    wait_ms = SLOW_RETRY_MS;
   wait_ms = wait_ms / 2
             + (int64_t)lt_rng_below (&c->base.node->rng, (uint64_t)wait_ms);
   watch->failures++;
+  lt_relay_on_failure (c->relay);
   watch->next_us = now_us + wait_ms * LT_US_PER_MS;
   c->failures[watch->kind]->value++;
   if (watch->failing_since_us != 0)
     return;
   watch->failing_since_us = now_us;
+  if (c->reading)
+    lt_source_relay_report (c, now_us);
   lt_log (LT_LOG_WARN, "source",
           "msg=\"register lost\" part=%s version=%lld error=\"%s\"",
           kind_name (watch->kind), (long long)watch->version,
@@ -391,6 +217,10 @@
   watch->responded_us = now_us;
   lt_source_controller_t *c = watch->controller;
   const record_watch_t *other = &c->watches[watch == &c->watches[0]];
+  bool was_unavailable = other->failing_since_us == 0
+                         && lt_relay_on_response (c->relay, now_us);
+  if (was_unavailable)
+    c->recovered_us = now_us;
   if (watch->failing_since_us == 0)
     return;
   /* The other kind may already have shown that the registry is back.  */
@@ -405,17 +235,35 @@
           kind_name (watch->kind), (long long)watch->version);
 }
 
+static bool
+reads_for_domain (const lt_source_controller_t *c)
+{
+  return c->reading && lt_relay_has_peers (c->relay);
+}
+
 /* Returns the pause between a response and the next watch.  */
 static int64_t
 pause_ms (const lt_source_controller_t *c)
 {
-  int64_t ms = c->base.node->settings->leave_ms / PAUSES_PER_LEAVE_TIME;
-  for (const upstream_entry_t *e = c->entries; e != NULL; e = e->hh.next)
-    if (e->missing && ms > MISSING_PAUSE_MS)
-      return MISSING_PAUSE_MS;
+  int64_t ms = c->base.node->settings->leave_ms
+               / (reads_for_domain (c) ? READER_PAUSES_PER_LEAVE_TIME
+                                       : PAUSES_PER_LEAVE_TIME);
+  if (ms > MISSING_PAUSE_MS && lt_source_has_missing (c))
+    return MISSING_PAUSE_MS;
   return ms < PAUSE_MAX_MS ? ms : PAUSE_MAX_MS;
 }
 
+/* Returns whether WATCH is to call the registry: until it has read all records
+   once and there is a configuration, when it lacks changes, and while this VM
+   reads for its domain.  */
+static bool
+needs_call (const record_watch_t *watch)
+{
+  const lt_source_controller_t *c = watch->controller;
+  return !watch->complete || watch->behind || c->reading
+         || c->configuration == NULL;
+}
+
 static void
 on_result (void *user, const lt_registry_result_t *result)
 {
@@ -438,20 +286,33 @@
     }
   else
     {
-      apply_records (c, watch, result, now_us);
-      watch->version = result->version;
+      lt_source_apply (watch, result, now_us);
+      lt_source_relay_result (watch, result, now_us);
       watch->next_us = now_us + pause_ms (c) * LT_US_PER_MS;
       if (result->count > 0)
         return; /* The tick starts the next call after the pause. */
     }
-  submit_next (watch);
+  if (needs_call (watch))
+    submit_next (watch);
 }
 
 static int64_t
-watch_wait_ms (const lt_settings_t *settings)
+watch_wait_ms (const record_watch_t *watch)
 {
-  return settings->fail_closed ? settings->revoke_ms / POLLS_PER_REVOCATION
-                               : WATCH_WAIT_MS;
+  const lt_source_controller_t *c = watch->controller;
+  const lt_settings_t *settings = c->base.node->settings;
+  int64_t wait_ms = settings->fail_closed
+                        ? settings->revoke_ms / POLLS_PER_REVOCATION
+                        : WATCH_WAIT_MS;
+  int64_t reader_ms = settings->leave_ms / READER_WAITS_PER_LEAVE_TIME;
+  if (watch->behind && !c->reading)
+    return 0;
+  /* The other VMs rely on the responses to the watch of upstreams as a sign
+     that this VM reaches the registry.  */
+  if (watch->kind == LT_REGISTRY_UPSTREAMS && reads_for_domain (c)
+      && reader_ms < wait_ms)
+    return reader_ms;
+  return wait_ms;
 }
 
 bool
@@ -466,8 +327,9 @@
 static void
 submit_next (record_watch_t *watch)
 {
-  int64_t wait_ms = watch_wait_ms (watch->controller->base.node->settings);
+  int64_t wait_ms = watch_wait_ms (watch);
   lt_registry_t *registry = watch->controller->base.node->registry;
+  watch->asked_version = watch->complete ? watch->version : 0;
   int error = watch->complete
                   ? registry->vtable->watch (
                       registry, watch->kind, watch->version, wait_ms,
@@ -480,27 +342,6 @@
                     lt_node_now_us (watch->controller->base.node));
 }
 
-/* Removes entries that are still missing at the end of the retention time.  */
-static void
-expire_missing (lt_source_controller_t *c, int64_t now_us)
-{
-  bool changed = false;
-  upstream_entry_t *entry;
-  upstream_entry_t *next;
-  if (is_after_outage (c, now_us))
-    return;
-  HASH_ITER (hh, c->entries, entry, next)
-  {
-    if (!entry->missing)
-      continue;
-    log_upstream (entry, "did not come back");
-    entry_destroy (c, entry);
-    changed = true;
-  }
-  if (changed)
-    install_snapshot (c);
-}
-
 int64_t
 lt_source_controller_registry_age_us (lt_source_controller_t *c,
                                       int64_t now_us)
@@ -513,10 +354,13 @@
 tick (lt_controller_t *base, int64_t now_us)
 {
   lt_source_controller_t *c = (lt_source_controller_t *)base;
+  lt_source_relay_tick (c, now_us);
   for (int i = 0; i < 2; i++)
-    if (!c->watches[i].in_flight && now_us >= c->watches[i].next_us)
+    if (!c->watches[i].in_flight && now_us >= c->watches[i].next_us
+        && needs_call (&c->watches[i]))
       submit_next (&c->watches[i]);
-  expire_missing (c, now_us);
+  if (lt_source_expire_missing (c, now_us))
+    install_snapshot (c);
   c->age_gauge->value
       = (double)lt_source_controller_registry_age_us (c, now_us) / LT_US_PER_S;
 }
@@ -536,8 +380,9 @@
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   int64_t version
       = c->configuration == NULL ? -1 : c->configuration->source_version;
-  return json_pack ("{s:I, s:I, s:I}", "version", (json_int_t)version,
-                    "upstreams", (json_int_t)HASH_COUNT (c->entries), "age_us",
+  return json_pack ("{s:I, s:I, s:b, s:I}", "version", (json_int_t)version,
+                    "upstreams", (json_int_t)HASH_COUNT (c->entries), "reads",
+                    (int)c->reading, "age_us",
                     (json_int_t)lt_source_controller_registry_age_us (
                         c, lt_node_now_us (base->node)));
 }
@@ -546,19 +391,22 @@
 destroy (lt_controller_t *base)
 {
   lt_source_controller_t *c = (lt_source_controller_t *)base;
-  upstream_entry_t *entry;
-  upstream_entry_t *next;
-  HASH_ITER (hh, c->entries, entry, next) { entry_destroy (c, entry); }
+  lt_source_remove_all (c);
+  lt_relay_destroy (c->relay);
   lt_snapshot_destroy (c->configuration);
   base->node->source_controller = NULL;
   free (c);
 }
 
-static const lt_controller_vtable_t vtable = { .name = "source",
-                                               .start = start,
-                                               .tick = tick,
-                                               .status = status,
-                                               .destroy = destroy };
+static const lt_controller_vtable_t vtable
+    = { .name = "source",
+        .message_types = LT_MESSAGE_TYPE_BIT (LT_MESSAGE_REGISTRY_REPORT)
+                         | LT_MESSAGE_TYPE_BIT (LT_MESSAGE_REGISTRY_RECORDS),
+        .start = start,
+        .tick = tick,
+        .on_message = lt_source_relay_message,
+        .status = status,
+        .destroy = destroy };
 
 lt_controller_t *
 lt_source_controller_create (lt_node_t *node)
@@ -583,6 +431,7 @@
   c->age_gauge = lt_metrics_gauge (
       node->metrics, "lavendertrack_register_age_seconds",
       "Time since the register last answered; below 0: never.", "");
+  lt_source_relay_create (c);
   node->source_controller = c;
   return &c->base;
 }
--- /dev/null
+++ b/packages/node/src/source_internal.h
@@ -0,0 +1,117 @@
+/** @file
+    State of the source controller, shared by its files.  */
+#ifndef LT_NODE_SOURCE_INTERNAL_H
+#define LT_NODE_SOURCE_INTERNAL_H
+
+#include <uthash.h>
+
+#include "lt/node/node.h"
+#include "lt/node/source_controller.h"
+#include "lt/policy/relay.h"
+
+#define SOURCE_RELAY_TABLE(X)                                                 \
+  X (SOURCE_RELAY_REPORT_SENT, "report-sent")                                 \
+  X (SOURCE_RELAY_RECORDS_SENT, "records-sent")                               \
+  X (SOURCE_RELAY_APPLIED, "records-applied")                                 \
+  X (SOURCE_RELAY_BEHIND, "behind")                                           \
+  X (SOURCE_RELAY_MALFORMED, "malformed")
+
+#define SOURCE_RELAY_ENUM(name, text) name,
+typedef enum source_relay_event
+{
+  SOURCE_RELAY_TABLE (SOURCE_RELAY_ENUM) SOURCE_RELAY_EVENTS
+} source_relay_event_t;
+#undef SOURCE_RELAY_ENUM
+
+/* One kind of registry records, which is read once and then watched.  */
+typedef struct record_watch
+{
+  struct lt_source_controller *controller;
+  lt_registry_kind_t kind;
+  int64_t version;
+  int64_t changed_version;  /* Changes after it are not known to exist. */
+  int64_t asked_version;    /* Of the call in flight. */
+  bool complete;            /* Completely read; now watched. */
+  bool in_flight;           /* A call is in flight. */
+  bool behind;              /* Another VM has reported later changes. */
+  int64_t failing_since_us; /* When calls began to fail; 0: they succeed. */
+  int failures;
+  int64_t next_us;
+  int64_t responded_us; /* Last response; 0: none. */
+} record_watch_t;
+
+typedef struct upstream_entry
+{
+  UT_hash_handle hh;
+  int64_t version;
+  bool missing; /* Absent from the registry; kept for now. */
+  bool listed;  /* Listed by the read in flight. */
+  lt_deployment_upstream_t upstream;
+  lt_buf_t strings;
+} upstream_entry_t;
+
+struct lt_source_controller
+{
+  lt_controller_t base;
+  record_watch_t watches[2];
+  lt_snapshot_t *configuration; /* Without upstreams; NULL at first. */
+  upstream_entry_t *entries;
+  int64_t install_count;
+  int64_t recovered_us; /* End of the last outage, of any kind; 0: none. */
+  lt_relay_t *relay;
+  bool reading;            /* Reads the registry for its domain. */
+  int64_t peers_listed_us; /* When the relay's peers were last set. */
+  lt_counter_t *failures[2];
+  lt_counter_t *relayed[SOURCE_RELAY_EVENTS];
+  lt_gauge_t *version_gauge;
+  lt_gauge_t *age_gauge;
+};
+
+/* source_controller.c */
+
+/** Applies RESULT of a call or of another VM to WATCH, unless it is older than
+    what WATCH has.  */
+void lt_source_apply (record_watch_t *watch,
+                      const lt_registry_result_t *result, int64_t now_us);
+bool lt_source_is_healthy (const lt_source_controller_t *c);
+
+/* source_entries.c */
+
+/** Applies a record of an upstream.  Returns whether the set of upstreams
+    changed.  */
+bool lt_source_apply_upstream (lt_source_controller_t *c,
+                               const lt_registry_record_t *record,
+                               int64_t now_us);
+/** Marks all entries as not listed, before a complete read is applied.  */
+void lt_source_unlist_all (lt_source_controller_t *c);
+/** Removes entries that a complete read did not list.  Returns whether any was
+    removed.  */
+bool lt_source_remove_unlisted (lt_source_controller_t *c, int64_t now_us);
+/** Removes missing entries of services that lack too few entries for an expiry
+    by an outage.  Returns whether any was removed.  */
+bool lt_source_remove_departed (lt_source_controller_t *c);
+/** Removes entries that are still missing at the end of the retention time.
+    Returns whether any was removed.  */
+bool lt_source_expire_missing (lt_source_controller_t *c, int64_t now_us);
+bool lt_source_has_missing (const lt_source_controller_t *c);
+void lt_source_remove_all (lt_source_controller_t *c);
+
+/* source_relay.c */
+
+void lt_source_relay_create (lt_source_controller_t *c);
+/** Decides whether this VM reads for its domain, and lists the other VMs of
+    the domain from time to time.  */
+void lt_source_relay_tick (lt_source_controller_t *c, int64_t now_us);
+/** Passes RESULT, which the registry has given to WATCH, to the other VMs of
+    the domain if this VM reads for them.  */
+void lt_source_relay_result (record_watch_t *watch,
+                             const lt_registry_result_t *result,
+                             int64_t now_us);
+/** Tells the other VMs of the domain what this VM knows, or that it cannot
+    read for them.  */
+void lt_source_relay_report (lt_source_controller_t *c, int64_t now_us);
+void lt_source_relay_message (lt_controller_t *base,
+                              const lt_peer_message_t *message,
+                              int64_t now_us);
+
+#endif
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -244,6 +244,53 @@
   int lt_wire_quota_shares_decode (str_t payload,
                                    lt_wire_quota_shares_t *message);
 
+/** Kinds of registry records that VMs pass on: the configuration and the
+    upstreams.  */
+#define LT_WIRE_REGISTRY_KINDS 2
+/** Maximum size of the records in one registry_records message.  */
+#define LT_WIRE_REGISTRY_RECORDS_MAX_BYTES (64 * 1024)
+
+  /** What the sender knows of one kind of records.  */
+  typedef struct lt_wire_registry_part
+  {
+    int64_t version;         /**< All changes up to it are known. */
+    int64_t changed_version; /**< No record has changed since. */
+    int64_t verified_us;     /**< Last response, on the sender's clock. */
+  } lt_wire_registry_part_t;
+
+  /** Payload of registry_report: state of the registry at a VM that reads it
+      for its failure domain.  */
+  typedef struct lt_wire_registry_report
+  {
+    int64_t sent_us; /**< On the sender's clock. */
+    bool serving;    /**< False: the sender cannot read for others now. */
+    int64_t outage_age_us; /**< Since the end of the last outage; -1: none. */
+    lt_wire_registry_part_t parts[LT_WIRE_REGISTRY_KINDS];
+  } lt_wire_registry_report_t;
+
+  void
+  lt_wire_registry_report_encode (const lt_wire_registry_report_t *message,
+                                  lt_buf_t *out);
+  int lt_wire_registry_report_decode (str_t payload,
+                                      lt_wire_registry_report_t *message);
+
+  /** Payload of registry_records: the changes of one kind of records after one
+      version and up to another.  */
+  typedef struct lt_wire_registry_records
+  {
+    uint32_t kind;
+    int64_t after_version;
+    int64_t version;
+    int64_t outage_age_us; /**< As in lt_wire_registry_report_t. */
+    str_t records;         /**< In the encoding of the registry. */
+  } lt_wire_registry_records_t;
+
+  void
+  lt_wire_registry_records_encode (const lt_wire_registry_records_t *message,
+                                   lt_buf_t *out);
+  int lt_wire_registry_records_decode (str_t payload,
+                                       lt_wire_registry_records_t *message);
+
 #ifdef __cplusplus
 }
 #endif
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -19,6 +19,8 @@
   SNAPSHOT_GET_FIELDS = 2,
   SNAPSHOT_DATA_FIELDS = 4,
   DRAIN_FIELDS = 3,
+  REGISTRY_REPORT_FIELDS = 3 + 3 * LT_WIRE_REGISTRY_KINDS,
+  REGISTRY_RECORDS_FIELDS = 5,
   QUARANTINE_FIELDS = 5,
   MEMBER_STATE_MAX = 3,
   PAGE_MAX = 3,
@@ -389,3 +391,65 @@
     }
   return lt_unpack_end (&in);
 }
+
+void
+lt_wire_registry_report_encode (const lt_wire_registry_report_t *message,
+                                lt_buf_t *out)
+{
+  lt_pack_array (out, REGISTRY_REPORT_FIELDS);
+  lt_pack_i64 (out, message->sent_us);
+  lt_pack_bool (out, message->serving);
+  lt_pack_i64 (out, message->outage_age_us);
+  for (int i = 0; i < LT_WIRE_REGISTRY_KINDS; i++)
+    {
+      lt_pack_i64 (out, message->parts[i].version);
+      lt_pack_i64 (out, message->parts[i].changed_version);
+      lt_pack_i64 (out, message->parts[i].verified_us);
+    }
+}
+
+int
+lt_wire_registry_report_decode (str_t payload,
+                                lt_wire_registry_report_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, REGISTRY_REPORT_FIELDS, REGISTRY_REPORT_FIELDS);
+  message->sent_us = unpack_non_negative (&in);
+  message->serving = lt_unpack_bool (&in);
+  message->outage_age_us = lt_unpack_i64 (&in, -1, INT64_MAX);
+  for (int i = 0; i < LT_WIRE_REGISTRY_KINDS; i++)
+    {
+      message->parts[i].version = unpack_non_negative (&in);
+      message->parts[i].changed_version = unpack_non_negative (&in);
+      message->parts[i].verified_us = unpack_non_negative (&in);
+    }
+  return lt_unpack_end (&in);
+}
+
+void
+lt_wire_registry_records_encode (const lt_wire_registry_records_t *message,
+                                 lt_buf_t *out)
+{
+  lt_pack_array (out, REGISTRY_RECORDS_FIELDS);
+  lt_pack_u64 (out, message->kind);
+  lt_pack_i64 (out, message->after_version);
+  lt_pack_i64 (out, message->version);
+  lt_pack_i64 (out, message->outage_age_us);
+  lt_pack_bin (out, message->records);
+}
+
+int
+lt_wire_registry_records_decode (str_t payload,
+                                 lt_wire_registry_records_t *message)
+{
+  lt_unpack_t in;
+  lt_unpack_init (&in, payload);
+  lt_unpack_array (&in, REGISTRY_RECORDS_FIELDS, REGISTRY_RECORDS_FIELDS);
+  message->kind = (uint32_t)lt_unpack_u64 (&in, LT_WIRE_REGISTRY_KINDS - 1);
+  message->after_version = unpack_non_negative (&in);
+  message->version = unpack_non_negative (&in);
+  message->outage_age_us = lt_unpack_i64 (&in, -1, INT64_MAX);
+  message->records = lt_unpack_bin (&in, LT_WIRE_REGISTRY_RECORDS_MAX_BYTES);
+  return lt_unpack_end (&in);
+}
