Let requests wait longer for tokens while VMs start

Ruled out: a larger first fill of the buckets (the VMs before may have spent the burst, QUOTA). Change: while VMs start, a request waits a third of its time (lt_quota_token_wait_us), for 1.5 s after the VM knows the fleet; a denied request says place=home, no longer no-answer. The first read of the upstreams is logged as one line instead of 900.

--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -10,13 +10,11 @@
 
 enum
 {
-  /* Longest wait of a request for a token, about a tenth of the shortest
-     deadlines; longer on a VM that starts and does not reach a home yet.  */
-  WAIT_MS = 150,
-  START_WAIT_MS = 500,
-  /* VMs that start together have all leased their allocations after about half
-     a second.  Until then, requests that were denied a token try again.  */
-  START_MS = 1000,
+  /* VMs that start together lease their allocations within about half a
+     second, and the tokens for the requests that callers sent meanwhile come
+     over the next second.  Until then, requests that were denied a token try
+     again.  */
+  START_MS = 1500,
   RETRY_AFTER_MS = 500,
   /* Time for the buckets to fill with a few tokens.  */
   SETTLE_MS = 200,
@@ -73,12 +71,18 @@
   return now_us - c->vms_known_since_us < START_MS * LT_US_PER_MS;
 }
 
+static int64_t
+token_wait_us (const quota_waiting_t *waiting)
+{
+  return lt_quota_token_wait_us (
+      waiting->starting, waiting->request->deadline_us - waiting->since_us);
+}
+
 static bool
-may_retry (const lt_quota_controller_t *c, const quota_waiting_t *waiting,
-           int64_t now_us)
+may_retry (const quota_waiting_t *waiting, int64_t now_us)
 {
-  return is_starting (c, now_us)
-         && now_us - waiting->since_us < START_WAIT_MS * LT_US_PER_MS;
+  return waiting->starting
+         && now_us - waiting->since_us < token_wait_us (waiting);
 }
 
 static lt_filter_result_t
@@ -138,6 +142,9 @@
                                 .number = ++c->next_number,
                                 .workspace = hash,
                                 .since_us = now_us,
+                                .starting
+                                = is_starting (c, now_us)
+                                  || !lt_quota_controller_is_ready (c, now_us),
                                 .token_requested = reachable };
   request->filter_state[slot] = waiting;
   DL_APPEND (c->waiting, waiting);
@@ -147,7 +154,7 @@
                            now_us))
         return LT_FILTER_WAIT;
       waiting->token_requested = false;
-      if (may_retry (c, waiting, now_us))
+      if (may_retry (waiting, now_us))
         return LT_FILTER_WAIT;
       waiting_free (c, waiting);
       return deny (c, request, "home");
@@ -176,9 +183,10 @@
 finish_waiting (lt_quota_controller_t *c, quota_waiting_t *waiting,
                 bool admitted)
 {
-  if (!admitted && may_retry (c, waiting, lt_node_now_us (c->base.node)))
+  if (!admitted && may_retry (waiting, lt_node_now_us (c->base.node)))
     {
       waiting->token_requested = false;
+      waiting->denied = true;
       return;
     }
   lt_request_t *request = waiting->request;
@@ -236,17 +244,17 @@
 {
   quota_waiting_t *waiting;
   quota_waiting_t *next;
-  bool starting
-      = is_starting (c, now_us) || !lt_quota_controller_is_ready (c, now_us);
-  int64_t wait_ms = starting ? START_WAIT_MS : WAIT_MS;
+  bool ready = lt_quota_controller_is_ready (c, now_us);
   DL_FOREACH_SAFE (c->waiting, waiting, next)
   {
-    if (now_us - waiting->since_us > wait_ms * LT_US_PER_MS)
+    waiting->starting = waiting->starting || !ready;
+    if (now_us - waiting->since_us > token_wait_us (waiting))
       {
         lt_request_t *request = waiting->request;
+        const char *place = waiting->denied ? "home" : "no-answer";
         lt_quota_count (c, QUOTA_COUNT_EXPIRED);
         waiting_free (c, waiting);
-        deny (c, request, "no-answer");
+        deny (c, request, place);
       }
     else if (!waiting->token_requested && lt_quota_can_use_home (c, now_us))
       request_token (c, waiting, now_us);
--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -43,8 +43,10 @@
   uint64_t number;    /* Correlation id of the token request. */
   uint64_t workspace; /* Hash of its name. */
   int64_t since_us;
+  bool starting;        /* This VM was starting, or had no home. */
   bool token_requested; /* A token has been requested from the home or the
                            reserve. */
+  bool denied;          /* A request for a token was denied. */
 } quota_waiting_t;
 
 /* A member's token request, or a request received by this VM itself, that
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -165,6 +165,11 @@
   if (!full_read && result->version < watch->version)
     return;
   apply_records (watch->controller, watch, result, now_us);
+  if (full_read)
+    lt_log (LT_LOG_INFO, "source",
+            "msg=\"register read\" part=%s version=%lld records=%zu",
+            kind_name (watch->kind), (long long)result->version,
+            result->count);
   watch->version = result->version;
   if (full_read || result->count > 0)
     watch->changed_version = result->version;
--- a/packages/node/src/source_entries.c
+++ b/packages/node/src/source_entries.c
@@ -60,9 +60,13 @@
   entry->missing = false;
 }
 
+/* The first complete read is logged as a whole, see lt_source_apply.  */
 static void
-log_upstream (const upstream_entry_t *entry, const char *event)
+log_upstream (const lt_source_controller_t *c, const upstream_entry_t *entry,
+              const char *event)
 {
+  if (!c->watches[LT_REGISTRY_UPSTREAMS].complete && c->install_count == 0)
+    return;
   const lt_deployment_upstream_t *u = &entry->upstream;
   lt_log (LT_LOG_INFO, "source",
           "msg=\"upstream %s\" upstream=%.*s service=%.*s address=%.*s "
@@ -90,7 +94,7 @@
       entry->missing = true;
       return false;
     }
-  log_upstream (entry, "gone");
+  log_upstream (c, entry, "gone");
   entry_destroy (c, entry);
   return true;
 }
@@ -118,11 +122,11 @@
   HASH_ADD_KEYPTR (hh, c->entries, entry->upstream.name.data,
                    entry->upstream.name.len, entry);
   if (is_new)
-    log_upstream (entry, "new");
+    log_upstream (c, entry, "new");
   else if (restarted)
-    log_upstream (entry, "started again");
+    log_upstream (c, entry, "started again");
   if (entry->upstream.draining && !was_draining)
-    log_upstream (entry, "draining");
+    log_upstream (c, entry, "draining");
   return true;
 }
 
@@ -155,7 +159,7 @@
     count_missing (c, entry->upstream.service, &total, &missing);
     if (missing * OUTAGE_MISSING_DIVISOR > total)
       continue;
-    log_upstream (entry, "gone");
+    log_upstream (c, entry, "gone");
     entry_destroy (c, entry);
     changed = true;
   }
@@ -188,7 +192,7 @@
   {
     if (!entry->missing)
       continue;
-    log_upstream (entry, "did not come back");
+    log_upstream (c, entry, "did not come back");
     entry_destroy (c, entry);
     changed = true;
   }
--- a/packages/policy/src/quota_buckets.c
+++ b/packages/policy/src/quota_buckets.c
@@ -7,6 +7,14 @@
 #include "lt/base/str.h"
 #include "lt/policy/quota.h"
 
+enum
+{
+  /* About a tenth of the shortest deadlines.  */
+  WAIT_MS = 150,
+  /* Leaves most of the time for the upstream and a retry.  */
+  START_WAIT_DIVISOR = 3
+};
+
 #define MILLI_PER_UNIT 1000.0
 
 typedef struct bucket
@@ -32,6 +40,14 @@
   uint32_t default_ppm; /* Share of workspaces that are added. */
 };
 
+int64_t
+lt_quota_token_wait_us (bool starting, int64_t time_left_us)
+{
+  if (starting)
+    return time_left_us / START_WAIT_DIVISOR;
+  return WAIT_MS * LT_US_PER_MS;
+}
+
 lt_quota_buckets_t *
 lt_quota_buckets_create (const lt_quota_times_t *times, lt_rng_t *rng)
 {
--- a/packages/policy/test/test_quota.cc
+++ b/packages/policy/test/test_quota.cc
@@ -321,4 +321,45 @@
   EXPECT_EQ (0u, lt_quota_parent_reserve_ppm (parent, VMS, now));
 }
 
+// herd_kill of all: the buckets start with part of the burst, and the requests
+// that callers sent while the VMs were away arrive at once.  A workspace that
+// stays within its rate must not lose them.
+TEST (QuotaHerdKill, PentUpRequestsWaitForTokens)
+{
+  const int64_t deadline = 2500 * MS;
+  const int64_t rate = 30;
+  lt_rng_t rng;
+  lt_rng_init (&rng, 7);
+  lt_quota_buckets_t *buckets = lt_quota_buckets_create (&TIMES, &rng);
+  lt_quota_rate_t configured = { W, rate * 1000, 40 };
+  int64_t now = 10 * S;
+  lt_quota_buckets_set_all (buckets, LT_QUOTA_WHOLE_PPM, now);
+  lt_quota_buckets_configure (buckets, &configured, 1, now);
+  // 60% of the rate; 1.5 s of it arrives at once.
+  std::vector<int64_t> waiting (27, now);
+  size_t served = 0;
+  size_t refused = 0;
+  const int64_t start = now;
+  for (; now < start + 3 * S; now += 10 * MS)
+    {
+      if ((now - start) % (50 * MS) == 0)
+        waiting.push_back (now);
+      if ((now - start) % (100 * MS) != 0)
+        continue;
+      std::vector<int64_t> left;
+      for (int64_t since : waiting)
+        if (now - since
+            > lt_quota_token_wait_us (since - start < 1500 * MS, deadline))
+          refused++;
+        else if (lt_quota_buckets_take (buckets, W, now == since, now))
+          served++;
+        else
+          left.push_back (since);
+      waiting = left;
+    }
+  EXPECT_EQ (0u, refused);
+  EXPECT_GE (served, 80u);
+  lt_quota_buckets_destroy (buckets);
+}
+
 } // namespace
