--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -125,14 +125,16 @@
   uint64_t hash = lt_hash64 (workspace->name);
   if (workspace->unlimited)
     return LT_FILTER_CONTINUE;
-  if (c->vms > 0 && lt_quota_uses_own_allocation (c, now_us))
+  bool alone = c->vms > 0 && lt_quota_uses_own_allocation (c, now_us);
+  if (alone)
     {
+      bool taken = lt_quota_buckets_take (c->own_buckets, hash, true, now_us);
       lt_quota_count (c, QUOTA_COUNT_OWN_ALLOCATION);
-      return admit (c, request,
-                    lt_quota_buckets_take (c->own_buckets, hash, true, now_us),
-                    "alone");
+      /* The home of a VM that starts has not responded yet.  */
+      if (taken || !is_starting (c, now_us))
+        return admit (c, request, taken, "alone");
     }
-  bool reachable = lt_quota_can_use_home (c, now_us);
+  bool reachable = !alone && lt_quota_can_use_home (c, now_us);
   bool self = reachable && lt_quota_is_self (c, c->home_lease.id);
   if (self && lt_quota_buckets_take (c->home_buckets, hash, true, now_us))
     return admit (c, request, true, "home");
