Do not count refused connections as attempts of a request

Ruled out: the retry budget (refused connections are free). Change: only attempts that were sent count against a route's attempts; at most six connections are tried.

--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -12,7 +12,7 @@
 
 enum
 {
-  ATTEMPTS_MAX = 4
+  ATTEMPTS_MAX = 6
 };
 
 typedef struct attempt
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -21,6 +21,18 @@
       = lt_snapshot_find_service (config->snapshot, dispatch->service_name);
 }
 
+/* Counts the attempts that were or may yet be sent: a connection that failed
+   does not use up an attempt.  */
+static uint32_t
+count_sent (const lt_dispatch_t *dispatch)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < dispatch->attempt_count; i++)
+    count += dispatch->attempts[i].byte_sent
+             || dispatch->attempts[i].transfer != NULL;
+  return count;
+}
+
 /* Returns whether a failure of the next attempt could be retried.  */
 static bool
 can_retry_next (const lt_dispatch_t *dispatch)
@@ -31,7 +43,7 @@
                       ? (uint32_t)attempts_max
                       : ATTEMPTS_MAX;
   return lt_dispatch_is_idempotent (dispatch)
-         && dispatch->attempt_count + 1 < most
+         && count_sent (dispatch) + 1 < most
          && lt_retry_has_budget (node->retry, dispatch->service_hash,
                                  dispatch->workspace_hash,
                                  lt_node_now_us (node));
@@ -82,7 +94,7 @@
     .byte_sent = attempt->byte_sent && !attempt->not_run,
     .response_started = dispatch->winner != NULL,
     .other_upstream = lt_dispatch_pick (dispatch) >= 0,
-    .attempts = (int)dispatch->attempt_count,
+    .attempts = (int)count_sent (dispatch),
     .attempts_max = dispatch->request->route->attempts_max,
     .deadline_us = dispatch->request->deadline_us,
   };
