Read missed changes soon after a cut from the registry

Cause: a VM that was cut off from the store knew from others that it lacked a configuration, but repeated its failed call only every 1.5 to 4.5 s, as VMs do that leave it to others to notice the end of an outage. Ruled out: the passing on of records (all other VMs of the domain had the version after 0.1 s), clocks. Change: a VM that lacks changes, or has not read all yet, repeats failed calls every 0.05 to 1.05 s; the slow retry of the others is 0.6 to 1.8 s.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -27,8 +27,9 @@
   RETRY_MIN_MS = 100,
   RETRY_MAX_MS = 700,
   /* Pause of a VM that leaves it to others of its domain to notice that the
-     registry is back.  */
-  SLOW_RETRY_MS = 3000,
+     registry is back.  A VM that was cut off from those as well must notice by
+     itself well within the time for a new configuration.  */
+  SLOW_RETRY_MS = 1200,
   /* A VM that reads for its domain pauses for less than others, as its
      knowledge must stay fresh, and each of its watches ends within a part of
      the time for leaving upstreams.  */
@@ -196,7 +197,7 @@
     wait_ms *= 2;
   if (wait_ms > RETRY_MAX_MS)
     wait_ms = RETRY_MAX_MS;
-  if (!lt_relay_retries_fast (c->relay))
+  if (watch->complete && !watch->behind && !lt_relay_retries_fast (c->relay))
     wait_ms = SLOW_RETRY_MS;
   wait_ms = wait_ms / 2
             + (int64_t)lt_rng_below (&c->base.node->rng, (uint64_t)wait_ms);
--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -194,6 +194,21 @@
     ev_loop_destroy (loop);
   }
 
+  // Fails all open calls and returns their number.
+  size_t
+  fail_calls ()
+  {
+    std::vector<Call> calls;
+    calls.swap (registry.calls);
+    for (const Call &call : calls)
+      {
+        lt_registry_result_t result = {};
+        result.error = -LT_EUNAVAILABLE;
+        call.done (call.user, &result);
+      }
+    return calls.size ();
+  }
+
   // Answers the oldest call of KIND.
   void
   respond (lt_registry_kind_t kind, int64_t version,
@@ -401,6 +416,29 @@
   EXPECT_TRUE (str_equal (STR_LIT ("five"), records.records));
 }
 
+// A VM that is cut off from the registry knows from others that it lacks
+// changes.  It must read them soon after the cut has ended, however many VMs
+// are to notice an outage before it.  (It served an old configuration for
+// 4.2 s: large trouble-1, rule CONFIG.)
+TEST_F (SourceRelay, MissedChangesAreReadSoonAfterFailures)
+{
+  others = { "vm-1", "vm-10", "vm-11", "vm-12", "vm-13" };
+  read_all ();
+  follow (2000);
+  receive_report ("vm-1", 110, 110);
+  int calls = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      pass (100);
+      calls += (int)fail_calls ();
+      receive_report ("vm-1", 110, 110);
+    }
+  EXPECT_GE (calls, 10); // At most 1.05 s between two.
+  for (int i = 0; i < 11 && registry.calls.empty (); i++)
+    pass (100);
+  EXPECT_EQ (1u, registry.calls.size ());
+}
+
 // A VM that drains, or whose calls fail, says so at its next report.
 TEST_F (SourceRelay, ReaderThatDrainsDoesNotServe)
 {
