Let a reader count as fresh only if both of its watches are answered

Cause: after a silent outage of the store the watch of the upstreams failed and was repeated, while the watch of the configuration, with its wait of 30 s, hung on a connection that nothing answered. Ruled out: a lost record (no VM of the domain got any), clocks, the slow retry. Change: a report is as old as the older of its parts; both watches of a reader end within a third of leave-ms; fresh means 55% of leave-ms, so that wait and pause stay below it (2,500 ms: 833 + 313 + 145 of 1,375; the sum to a replacement is 1,375 + 300 + a call). An outage is told from any response, not from that age.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -30,11 +30,11 @@
      registry is back.  A VM that was cut off from those as well must notice by
      itself well within the time for a new configuration.  */
   SLOW_RETRY_MS = 1200,
-  /* A VM that reads for its domain pauses for less than others, as its
-     knowledge must stay fresh, and each of its watches ends within a part of
-     the time for leaving upstreams.  */
-  READER_PAUSES_PER_LEAVE_TIME = 6,
-  READER_WAITS_PER_LEAVE_TIME = 4,
+  /* A VM that reads for its domain pauses for less than others, and each of
+     its watches ends within a part of the time for leaving upstreams: both
+     together stay below the time for which its reports are fresh.  */
+  READER_PAUSES_PER_LEAVE_TIME = 8,
+  READER_WAITS_PER_LEAVE_TIME = 3,
   /* Shorter pause while entries are missing, so that restored entries are read
      within the retention time.  */
   MISSING_PAUSE_MS = 250,
@@ -186,6 +186,14 @@
   return true;
 }
 
+int64_t
+lt_source_verified_us (const lt_source_controller_t *c)
+{
+  int64_t config_us = c->watches[LT_REGISTRY_CONFIG].responded_us;
+  int64_t upstreams_us = c->watches[LT_REGISTRY_UPSTREAMS].responded_us;
+  return config_us < upstreams_us ? config_us : upstreams_us;
+}
+
 static void submit_next (record_watch_t *watch);
 
 static void
@@ -223,8 +231,9 @@
   watch->responded_us = now_us;
   lt_source_controller_t *c = watch->controller;
   const record_watch_t *other = &c->watches[watch == &c->watches[0]];
-  bool was_unavailable = other->failing_since_us == 0
-                         && lt_relay_on_response (c->relay, now_us);
+  bool was_unavailable
+      = other->failing_since_us == 0
+        && lt_relay_on_response (c->relay, lt_source_verified_us (c), now_us);
   if (was_unavailable)
     c->recovered_us = now_us;
   if (watch->failing_since_us == 0)
@@ -313,10 +322,9 @@
   int64_t reader_ms = settings->leave_ms / READER_WAITS_PER_LEAVE_TIME;
   if (watch->behind && !c->reading)
     return 0;
-  /* The other VMs rely on the responses to the watch of upstreams as a sign
-     that this VM reaches the registry.  */
-  if (watch->kind == LT_REGISTRY_UPSTREAMS && reads_for_domain (c)
-      && reader_ms < wait_ms)
+  /* The other VMs rely on the responses to both watches as a sign that this VM
+     reaches the registry: one that hangs looks like one without changes.  */
+  if (reads_for_domain (c) && reader_ms < wait_ms)
     return reader_ms;
   return wait_ms;
 }
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -74,6 +74,8 @@
 void lt_source_apply (record_watch_t *watch,
                       const lt_registry_result_t *result, int64_t now_us);
 bool lt_source_is_healthy (const lt_source_controller_t *c);
+/** Returns when the registry had last responded to both watches; 0: never.  */
+int64_t lt_source_verified_us (const lt_source_controller_t *c);
 
 /* source_entries.c */
 
--- a/packages/node/src/source_relay.c
+++ b/packages/node/src/source_relay.c
@@ -135,9 +135,11 @@
       c->relayed[SOURCE_RELAY_MALFORMED]->value++;
       return;
     }
+  int64_t config_us = report.parts[LT_REGISTRY_CONFIG].verified_us;
+  int64_t upstreams_us = report.parts[LT_REGISTRY_UPSTREAMS].verified_us;
   lt_relay_report_t summary = {
     .sent_us = report.sent_us,
-    .verified_us = report.parts[LT_REGISTRY_UPSTREAMS].verified_us,
+    .verified_us = config_us < upstreams_us ? config_us : upstreams_us,
     .serving = report.serving,
     .incarnation = message->incarnation,
   };
--- a/packages/policy/include/lt/policy/relay.h
+++ b/packages/policy/include/lt/policy/relay.h
@@ -42,7 +42,8 @@
   typedef struct lt_relay_report
   {
     int64_t sent_us;
-    int64_t verified_us; /**< Last response of the registry. */
+    int64_t verified_us; /**< When the registry had last responded to the calls
+                            for every kind of record. */
     bool serving; /**< The sender reads for others; false: its calls fail, or
                      it is about to stop. */
     uint64_t incarnation; /**< Of the sender. */
@@ -62,9 +63,11 @@
       registry responded to the sender; 0: unknown, as it does not serve.  */
   int64_t lt_relay_on_report (lt_relay_t *relay, str_t vm_id,
                               const lt_relay_report_t *report, int64_t now_us);
-  /** The registry has responded to this VM.  Returns whether it had been
-      unavailable (see outage_us).  */
-  bool lt_relay_on_response (lt_relay_t *relay, int64_t now_us);
+  /** The registry has responded to this VM; VERIFIED_US as in a report, on
+      this VM's clock.  Returns whether it had been unavailable (see
+      outage_us).  */
+  bool lt_relay_on_response (lt_relay_t *relay, int64_t verified_us,
+                             int64_t now_us);
   void lt_relay_on_failure (lt_relay_t *relay);
 
   /** Decides whether this VM reads the registry now.  */
--- a/packages/policy/src/relay.c
+++ b/packages/policy/src/relay.c
@@ -10,8 +10,8 @@
 {
   ID_MAX_BYTES = 64,
   /* Parts of the time in which leaving upstreams must be known.  */
-  FRESH_DIVISOR = 2,
-  STEP_DIVISOR = 50,
+  FRESH_PERCENT = 55,
+  STEP_PERCENT = 2,
   STEPS_MAX = 6,
   FAST_RETRIES = 3,
   /* Below the time after which a platform drops the records of upstreams that
@@ -39,7 +39,8 @@
   size_t known;
   relay_peer_t peers[LT_RELAY_PEERS_MAX];
   size_t peer_count;
-  int64_t verified_us; /* Last response to any VM; 0: none. */
+  int64_t verified_us;  /* Latest to any VM; 0: never. */
+  int64_t responded_us; /* Last response to any VM; 0: none. */
   bool reading;
   bool failing; /* The last call of this VM failed. */
 };
@@ -47,8 +48,8 @@
 lt_relay_options_t
 lt_relay_options_for (int64_t leave_us)
 {
-  return (lt_relay_options_t){ .fresh_us = leave_us / FRESH_DIVISOR,
-                               .step_us = leave_us / STEP_DIVISOR,
+  return (lt_relay_options_t){ .fresh_us = leave_us * FRESH_PERCENT / 100,
+                               .step_us = leave_us * STEP_PERCENT / 100,
                                .steps_max = STEPS_MAX,
                                .fast_retries = FAST_RETRIES,
                                .outage_us = OUTAGE_MS * LT_US_PER_MS };
@@ -151,16 +152,20 @@
   peer->verified_us = report->verified_us + peer->offset_us;
   if (peer->verified_us > relay->verified_us)
     relay->verified_us = peer->verified_us;
+  if (peer->verified_us > relay->responded_us)
+    relay->responded_us = peer->verified_us;
   return peer->verified_us;
 }
 
 bool
-lt_relay_on_response (lt_relay_t *relay, int64_t now_us)
+lt_relay_on_response (lt_relay_t *relay, int64_t verified_us, int64_t now_us)
 {
   bool was_unavailable
-      = relay->verified_us != 0
-        && now_us - relay->verified_us > relay->options.outage_us;
-  relay->verified_us = now_us;
+      = relay->responded_us != 0
+        && now_us - relay->responded_us > relay->options.outage_us;
+  relay->responded_us = now_us;
+  if (verified_us > relay->verified_us)
+    relay->verified_us = verified_us;
   relay->failing = false;
   return was_unavailable;
 }
