--- a/packages/base/include/lt/base/str.h
+++ b/packages/base/include/lt/base/str.h
@@ -54,6 +54,8 @@
   /** Parses a decimal integer that fills S.  Returns 0, -LT_EINVAL or
       -LT_ERANGE.  */
   int str_to_i64 (str_t s, int64_t *value);
+  /** Returns the value of the hexadecimal digit C of either case, or -1.  */
+  int str_hex_digit (char c);
   /** Returns true when S is well-formed UTF-8.  */
   bool str_is_utf8 (str_t s);
 
--- a/packages/base/src/str.c
+++ b/packages/base/src/str.c
@@ -136,6 +136,18 @@
   return copy;
 }
 
+int
+str_hex_digit (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F')
+    return c - 'A' + 10;
+  return -1;
+}
+
 int
 str_to_i64 (str_t s, int64_t *value)
 {
--- a/packages/config/src/index.c
+++ b/packages/config/src/index.c
@@ -332,15 +332,6 @@
   return LT_NO_INDEX;
 }
 
-static int
-hex_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  char lower = (char)(c | 0x20);
-  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
 static bool
 encoded_changes_meaning (int c)
 {
@@ -363,8 +354,8 @@
         return false;
       if (c != '%')
         continue;
-      int high = i + 1 < path.len ? hex_digit (path.data[i + 1]) : -1;
-      int low = i + 2 < path.len ? hex_digit (path.data[i + 2]) : -1;
+      int high = i + 1 < path.len ? str_hex_digit (path.data[i + 1]) : -1;
+      int low = i + 2 < path.len ? str_hex_digit (path.data[i + 2]) : -1;
       if (high < 0 || low < 0 || encoded_changes_meaning (high * 16 + low))
         return false;
     }
--- a/packages/node/src/chunked_body.c
+++ b/packages/node/src/chunked_body.c
@@ -8,18 +8,6 @@
   SIZE_DIGITS_MAX = 15
 };
 
-static int
-hex_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
-
 static void
 end_size_line (lt_chunked_body_t *body)
 {
@@ -31,7 +19,7 @@
 static int
 decode_size (lt_chunked_body_t *body, char c)
 {
-  int digit = hex_digit (c);
+  int digit = str_hex_digit (c);
   if (digit >= 0)
     {
       body->size = body->size * 16 + digit;
--- a/packages/node/src/request_parse.c
+++ b/packages/node/src/request_parse.c
@@ -11,18 +11,6 @@
   DEFAULT_BODY_LIMIT_BYTES = 64 * 1024
 };
 
-static int
-hex_value (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
-
 /* Decodes the percent escape at the start of S.  Returns the byte, or -1 when
    there is no valid escape.  */
 static int
@@ -30,8 +18,8 @@
 {
   if (s.len < 3 || s.data[0] != '%')
     return -1;
-  int high = hex_value (s.data[1]);
-  int low = hex_value (s.data[2]);
+  int high = str_hex_digit (s.data[1]);
+  int low = str_hex_digit (s.data[2]);
   return high < 0 || low < 0 ? -1 : high * 16 + low;
 }
 
--- a/packages/standin/src/store.c
+++ b/packages/standin/src/store.c
@@ -110,19 +110,14 @@
   return text;
 }
 
-static int
-hex_digit (char c)
-{
-  return c <= '9' ? c - '0' : c - 'a' + 10;
-}
-
 static void
 append_unhex (lt_buf_t *out, const json_t *text)
 {
   const char *hex = json_string_value (text);
   for (size_t i = 0; i + 1 < json_string_length (text); i += 2)
     {
-      char byte = (char)(hex_digit (hex[i]) * 16 + hex_digit (hex[i + 1]));
+      char byte
+          = (char)(str_hex_digit (hex[i]) * 16 + str_hex_digit (hex[i + 1]));
       lt_buf_append (out, &byte, 1);
     }
 }
