--- a/packages/node/test/test_pipelining.cc
+++ b/packages/node/test/test_pipelining.cc
@@ -76,6 +76,34 @@
   return responses;
 }
 
+// Returns a connection to PORT whose reads wait for at most 5 s, or -1.
+int
+connect_to_vm (uint16_t port)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  sockaddr_in to = {};
+  to.sin_family = AF_INET;
+  to.sin_port = htons (port);
+  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  timeval limit = { 5, 0 };
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof (limit));
+  if (connect (fd, reinterpret_cast<sockaddr *> (&to), sizeof (to)) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+std::string
+read_to_end (int fd)
+{
+  std::string received;
+  char buffer[4096];
+  ssize_t got;
+  while ((got = read (fd, buffer, sizeof (buffer))) > 0)
+    received.append (buffer, static_cast<size_t> (got));
+  return received;
+}
+
 int
 status_of (const std::string &response)
 {
@@ -168,13 +196,8 @@
   uint16_t port = lt_daemon_port (vm.daemon);
   int64_t in_flight_before = vm.node->in_flight;
   vm.run_while ([&] {
-    int fd = socket (AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to = {};
-    to.sin_family = AF_INET;
-    to.sin_port = htons (port);
-    to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    ASSERT_EQ (0,
-               connect (fd, reinterpret_cast<sockaddr *> (&to), sizeof (to)));
+    int fd = connect_to_vm (port);
+    ASSERT_GE (fd, 0);
     (void)!write (fd, bytes.data (), bytes.size ());
     std::this_thread::sleep_for (std::chrono::milliseconds (200));
     (void)!write (fd, bytes.data (), bytes.size ());
@@ -200,25 +223,15 @@
   std::vector<std::string> responses;
   uint16_t port = lt_daemon_port (vm.daemon);
   vm.run_while ([&] {
-    int fd = socket (AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to = {};
-    to.sin_family = AF_INET;
-    to.sin_port = htons (port);
-    to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    ASSERT_EQ (0,
-               connect (fd, reinterpret_cast<sockaddr *> (&to), sizeof (to)));
+    int fd = connect_to_vm (port);
+    ASSERT_GE (fd, 0);
     (void)!write (fd, first.data (), first.size ());
     std::this_thread::sleep_for (std::chrono::milliseconds (100));
     (void)!write (fd, second.data (), second.size ());
     std::this_thread::sleep_for (std::chrono::milliseconds (100));
     vm.clock.now_us += 500 * 1000;
-    std::string received;
-    char buffer[4096];
-    ssize_t got;
-    while ((got = read (fd, buffer, sizeof (buffer))) > 0)
-      received.append (buffer, static_cast<size_t> (got));
+    responses = split_responses (read_to_end (fd));
     close (fd);
-    responses = split_responses (received);
   });
   ASSERT_EQ (2u, responses.size ());
   EXPECT_EQ (200, status_of (responses[0]));
@@ -252,20 +265,10 @@
   stop.timer.data = &stop;
   ev_timer_start (vm.loop, &stop.timer);
   vm.run_while ([&] {
-    int fd = socket (AF_INET, SOCK_STREAM, 0);
-    sockaddr_in to = {};
-    to.sin_family = AF_INET;
-    to.sin_port = htons (port);
-    to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    timeval limit = { 5, 0 };
-    setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof (limit));
-    ASSERT_EQ (0,
-               connect (fd, reinterpret_cast<sockaddr *> (&to), sizeof (to)));
+    int fd = connect_to_vm (port);
+    ASSERT_GE (fd, 0);
     (void)!write (fd, bytes.data (), bytes.size ());
-    char buffer[4096];
-    ssize_t got;
-    while ((got = read (fd, buffer, sizeof (buffer))) > 0)
-      received.append (buffer, static_cast<size_t> (got));
+    received = read_to_end (fd);
     close (fd);
   });
   ev_timer_stop (vm.loop, &stop.timer);
