--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -13,8 +13,9 @@
 {
   CALL_TIMEOUT_MS = 3000,
   RETRY_MS = 500,
-  /* The second read of a new VM follows early: VMs that start together are all
-     registered after about a second.  */
+  /* The second read follows early: VMs that start together are all registered
+     after about a second.  */
+  FIRST_LISTS = 1,
   FIRST_LIST_MS = 1500,
   LIST_MS = 60000,
   CONNECT_MS = 1000,
@@ -251,12 +252,9 @@
       use_secret (c, result->records[i].secret);
     else
       add_vm (c, &result->records[i].vm);
-  /* A VM that restarts finds itself in the list, as do those that restart with
-     it, and the list is complete.  */
-  bool complete = c->lists_read > 0 || c->announced;
   c->lists_read++;
   c->step = c->announced && c->transport != NULL ? STEP_IDLE : STEP_ANNOUNCE;
-  int64_t wait_ms = complete ? LIST_MS : FIRST_LIST_MS;
+  int64_t wait_ms = c->lists_read <= FIRST_LISTS ? FIRST_LIST_MS : LIST_MS;
   wait_ms = wait_ms / 2
             + (int64_t)lt_rng_below (&c->base.node->rng, (uint64_t)wait_ms);
   c->next_us = c->step == STEP_IDLE ? now_us + wait_ms * LT_US_PER_MS : now_us;
