--- a/packages/node/test/test_signals.cc
+++ b/packages/node/test/test_signals.cc
@@ -3,29 +3,16 @@
 
 #include <csignal>
 #include <fcntl.h>
-#include <fstream>
 #include <spawn.h>
 #include <string>
 #include <sys/wait.h>
 #include <unistd.h>
 #include <vector>
 
-namespace
-{
+#include "lt/standin/process.h"
 
-// Returns whether main has begun in process PID: it ignores SIGPIPE first.
-bool
-has_begun (pid_t pid)
+namespace
 {
-  std::ifstream file ("/proc/" + std::to_string (pid) + "/status");
-  std::string line;
-  while (std::getline (file, line))
-    if (line.compare (0, 7, "SigIgn:") == 0)
-      return (std::stoull (line.substr (7), nullptr, 16)
-              & (1ULL << (SIGPIPE - 1)))
-             != 0;
-  return false;
-}
 
 // Starts the daemon and returns once main has begun.
 pid_t
@@ -51,7 +38,7 @@
   EXPECT_EQ (0, posix_spawn (&pid, program.c_str (), &files, nullptr, argv,
                              environment.data ()));
   posix_spawn_file_actions_destroy (&files);
-  while (!has_begun (pid))
+  while (!lt_standin_process_has_begun (pid))
     usleep (100);
   return pid;
 }
