Ask again for tokens only while the VM starts

Each time counts as demand and costs the home work: when the home of a domain fell silent, its members' repeated requests met the next one. Ruled out: the passing on of the register (in both), refused connections.

--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -68,21 +68,27 @@
 static bool
 is_starting (const lt_quota_controller_t *c, int64_t now_us)
 {
-  return now_us - c->vms_known_since_us < START_MS * LT_US_PER_MS;
+  return c->vms == 0
+         || now_us - c->vms_known_since_us < START_MS * LT_US_PER_MS;
 }
 
 static int64_t
-token_wait_us (const quota_waiting_t *waiting)
+token_wait_us (const quota_waiting_t *waiting, bool has_home)
 {
-  return lt_quota_token_wait_us (
-      waiting->starting, waiting->request->deadline_us - waiting->since_us);
+  lt_quota_phase_t phase = has_home ? LT_QUOTA_SERVED : LT_QUOTA_NO_HOME;
+  if (waiting->starting)
+    phase = LT_QUOTA_STARTING;
+  return lt_quota_token_wait_us (phase, waiting->request->deadline_us
+                                            - waiting->since_us);
 }
 
+/* Only requests that came while the VM was starting ask again when they were
+   denied a token: each time counts as demand at the home.  */
 static bool
 may_retry (const quota_waiting_t *waiting, int64_t now_us)
 {
   return waiting->starting
-         && now_us - waiting->since_us < token_wait_us (waiting);
+         && now_us - waiting->since_us < token_wait_us (waiting, true);
 }
 
 static lt_filter_result_t
@@ -144,9 +150,7 @@
                                 .number = ++c->next_number,
                                 .workspace = hash,
                                 .since_us = now_us,
-                                .starting
-                                = is_starting (c, now_us)
-                                  || !lt_quota_controller_is_ready (c, now_us),
+                                .starting = is_starting (c, now_us),
                                 .token_requested = reachable };
   request->filter_state[slot] = waiting;
   DL_APPEND (c->waiting, waiting);
@@ -249,8 +253,7 @@
   bool ready = lt_quota_controller_is_ready (c, now_us);
   DL_FOREACH_SAFE (c->waiting, waiting, next)
   {
-    waiting->starting = waiting->starting || !ready;
-    if (now_us - waiting->since_us > token_wait_us (waiting))
+    if (now_us - waiting->since_us > token_wait_us (waiting, ready))
       {
         lt_request_t *request = waiting->request;
         const char *place = waiting->denied ? "home" : "no-answer";
--- a/packages/node/src/quota_internal.h
+++ b/packages/node/src/quota_internal.h
@@ -43,7 +43,7 @@
   uint64_t number;    /* Correlation id of the token request. */
   uint64_t workspace; /* Hash of its name. */
   int64_t since_us;
-  bool starting;        /* This VM was starting, or had no home. */
+  bool starting;        /* Received while this VM was starting. */
   bool token_requested; /* A token has been requested from the home or the
                            reserve. */
   bool denied;          /* A request for a token was denied. */
--- a/packages/policy/include/lt/policy/quota.h
+++ b/packages/policy/include/lt/policy/quota.h
@@ -65,12 +65,21 @@
                        .report_interval_us = 1000 * 1000,                     \
                        .changed_report_interval_us = 100 * 1000 })
 
-  /** Returns how long a request waits for a token that its home did not grant
-      at once, if TIME_LEFT_US remain until its deadline.  STARTING: the VM has
-      started lately.  VMs that start together meet the requests that callers
-      sent while they were away, and the tokens for these come over the next
-      second.  */
-  int64_t lt_quota_token_wait_us (bool starting, int64_t time_left_us);
+  /** What a VM that waits for a token knows of its home.  */
+  typedef enum lt_quota_phase
+  {
+    LT_QUOTA_SERVED, /**< It has a home that responds. */
+    LT_QUOTA_NO_HOME,
+    /** It started lately.  VMs that start together meet the requests that
+        callers sent while they were away, and the tokens for these come over
+        the next second.  */
+    LT_QUOTA_STARTING
+  } lt_quota_phase_t;
+
+  /** Returns how long a request waits for a token that it was not granted at
+      once, if TIME_LEFT_US remain until its deadline.  */
+  int64_t lt_quota_token_wait_us (lt_quota_phase_t phase,
+                                  int64_t time_left_us);
 
   /** Rate and burst of one workspace.  */
   typedef struct lt_quota_rate
--- a/packages/policy/src/quota_buckets.c
+++ b/packages/policy/src/quota_buckets.c
@@ -11,6 +11,8 @@
 {
   /* About a tenth of the shortest deadlines.  */
   WAIT_MS = 150,
+  /* Another home is chosen within about this time.  */
+  NO_HOME_WAIT_MS = 500,
   /* Leaves most of the time for the upstream and a retry.  */
   START_WAIT_DIVISOR = 3
 };
@@ -41,10 +43,17 @@
 };
 
 int64_t
-lt_quota_token_wait_us (bool starting, int64_t time_left_us)
+lt_quota_token_wait_us (lt_quota_phase_t phase, int64_t time_left_us)
 {
-  if (starting)
-    return time_left_us / START_WAIT_DIVISOR;
+  switch (phase)
+    {
+    case LT_QUOTA_STARTING:
+      return time_left_us / START_WAIT_DIVISOR;
+    case LT_QUOTA_NO_HOME:
+      return NO_HOME_WAIT_MS * LT_US_PER_MS;
+    case LT_QUOTA_SERVED:
+      break;
+    }
   return WAIT_MS * LT_US_PER_MS;
 }
 
--- a/packages/policy/test/test_quota.cc
+++ b/packages/policy/test/test_quota.cc
@@ -348,8 +348,10 @@
         continue;
       std::vector<int64_t> left;
       for (int64_t since : waiting)
-        if (now - since
-            > lt_quota_token_wait_us (since - start < 1500 * MS, deadline))
+        if (now - since > lt_quota_token_wait_us (since - start < 1500 * MS
+                                                      ? LT_QUOTA_STARTING
+                                                      : LT_QUOTA_SERVED,
+                                                  deadline))
           refused++;
         else if (lt_quota_buckets_take (buckets, W, now == since, now))
           served++;
