--- a/packages/node/src/source_relay.c
+++ b/packages/node/src/source_relay.c
@@ -8,9 +8,10 @@
 
 enum
 {
-  /* Passing this much to each VM of a large domain takes a fraction of a
-     second on a narrow link.  The other VMs read larger changes themselves. */
-  RECORDS_MAX_BYTES = 32 * 1024,
+  /* Larger changes, such as a configuration, would fill a narrow link for a
+     second when they are sent to each VM of a large domain, and hold up what
+     else this VM does for them.  The other VMs read those themselves.  */
+  RECORDS_MAX_BYTES = 8 * 1024,
   /* VMs that lack changes read them within this time, one after the other.  */
   CATCH_UP_SPREAD_MS = 200,
   LIST_PEERS_MS = 500
