Check the number of digits of a chunk size before it is used

The 17th digit was added to the size before its number was checked, so a chunk size of 17 digits from an upstream was undefined behaviour; the plain build refused it. Change: the check comes first.

--- a/packages/node/src/chunked_body.c
+++ b/packages/node/src/chunked_body.c
@@ -22,8 +22,10 @@
   int digit = str_hex_digit (c);
   if (digit >= 0)
     {
+      if (++body->digits > SIZE_DIGITS_MAX)
+        return -LT_EPROTO;
       body->size = body->size * 16 + digit;
-      return ++body->digits <= SIZE_DIGITS_MAX ? 0 : -LT_EPROTO;
+      return 0;
     }
   if (body->digits == 0)
     return -LT_EPROTO;
