Do not take failed calls of one VM for an outage of the registry

Cause: any failed call of a VM marked its next response as the end of an outage, in which entries lapse and are kept for a while. A VM that was cut off once and takes over as reader minutes later says so to its whole domain, whose VMs were never cut off. Ruled out: outages of 3.5 s and more, which the relay notices by itself. Change: failures count as an outage only if no VM of the domain got a response since they began. Test: OwnFailuresAreNoOutage (SourceRelay) failed before, both upstreams stayed; EntriesThatLapsedInAnOutageAreKept (passed before as well) keeps the other side. Left: a failure so short that no other VM got a response meanwhile still counts as an outage.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -231,6 +231,8 @@
   watch->responded_us = now_us;
   lt_source_controller_t *c = watch->controller;
   const record_watch_t *other = &c->watches[watch == &c->watches[0]];
+  bool failed_alone
+      = lt_relay_failed_alone (c->relay, watch->failing_since_us);
   bool was_unavailable
       = other->failing_since_us == 0
         && lt_relay_on_response (c->relay, lt_source_verified_us (c), now_us);
@@ -239,8 +241,9 @@
   if (watch->failing_since_us == 0)
     return;
   /* The other kind may already have shown that the registry is back.  */
-  if (other->failing_since_us != 0
-      || c->recovered_us < watch->failing_since_us)
+  if (!failed_alone
+      && (other->failing_since_us != 0
+          || c->recovered_us < watch->failing_since_us))
     c->recovered_us = now_us;
   watch->failing_since_us = 0;
   for (int i = 0; i < 2; i++)
--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -440,6 +440,48 @@
   EXPECT_EQ (1u, registry.calls.size ());
 }
 
+// A VM that could not reach the registry while others did takes over as reader
+// later.  Its failures were no outage of the registry, so upstreams that left
+// meanwhile are gone at once, however many; they were used for 2.2 s more.
+TEST_F (SourceRelay, OwnFailuresAreNoOutage)
+{
+  read_all ();
+  pass (settings.leave_ms);
+  ASSERT_EQ (2u, fail_calls ());
+  follow (5000);
+  fail_calls ();
+  pass (settings.leave_ms);
+  respond (LT_REGISTRY_CONFIG, 100, {});
+  respond (LT_REGISTRY_UPSTREAMS, 120,
+           { upstream_record ("u-1", 118, true),
+             upstream_record ("u-2", 119, true) });
+  EXPECT_FALSE (has_upstream ("u-1"));
+  EXPECT_FALSE (has_upstream ("u-2"));
+}
+
+// The registry was away for every VM and entries lapsed: they are kept for a
+// while.
+TEST_F (SourceRelay, EntriesThatLapsedInAnOutageAreKept)
+{
+  read_all ();
+  pass (settings.leave_ms);
+  for (int i = 0; i < 40; i++)
+    {
+      fail_calls ();
+      pass (100);
+    }
+  pass (2000);
+  respond (LT_REGISTRY_CONFIG, 100, {});
+  pass (100);
+  respond (LT_REGISTRY_UPSTREAMS, 120,
+           { upstream_record ("u-1", 118, true),
+             upstream_record ("u-2", 119, true) });
+  EXPECT_TRUE (has_upstream ("u-1"));
+  EXPECT_TRUE (has_upstream ("u-2"));
+  pass (3000);
+  EXPECT_FALSE (has_upstream ("u-1"));
+}
+
 // A watch that hangs looks like one without changes.  A reader whose watch of
 // the configuration hangs must not count as fresh because its watch of the
 // upstreams is answered.  (All VMs of a domain kept an old configuration for
--- a/packages/policy/include/lt/policy/relay.h
+++ b/packages/policy/include/lt/policy/relay.h
@@ -69,6 +69,11 @@
   bool lt_relay_on_response (lt_relay_t *relay, int64_t verified_us,
                              int64_t now_us);
   void lt_relay_on_failure (lt_relay_t *relay);
+  /** Returns whether the registry has responded to any VM since the calls of
+      this VM began to fail at FAILING_SINCE_US: it was not unavailable
+      then.  */
+  bool lt_relay_failed_alone (const lt_relay_t *relay,
+                              int64_t failing_since_us);
 
   /** Decides whether this VM reads the registry now.  */
   bool lt_relay_reads (lt_relay_t *relay, int64_t now_us);
--- a/packages/policy/src/relay.c
+++ b/packages/policy/src/relay.c
@@ -16,7 +16,10 @@
   FAST_RETRIES = 3,
   /* Below the time after which a platform drops the records of upstreams that
      cannot reach it, commonly three heartbeats of 1.5 s.  */
-  OUTAGE_MS = 3500
+  OUTAGE_MS = 3500,
+  /* Responses may still be on their way when the registry becomes
+     unavailable.  */
+  RESPONSE_DELAY_MS = 100
 };
 
 typedef struct relay_peer
@@ -176,6 +179,13 @@
   relay->failing = true;
 }
 
+bool
+lt_relay_failed_alone (const lt_relay_t *relay, int64_t failing_since_us)
+{
+  return relay->responded_us
+         > failing_since_us + RESPONSE_DELAY_MS * LT_US_PER_MS;
+}
+
 static bool
 is_before (const relay_peer_t *peer, const lt_relay_t *relay)
 {
