Log what a VM held when the register changed, and from whom it came

Cause: after a request was handled by an old version, the logs of a VM did not say which version of the configuration or of the list of upstreams it held, from whom, how old the proof was that it had missed nothing, or how long it knew of a change without having it; nor that it kept an entry that had vanished. Change: one line for each result that changes something (register updated), one for each kept entry (upstream missing); the line of a complete read has the same fields. No decision changed.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -157,20 +157,38 @@
     install_snapshot (c);
 }
 
+int64_t
+lt_source_age_us (const record_watch_t *watch, int64_t now_us)
+{
+  return watch->responded_us == 0 ? -1 : now_us - watch->responded_us;
+}
+
+static void
+log_update (const record_watch_t *watch, const lt_registry_result_t *result,
+            const source_origin_t *origin, int64_t now_us)
+{
+  int64_t behind_us = watch->behind ? now_us - watch->behind_since_us : 0;
+  if (watch->complete && result->count == 0)
+    return;
+  lt_log (LT_LOG_INFO, "source",
+          "msg=\"register %s\" part=%s version=%lld before=%lld records=%zu "
+          "from=%.*s age_ms=%lld behind_ms=%lld",
+          watch->complete ? "updated" : "read", kind_name (watch->kind),
+          (long long)result->version, (long long)watch->version, result->count,
+          STR_ARG (origin->vm), (long long)(origin->age_us / LT_US_PER_MS),
+          (long long)(behind_us / LT_US_PER_MS));
+}
+
 void
 lt_source_apply (record_watch_t *watch, const lt_registry_result_t *result,
-                 int64_t now_us)
+                 const source_origin_t *origin, int64_t now_us)
 {
   bool full_read = !watch->complete;
   /* An older result could bring back an upstream that has left since.  */
   if (!full_read && result->version < watch->version)
     return;
+  log_update (watch, result, origin, now_us);
   apply_records (watch->controller, watch, result, now_us);
-  if (full_read)
-    lt_log (LT_LOG_INFO, "source",
-            "msg=\"register read\" part=%s version=%lld records=%zu",
-            kind_name (watch->kind), (long long)result->version,
-            result->count);
   watch->version = result->version;
   if (full_read || result->count > 0)
     watch->changed_version = result->version;
@@ -288,6 +306,7 @@
   record_watch_t *watch = user;
   lt_source_controller_t *c = watch->controller;
   int64_t now_us = lt_node_now_us (c->base.node);
+  source_origin_t origin = { .age_us = lt_source_age_us (watch, now_us) };
   watch->in_flight = false;
   if (result->error != 0)
     {
@@ -304,7 +323,7 @@
     }
   else
     {
-      lt_source_apply (watch, result, now_us);
+      lt_source_apply (watch, result, &origin, now_us);
       lt_source_relay_result (watch, result, now_us);
       watch->next_us = now_us + pause_ms (c) * LT_US_PER_MS;
       if (result->count > 0)
@@ -363,8 +382,7 @@
 lt_source_controller_registry_age_us (lt_source_controller_t *c,
                                       int64_t now_us)
 {
-  int64_t responded_us = c->watches[LT_REGISTRY_CONFIG].responded_us;
-  return responded_us == 0 ? -1 : now_us - responded_us;
+  return lt_source_age_us (&c->watches[LT_REGISTRY_CONFIG], now_us);
 }
 
 static void
--- a/packages/node/src/source_entries.c
+++ b/packages/node/src/source_entries.c
@@ -91,6 +91,7 @@
   /* The entry may have expired because the store was unavailable.  */
   if (is_after_outage (c, now_us) && !entry->upstream.draining)
     {
+      log_upstream (c, entry, "missing");
       entry->missing = true;
       return false;
     }
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -34,12 +34,20 @@
   bool complete;            /* Completely read; now watched. */
   bool in_flight;           /* A call is in flight. */
   bool behind;              /* Another VM has reported later changes. */
+  int64_t behind_since_us;  /* When it reported them. */
   int64_t failing_since_us; /* When calls began to fail; 0: they succeed. */
   int failures;
   int64_t next_us;
   int64_t responded_us; /* Last response; 0: none. */
 } record_watch_t;
 
+/* Where a result comes from, for the log.  */
+typedef struct source_origin
+{
+  str_t vm;       /* The VM that passed it on; empty: a call of this VM. */
+  int64_t age_us; /* Age of what this VM had before; see lt_source_age_us. */
+} source_origin_t;
+
 typedef struct upstream_entry
 {
   UT_hash_handle hh;
@@ -69,10 +77,13 @@
 
 /* source_controller.c */
 
-/** Applies RESULT of a call or of another VM to WATCH, unless it is older than
-    what WATCH has.  */
+/** Returns how long ago the registry had last responded to WATCH; -1:
+    never.  */
+int64_t lt_source_age_us (const record_watch_t *watch, int64_t now_us);
+/** Applies RESULT to WATCH, unless it is older than what WATCH has.  */
 void lt_source_apply (record_watch_t *watch,
-                      const lt_registry_result_t *result, int64_t now_us);
+                      const lt_registry_result_t *result,
+                      const source_origin_t *origin, int64_t now_us);
 bool lt_source_is_healthy (const lt_source_controller_t *c);
 /** Returns when the registry had last responded to both watches; 0: never.  */
 int64_t lt_source_verified_us (const lt_source_controller_t *c);
--- a/packages/node/src/source_relay.c
+++ b/packages/node/src/source_relay.c
@@ -120,6 +120,7 @@
       return;
     }
   watch->behind = true;
+  watch->behind_since_us = now_us;
   watch->next_us = now_us
                    + (int64_t)lt_rng_below (&c->base.node->rng,
                                             CATCH_UP_SPREAD_MS * LT_US_PER_MS);
@@ -159,6 +160,7 @@
 typedef struct decoded_records
 {
   record_watch_t *watch;
+  str_t sender;
   int64_t version;
   int64_t now_us;
 } decoded_records_t;
@@ -175,7 +177,10 @@
     }
   lt_registry_result_t result = *decoded;
   result.version = records->version;
-  lt_source_apply (records->watch, &result, records->now_us);
+  source_origin_t origin
+      = { .vm = records->sender,
+          .age_us = lt_source_age_us (records->watch, records->now_us) };
+  lt_source_apply (records->watch, &result, &origin, records->now_us);
   c->relayed[SOURCE_RELAY_APPLIED]->value++;
 }
 
@@ -194,8 +199,10 @@
       || records.after_version > watch->version)
     return;
   note_outage (c, records.outage_age_us, now_us);
-  decoded_records_t decoded
-      = { .watch = watch, .version = records.version, .now_us = now_us };
+  decoded_records_t decoded = { .watch = watch,
+                                .sender = message->sender,
+                                .version = records.version,
+                                .now_us = now_us };
   lt_registry_t *registry = c->base.node->registry;
   registry->vtable->decode (registry, watch->kind, records.records, on_decoded,
                             &decoded);
@@ -240,14 +247,15 @@
   if (reads == c->reading)
     return;
   c->reading = reads;
-  lt_log (LT_LOG_INFO, "source",
-          "msg=\"%s\" configuration=%lld upstreams=%lld age_ms=%lld",
-          reads ? "reading the register for the domain"
-                : "another VM reads the register",
-          (long long)c->watches[LT_REGISTRY_CONFIG].version,
-          (long long)c->watches[LT_REGISTRY_UPSTREAMS].version,
-          (long long)((now_us - c->watches[LT_REGISTRY_UPSTREAMS].responded_us)
-                      / LT_US_PER_MS));
+  lt_log (
+      LT_LOG_INFO, "source",
+      "msg=\"%s\" configuration=%lld upstreams=%lld age_ms=%lld",
+      reads ? "reading the register for the domain"
+            : "another VM reads the register",
+      (long long)c->watches[LT_REGISTRY_CONFIG].version,
+      (long long)c->watches[LT_REGISTRY_UPSTREAMS].version,
+      (long long)(lt_source_age_us (&c->watches[LT_REGISTRY_UPSTREAMS], now_us)
+                  / LT_US_PER_MS));
 }
 
 void
