End calls to the registry soon, also of a VM that knows no others

Callers saw: for up to 32 s after a silent outage of the store a VM handled requests by an old configuration (CONFIG), refused new routes and keys (DENIED), and sent requests to upstreams that were leaving (DRAIN). Cause: a watch waited 30 s for changes, and 2 s more. The response to one that begins while the store is silent never comes, so the VM learned nothing until it ended. A watch begins then whenever a change was read just before. Change: a watch waits a third of the time for leaving upstreams, whatever is known of others, and is given up 1.5 s later (2 s before); a complete read after 2.5 s (3 s before). With a pause and the next call that is below 3 s.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -9,12 +9,14 @@
 
 enum
 {
-  /* A read of a few hundred records takes milliseconds; a store that is 100
-     times slower still responds within this time.  */
-  READ_TIMEOUT_MS = 3000,
-  /* Longest wait of a watch that the platform allows.  */
-  WATCH_WAIT_MS = 30000,
-  WATCH_TIMEOUT_MARGIN_MS = 2000,
+  /* The response to a call that begins in an outage may never come.  A call
+     and its time-out, a pause and the next call fit into 3 s, after which a VM
+     that reaches the registry is expected to be up to date.  A read of a few
+     hundred records takes milliseconds, or some tenths of a second from a
+     registry that is 100 times slower.  */
+  READ_TIMEOUT_MS = 2500,
+  WAITS_PER_LEAVE_TIME = 3,
+  WATCH_TIMEOUT_MARGIN_MS = 1500,
   /* Deployments that refuse keys without the registry poll it this often
      within the time in which a withdrawn key must stop working.  */
   POLLS_PER_REVOCATION = 3,
@@ -30,11 +32,9 @@
      registry is back.  A VM that was cut off from those as well must notice by
      itself well within the time for a new configuration.  */
   SLOW_RETRY_MS = 1200,
-  /* A VM that reads for its domain pauses for less than others, and each of
-     its watches ends within a part of the time for leaving upstreams: both
-     together stay below the time for which its reports are fresh.  */
+  /* A VM that reads for its domain pauses for less than others: a pause and a
+     watch together stay below the time for which its reports are fresh.  */
   READER_PAUSES_PER_LEAVE_TIME = 8,
-  READER_WAITS_PER_LEAVE_TIME = 3,
   /* Shorter pause while entries are missing, so that restored entries are read
      within the retention time.  */
   MISSING_PAUSE_MS = 250,
@@ -336,22 +336,18 @@
     submit_next (watch);
 }
 
+/* The other VMs rely on the responses to both watches as a sign that this VM
+   reaches the registry: a watch that hangs looks like one without changes.  */
 static int64_t
 watch_wait_ms (const record_watch_t *watch)
 {
   const lt_source_controller_t *c = watch->controller;
   const lt_settings_t *settings = c->base.node->settings;
-  int64_t wait_ms = settings->fail_closed
-                        ? settings->revoke_ms / POLLS_PER_REVOCATION
-                        : WATCH_WAIT_MS;
-  int64_t reader_ms = settings->leave_ms / READER_WAITS_PER_LEAVE_TIME;
+  int64_t wait_ms = settings->leave_ms / WAITS_PER_LEAVE_TIME;
+  int64_t poll_ms = settings->revoke_ms / POLLS_PER_REVOCATION;
   if (watch->behind && !c->reading)
     return 0;
-  /* The other VMs rely on the responses to both watches as a sign that this VM
-     reaches the registry: one that hangs looks like one without changes.  */
-  if (reads_for_domain (c) && reader_ms < wait_ms)
-    return reader_ms;
-  return wait_ms;
+  return settings->fail_closed && poll_ms < wait_ms ? poll_ms : wait_ms;
 }
 
 bool
--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -29,6 +29,7 @@
   lt_registry_kind_t kind;
   int64_t version;
   int64_t wait_ms;
+  int64_t timeout_ms;
   lt_registry_done_t done;
   void *user;
 };
@@ -57,20 +58,21 @@
 std::vector<std::string> others;
 
 int
-fake_read (lt_registry_t *base, lt_registry_kind_t kind, int64_t,
+fake_read (lt_registry_t *base, lt_registry_kind_t kind, int64_t timeout_ms,
            lt_registry_done_t done, void *user)
 {
   reinterpret_cast<FakeRegistry *> (base)->calls.push_back (
-      { true, kind, 0, 0, done, user });
+      { true, kind, 0, 0, timeout_ms, done, user });
   return 0;
 }
 
 int
 fake_watch (lt_registry_t *base, lt_registry_kind_t kind, int64_t version,
-            int64_t wait_ms, int64_t, lt_registry_done_t done, void *user)
+            int64_t wait_ms, int64_t timeout_ms, lt_registry_done_t done,
+            void *user)
 {
   reinterpret_cast<FakeRegistry *> (base)->calls.push_back (
-      { false, kind, version, wait_ms, done, user });
+      { false, kind, version, wait_ms, timeout_ms, done, user });
   return 0;
 }
 
@@ -459,6 +461,35 @@
   EXPECT_FALSE (has_upstream ("u-2"));
 }
 
+// The response to a call may never come.  Whatever a VM knows of others when
+// it begins, the call ends so early that the VM is up to date 3 s after an
+// outage; a VM that knew no others waited for 32 s.
+TEST_F (SourceRelay, NoCallOutlivesAnOutageForLong)
+{
+  const int64_t kUpToDateMs = 3000;
+  const int64_t kRetryMs = 150 + 100; // The first pause, and a tick.
+  for (const Call &call : registry.calls)
+    EXPECT_LE (call.timeout_ms + kRetryMs, kUpToDateMs) << "read";
+  read_all ();
+  for (int64_t leave_ms : { 1500, 2500, 3000 })
+    for (size_t vms : { 0u, 1u, 3u })
+      {
+        settings.leave_ms = leave_ms;
+        others.resize (vms, "vm-1");
+        for (int i = 0; i < 100; i++)
+          {
+            pass (300);
+            for (const Call &call : registry.calls)
+              EXPECT_LE (call.timeout_ms + kRetryMs, kUpToDateMs)
+                  << leave_ms << " " << vms;
+            if (i % 3 == 0)
+              fail_calls ();
+            for (size_t left = registry.calls.size (); left > 0; left--)
+              respond (registry.calls[0].kind, 100, {});
+          }
+      }
+}
+
 // The registry was away for every VM and entries lapsed: they are kept for a
 // while.
 TEST_F (SourceRelay, EntriesThatLapsedInAnOutageAreKept)
