Do not end a named rate with a failure that names none

Upstreams saw: one that had named a rate and then failed without naming it again got as many requests as before (rule LIMIT), until its next response with a rate. Cause: every response without the rate counted as its end, also failures, which may come from something between the VM and the upstream, or from an upstream that is in too much need to say so. Ruled out: the delay of 0.5 s after the last response with a rate; at rates below 2 a second each failure comes later. Change: only a success without a rate ends it. An upstream that keeps failing gets one request a slot and so is still tried.

--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -326,7 +326,8 @@
   const lt_upstream_t *upstream = &event->snapshot->upstreams[event->upstream];
   uint64_t id = upstream_id (upstream);
   int64_t rate = event->rate_milli_per_s;
-  if (rate < 0)
+  /* A failure that names no rate may come from something in between.  */
+  if (rate < 0 || (rate == 0 && event->outcome != LT_ATTEMPT_OK))
     return;
   bool changed = set_rate (c, id, rate, "own", now_us);
   pending_update_t *pending = mark_changed (c, upstream);
