Count the upstreams that name a rate apart from their gauge

Operators saw: lavendertrack_upstreams_limited counted each change of a rate as one more upstream, for up to the interval at which gauges are updated. Cause: the gauge was also the state that decides whether places are computed, and was raised with each change so that they are computed at once. Change: limited_count, at most that many upstreams, decides; the gauge only reports. No decision changes. Read in the code, no figure.

--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -53,6 +53,7 @@
   lt_counter_t *malformed;
   lt_gauge_t *suspected;
   lt_gauge_t *limited;
+  uint32_t limited_count; /* Upstreams that name a rate, at most. */
   lt_upstream_places_t *places;
   int64_t gauge_updated_us; /* Last update of the gauges. */
 };
@@ -313,7 +314,7 @@
       c->base.node->registry_clock.sampled_us != 0 ? "shared" : "own", source);
   if (rate_milli_per_s > 0)
     {
-      c->limited->value++;
+      c->limited_count++;
       lt_upstream_places_update (c->places, c->choice);
     }
   return true;
@@ -437,7 +438,7 @@
     }
   lt_upstream_places_configure (c->places, current, upstreams);
   lt_choice_configure (c->choice, upstreams, count, now_us);
-  if (c->limited->value > 0)
+  if (c->limited_count > 0)
     lt_upstream_places_update (c->places, c->choice);
   free (upstreams);
   free (c->updates);
@@ -451,7 +452,7 @@
   if (c->config == NULL || now_us - c->gauge_updated_us < GAUGE_INTERVAL_US)
     return;
   c->gauge_updated_us = now_us;
-  if (c->limited->value > 0)
+  if (c->limited_count > 0)
     lt_upstream_places_update (c->places, c->choice);
   const lt_snapshot_t *s = c->config->snapshot;
   uint32_t count = 0;
@@ -465,6 +466,7 @@
       limited += view.rate_milli_per_s > 0;
     }
   c->suspected->value = count;
+  c->limited_count = limited;
   c->limited->value = limited;
 }
 
