Log an unknown age of the register as -1

Operators saw: age_ms=0, a proof of this moment, in "register updated" where the sender had no proof of the register's state yet. Cause: lt_source_age_us returns -1 us for an unknown age, and -1 us divided by 1,000 is 0 ms. Change: any negative age is printed as -1. No decision changes; read in the code, no figure.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -175,7 +175,8 @@
           "from=%.*s age_ms=%lld behind_ms=%lld",
           watch->complete ? "updated" : "read", kind_name (watch->kind),
           (long long)result->version, (long long)watch->version, result->count,
-          STR_ARG (origin->vm), (long long)(origin->age_us / LT_US_PER_MS),
+          STR_ARG (origin->vm),
+          (long long)(origin->age_us < 0 ? -1 : origin->age_us / LT_US_PER_MS),
           (long long)(behind_us / LT_US_PER_MS));
 }
 
