Wait for the first share while no lender has one

Callers saw: the first request of a workspace on each VM refused with 429 just after the configuration was applied to a fleet without a platform (FleetTest.AppliedSheetServesOnEveryVm, in KNOWN-RED.txt). Cause: the VMs that lend tokens had not received their first share, so each denied at once, and a denial was taken for a used-up rate. The wait for the first grant existed only where there are no lenders. KNOWN-RED.txt suspected that no home was known; ruled out by the log line below. Change: such a request waits for the first grant, 250 ms at most, as it does without lenders, and lenders are asked again once the denial has lapsed. A denial by a lender that has a share refuses at once, as before. Test: LimitHolder.WaitsWhileLendersHaveNoShare failed before. The hosted fleet does not use this module.

--- a/packages/policy/src/limit_holder.c
+++ b/packages/policy/src/limit_holder.c
@@ -282,12 +282,16 @@
   bool no_lenders
       = holder->other_lender_count[lt_limit_group (share->rate.workspace)]
         == 0;
-  if (no_lenders && awaits_first_grant (holder, share))
+  bool denied = now_us < share->denied_until_us;
+  /* A denial by lenders without a share does not mean that the rate is used
+     up.  */
+  if ((no_lenders || (denied && share->best_ppm == 0))
+      && awaits_first_grant (holder, share))
     {
       share->waiting_count++;
       return (lt_limit_spend_t){ LT_LIMIT_WAIT, 0 };
     }
-  if (no_lenders || holder->draining || now_us < share->denied_until_us)
+  if (no_lenders || holder->draining || denied)
     return (lt_limit_spend_t){ LT_LIMIT_REFUSED, retry_after (share, now_us) };
   share->waiting_count++;
   if (!share->borrow_pending)
@@ -336,6 +340,9 @@
   if (share->borrow_pending
       && now_us - share->borrow_sent_us > BORROW_TIMEOUT_US)
     lt_limit_holder_try_next_lender (holder, share, now_us, actions);
+  if (share->denied_until_us > 0 && now_us >= share->denied_until_us
+      && !share->borrow_pending)
+    lt_limit_holder_wake (actions, share);
   if (lt_limit_holder_home (holder, share) == LT_LIMIT_HOME_NONE)
     return;
   if (share->pending_return.ppm > 0
--- a/packages/policy/test/test_limit.cc
+++ b/packages/policy/test/test_limit.cc
@@ -367,6 +367,49 @@
   lt_limit_holder_destroy (holder);
 }
 
+// A request must not be refused because the VMs that lend have no share yet,
+// as after a start; if they have one and lend nothing, it is refused at once.
+TEST (LimitHolder, WaitsWhileLendersHaveNoShare)
+{
+  for (int32_t lender_ppm : { 0, 500000 })
+    {
+      lt_limit_holder_options_t options = LT_LIMIT_HOLDER_OPTIONS_DEFAULT;
+      options.incarnation = 5;
+      lt_limit_holder_t *holder = lt_limit_holder_create (&options);
+      lt_limit_rate_t rate = { WORKSPACE, 1000, 10 };
+      lt_limit_actions_t actions = { nullptr, 0, 0 };
+      lt_limit_vm_t lender = { "lender" };
+      lt_limit_holder_configure (holder, &rate, 1, 0);
+      lt_limit_holder_set_home (holder, WORKSPACE, LT_LIMIT_HOME_REMOTE);
+      lt_limit_holder_set_lenders (holder, WORKSPACE, 1, false);
+      EXPECT_EQ (
+          LT_LIMIT_WAIT,
+          lt_limit_holder_spend (holder, 0, false, 100, &actions).verdict);
+      // It asks twice if the first reply names a share.
+      for (size_t i = 0; i < actions.count; i++)
+        if (actions.items[i].type == LT_LIMIT_SEND_LENDER)
+          {
+            lt_limit_message_t m = actions.items[i].message;
+            m.type = LT_LIMIT_TOKENS_LEND;
+            m.tokens = 0;
+            m.ppm = lender_ppm;
+            lt_limit_holder_message (holder, &lender, &m, 200, &actions);
+          }
+      EXPECT_EQ (
+          lender_ppm == 0 ? LT_LIMIT_WAIT : LT_LIMIT_REFUSED,
+          lt_limit_holder_spend (holder, 0, true, 200, &actions).verdict)
+          << lender_ppm;
+      lt_limit_message_t m = grant (7, 1, LT_LIMIT_WHOLE_PPM);
+      m.tokens = 4 * LT_LIMIT_TOKEN;
+      lt_limit_holder_message (holder, &lender, &m, 300, &actions);
+      EXPECT_EQ (
+          LT_LIMIT_GRANTED,
+          lt_limit_holder_spend (holder, 0, true, 300, &actions).verdict);
+      lt_limit_actions_destroy (&actions);
+      lt_limit_holder_destroy (holder);
+    }
+}
+
 // A home whose table is an in-memory record.
 struct Home
 {
