Give the fleets of each test process a loopback address of their own

Seen: beside eleven others, 6 of 240 runs of QuarantineFleet.VmsShareIt (sanitizer build) failed before their first check: 404 from another test's process, or a program that could not listen. Cause: free_port closes the port that it has found, and another process takes it, as its own port or for an outgoing connection, before the program that it was chosen for listens; stand-in upstreams also close theirs when they restart. Change: fleet_address, from the process id; ports on it are not shared.

--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -3,6 +3,7 @@
 #ifndef LT_NODE_TEST_FLEET_H
 #define LT_NODE_TEST_FLEET_H
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
 #include <spawn.h>
@@ -69,6 +70,16 @@
   pid_t pid = -1;
 };
 
+// The loopback address of this process's fleets.  On a shared one, another
+// process can take a port before the process that it was chosen for listens.
+inline in_addr_t
+fleet_address ()
+{
+  const in_addr_t loopback_net = 127U << 24;
+  const in_addr_t first_host = 1U << 16;
+  return loopback_net + first_host + static_cast<in_addr_t> (getpid ());
+}
+
 inline int
 free_port ()
 {
@@ -76,7 +87,7 @@
   sockaddr_in address = {};
   socklen_t len = sizeof (address);
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  address.sin_addr.s_addr = htonl (fleet_address ());
   if (bind (fd, reinterpret_cast<sockaddr *> (&address), sizeof (address)) != 0
       || getsockname (fd, reinterpret_cast<sockaddr *> (&address), &len) != 0)
     abort ();
@@ -87,7 +98,10 @@
 inline std::string
 local (int port)
 {
-  return "127.0.0.1:" + std::to_string (port);
+  in_addr address = { htonl (fleet_address ()) };
+  char text[INET_ADDRSTRLEN];
+  inet_ntop (AF_INET, &address, text, sizeof (text));
+  return text + (":" + std::to_string (port));
 }
 
 struct CommandResult
