Read the registry's clock now and then on every VM

Cause: slots of named rates lie on the registry's clock, which a VM compares with its own only when it calls the registry. Since one VM reads for its failure domain, the others need no call for hours; clocks that differ by 100 ppm are a whole slot of 1 s apart after three hours. The class: a limit of the fleet that rests on knowledge whose age nothing bounds. Ruled out: frozen VMs (the clock counts suspended time), steps of the time of day (not used). Change: each VM makes one call to the registry each 5 to 15 minutes if it made no other, 0.0017 a second. Test: SourceRelay.FollowersReadTheClockNowAndThen, an hour of virtual time at 100 ppm, failed before (0.1 s apart after 17 minutes).

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -38,6 +38,10 @@
   /* Shorter pause while entries are missing, so that restored entries are read
      within the retention time.  */
   MISSING_PAUSE_MS = 250,
+  /* The registry's clock is read this often, at random within a half more or
+     less.  Meanwhile the clocks of two VMs drift apart by a tenth of a second
+     or less.  */
+  CLOCK_READ_INTERVAL_S = 600,
   /* Low bits of a snapshot's version: number of snapshots installed since the
      configuration changed.  */
   INSTALL_COUNT_BITS = 20
@@ -291,14 +295,27 @@
 }
 
 /* Returns whether WATCH is to call the registry: until it has read all records
-   once and there is a configuration, when it lacks changes, and while this VM
-   reads for its domain.  */
+   once and there is a configuration, when it lacks changes, while this VM
+   reads for its domain, and now and then for the registry's clock.  */
 static bool
-needs_call (const record_watch_t *watch)
+needs_call (const record_watch_t *watch, int64_t now_us)
 {
   const lt_source_controller_t *c = watch->controller;
   return !watch->complete || watch->behind || c->reading
-         || c->configuration == NULL;
+         || c->configuration == NULL
+         || (watch->kind == LT_REGISTRY_CONFIG && now_us >= c->clock_due_us);
+}
+
+static void
+read_clock (lt_source_controller_t *c, const lt_registry_result_t *result,
+            int64_t now_us)
+{
+  lt_node_t *node = c->base.node;
+  const int64_t interval_us = CLOCK_READ_INTERVAL_S * LT_US_PER_S;
+  c->clock_due_us = now_us + interval_us / 2
+                    + (int64_t)lt_rng_below (&node->rng, interval_us);
+  if (result->clock_us > 0)
+    lt_remote_clock_sample (&node->registry_clock, result->clock_us, now_us);
 }
 
 static void
@@ -315,9 +332,7 @@
       return;
     }
   record_response (watch, now_us);
-  if (result->clock_us > 0)
-    lt_remote_clock_sample (&c->base.node->registry_clock, result->clock_us,
-                            now_us);
+  read_clock (c, result, now_us);
   if (result->history_lost)
     {
       lt_log (LT_LOG_INFO, "source",
@@ -333,7 +348,7 @@
       if (result->count > 0)
         return; /* The tick starts the next call after the pause. */
     }
-  if (needs_call (watch))
+  if (needs_call (watch, now_us))
     submit_next (watch);
 }
 
@@ -392,7 +407,7 @@
   lt_source_relay_tick (c, now_us);
   for (int i = 0; i < 2; i++)
     if (!c->watches[i].in_flight && now_us >= c->watches[i].next_us
-        && needs_call (&c->watches[i]))
+        && needs_call (&c->watches[i], now_us))
       submit_next (&c->watches[i]);
   if (lt_source_expire_missing (c, now_us))
     install_snapshot (c);
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -67,6 +67,7 @@
   int64_t install_count;
   int64_t recovered_us; /* End of the last outage, of any kind; 0: none. */
   lt_relay_t *relay;
+  int64_t clock_due_us;    /* When the registry's clock is read again. */
   bool reading;            /* Reads the registry for its domain. */
   int64_t peers_listed_us; /* When the relay's peers were last set. */
   lt_counter_t *failures[2];
--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -228,6 +228,7 @@
         result.records = records.data ();
         result.count = records.size ();
         result.encoded = str_from (encoded);
+        result.clock_us = clock.now_us + registry_ahead_us;
         call.done (call.user, &result);
         return;
       }
@@ -322,6 +323,7 @@
   }
 
   struct ev_loop *loop;
+  int64_t registry_ahead_us = 0; // The registry's clock, of the VM's.
   lt_manual_clock_t clock;
   lt_settings_t settings;
   lt_node_t node = {};
@@ -592,3 +594,24 @@
   pass (300);
   EXPECT_EQ (1u, registry.calls.size ());
 }
+
+// Guards against slots of a named rate that coincide, because a VM that leaves
+// reading to another one does not notice that its clock drifts.
+TEST_F (SourceRelay, FollowersReadTheClockNowAndThen)
+{
+  const int64_t step_ms = 3000;
+  const int64_t drift_ppm = 100;
+  read_all ();
+  follow (step_ms);
+  size_t calls = 0;
+  for (int64_t t = 0; t < 3600 * 1000; t += step_ms)
+    {
+      registry_ahead_us += step_ms * MS * drift_ppm / 1000000;
+      follow (step_ms);
+      for (; !registry.calls.empty (); calls++)
+        respond (registry.calls[0].kind, 100, {});
+      ASSERT_LE (registry_ahead_us - node.registry_clock.offset_us, 100 * MS);
+    }
+  EXPECT_GE (calls, 4u);
+  EXPECT_LE (calls, 14u);
+}
