Date responses of the registry by its clock

Callers could have seen requests handled by an old version, or upstreams that are leaving getting requests (CONFIG, DRAIN), for as long as a response was held up before it arrived. Cause: what a response shows was taken to hold at the moment of its arrival. A VM that was frozen, or whose link was cut, reads a response that was sent seconds before; its report then made its whole failure domain count as current. The class of the incident: knowledge taken to be current on evidence that does not show it. Ruled out: reports between VMs, which are dated by the fastest one. Change: a response counts as of the time that the registry states in it, on this VM's clock by the response with the shortest way. Test: SourceRelay.ReportsDateALateResponseByTheRegistry failed before (dated at its arrival, 1.5 s late).

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -248,11 +248,37 @@
 }
 
 static void
-record_response (record_watch_t *watch, int64_t now_us)
+read_clock (lt_source_controller_t *c, const lt_registry_result_t *result,
+            int64_t now_us)
+{
+  lt_node_t *node = c->base.node;
+  const int64_t interval_us = CLOCK_READ_INTERVAL_S * LT_US_PER_S;
+  c->clock_due_us = now_us + interval_us / 2
+                    + (int64_t)lt_rng_below (&node->rng, interval_us);
+  if (result->clock_us > 0)
+    lt_remote_clock_sample (&node->registry_clock, result->clock_us, now_us);
+}
+
+/* Returns when the registry sent a response that arrives at NOW_US.  One that
+   was held up shows nothing about the time since.  */
+static int64_t
+sent_us (const lt_source_controller_t *c, const lt_registry_result_t *result,
+         int64_t now_us)
+{
+  int64_t us = result->clock_us - c->base.node->registry_clock.offset_us;
+  return result->clock_us == 0 || us > now_us ? now_us : us;
+}
+
+static void
+record_response (record_watch_t *watch, const lt_registry_result_t *result,
+                 int64_t now_us)
 {
-  watch->failures = 0;
-  watch->responded_us = now_us;
   lt_source_controller_t *c = watch->controller;
+  read_clock (c, result, now_us);
+  int64_t responded_us = sent_us (c, result, now_us);
+  watch->failures = 0;
+  if (responded_us > watch->responded_us)
+    watch->responded_us = responded_us;
   const record_watch_t *other = &c->watches[watch == &c->watches[0]];
   bool failed_alone
       = lt_relay_failed_alone (c->relay, watch->failing_since_us);
@@ -306,18 +332,6 @@
          || (watch->kind == LT_REGISTRY_CONFIG && now_us >= c->clock_due_us);
 }
 
-static void
-read_clock (lt_source_controller_t *c, const lt_registry_result_t *result,
-            int64_t now_us)
-{
-  lt_node_t *node = c->base.node;
-  const int64_t interval_us = CLOCK_READ_INTERVAL_S * LT_US_PER_S;
-  c->clock_due_us = now_us + interval_us / 2
-                    + (int64_t)lt_rng_below (&node->rng, interval_us);
-  if (result->clock_us > 0)
-    lt_remote_clock_sample (&node->registry_clock, result->clock_us, now_us);
-}
-
 static void
 on_result (void *user, const lt_registry_result_t *result)
 {
@@ -331,8 +345,7 @@
       record_failure (watch, result->error, now_us);
       return;
     }
-  record_response (watch, now_us);
-  read_clock (c, result, now_us);
+  record_response (watch, result, now_us);
   if (result->history_lost)
     {
       lt_log (LT_LOG_INFO, "source",
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -38,7 +38,7 @@
   int64_t failing_since_us; /* When calls began to fail; 0: they succeed. */
   int failures;
   int64_t next_us;
-  int64_t responded_us; /* Last response; 0: none. */
+  int64_t responded_us; /* When the last response was sent; 0: none. */
 } record_watch_t;
 
 /* Where a result comes from, for the log.  */
--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -556,6 +556,27 @@
   EXPECT_GT (report.parts[LT_REGISTRY_UPSTREAMS].verified_us, began_us);
 }
 
+// Guards against VMs that rely on a response which was held up, as if it had
+// shown the state of the registry when it arrived.
+TEST_F (SourceRelay, ReportsDateALateResponseByTheRegistry)
+{
+  read_all ();
+  pass (settings.leave_ms);
+  respond (LT_REGISTRY_UPSTREAMS, 100, {});
+  pass (300);
+  peers.sent.clear ();
+  registry_ahead_us = -1500 * MS;
+  respond (LT_REGISTRY_UPSTREAMS, 100, {});
+  ASSERT_FALSE (peers.sent.empty ());
+  lt_wire_registry_report_t report;
+  ASSERT_EQ (0, lt_wire_registry_report_decode (
+                    str_make (peers.sent[0].payload.data (),
+                              peers.sent[0].payload.size ()),
+                    &report));
+  EXPECT_LE (report.parts[LT_REGISTRY_UPSTREAMS].verified_us,
+             report.sent_us - 300 * MS);
+}
+
 // A VM that drains, or whose calls fail, says so at its next report.
 TEST_F (SourceRelay, ReaderThatDrainsDoesNotServe)
 {
