Leave new connections open when a stopping VM ends accepting

Callers saw: a connection that they had just opened was closed without a response as a planned stop closed the listener, though their first request, of which the VM had read nothing or the first bytes, was on its way. A closed connection promises nothing, so a request that may run once was lost. Cause: a connection without a request was taken for one between two requests. Ruled out: connections in the backlog (accepted then), requests whose first line was read, bodies that are still coming, responses that take long. Change: only connections that had a request are closed then; the others have the second for which the drain waits for open connections. Test: PlannedStop, a table of connections at the start of the drain and at the end of accepting. CutsNoRequestWhenAcceptingEnds failed before (0 and 1 bytes of the request sent: closed); the two others passed before as well.

--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -337,15 +337,16 @@
   *socket_context = NULL;
 }
 
-/* Closes idle connections.  A caller whose connection is closed between
-   requests can tell that its next request was not read.  */
+/* Closes connections between two requests, as their callers can tell that the
+   next one was not read.  The first request of a connection may be on its
+   way.  */
 static void
 close_idle (lt_caller_server_t *server)
 {
   caller_connection_t *caller;
   DL_FOREACH (server->connections, caller)
   {
-    if (caller->open_exchanges == 0)
+    if (caller->open_exchanges == 0 && caller->last_started_us != 0)
       shutdown (caller->fd, SHUT_RD);
   }
 }
