--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -313,6 +313,16 @@
       }
   }
 
+  // Decodes the first message sent, which must be a report.
+  void
+  first_report (lt_wire_registry_report_t *report)
+  {
+    ASSERT_FALSE (peers.sent.empty ());
+    const std::string &payload = peers.sent[0].payload;
+    ASSERT_EQ (0, lt_wire_registry_report_decode (
+                      str_make (payload.data (), payload.size ()), report));
+  }
+
   bool
   has_upstream (const char *name)
   {
@@ -546,12 +556,8 @@
       respond (LT_REGISTRY_UPSTREAMS, 100, {});
       pass (300);
     }
-  ASSERT_FALSE (peers.sent.empty ());
-  lt_wire_registry_report_t report;
-  ASSERT_EQ (0, lt_wire_registry_report_decode (
-                    str_make (peers.sent[0].payload.data (),
-                              peers.sent[0].payload.size ()),
-                    &report));
+  lt_wire_registry_report_t report = {};
+  ASSERT_NO_FATAL_FAILURE (first_report (&report));
   EXPECT_LT (report.parts[LT_REGISTRY_CONFIG].verified_us, began_us);
   EXPECT_GT (report.parts[LT_REGISTRY_UPSTREAMS].verified_us, began_us);
 }
@@ -567,12 +573,8 @@
   peers.sent.clear ();
   registry_ahead_us = -1500 * MS;
   respond (LT_REGISTRY_UPSTREAMS, 100, {});
-  ASSERT_FALSE (peers.sent.empty ());
-  lt_wire_registry_report_t report;
-  ASSERT_EQ (0, lt_wire_registry_report_decode (
-                    str_make (peers.sent[0].payload.data (),
-                              peers.sent[0].payload.size ()),
-                    &report));
+  lt_wire_registry_report_t report = {};
+  ASSERT_NO_FATAL_FAILURE (first_report (&report));
   EXPECT_LE (report.parts[LT_REGISTRY_UPSTREAMS].verified_us,
              report.sent_us - 300 * MS);
 }
@@ -585,12 +587,8 @@
   node.draining = true;
   peers.sent.clear ();
   respond (LT_REGISTRY_UPSTREAMS, 100, {});
-  ASSERT_FALSE (peers.sent.empty ());
-  lt_wire_registry_report_t report;
-  ASSERT_EQ (0, lt_wire_registry_report_decode (
-                    str_make (peers.sent[0].payload.data (),
-                              peers.sent[0].payload.size ()),
-                    &report));
+  lt_wire_registry_report_t report = {};
+  ASSERT_NO_FATAL_FAILURE (first_report (&report));
   EXPECT_FALSE (report.serving);
 }
 
