explain: show which versions of the register a VM held

Change: lavenderctl explain shows, for each VM that had the request, its last line about each part of the register, however old. A line tells of a topic (estimate, register, entry) and a subject; the last one of both is shown. The words of the program and its page follow (knew, not believed). Test: Ctl.TellsTheStoryFromLogs, whose golden files have such lines, failed before. No daemon code.

--- a/packages/ctl/src/command_explain.c
+++ b/packages/ctl/src/command_explain.c
@@ -11,8 +11,8 @@
   "Says what happened to a recent request.  VMs keep records in memory "
   "only, so ask the VM that served it.  With logs of VMs (\"-\": "
   "standard input) no VM is asked: the lines of the request are shown in "
-  "order, with what each VM believed of its upstreams, and when, before "
-  "the request's end.\v"
+  "order, with what each VM knew of its upstreams, and the versions that "
+  "the VMs that had it held, and since when, before the request's end.\v"
   "Examples:\n\n  lavenderctl explain 7f0c9a4be1d24f6c\n"
   "  lavenderctl explain 7f0c9a4be1d24f6c edge-1.log edge-2.log\n",
   0, 1, LT_CTL_ARGUMENTS_MAX
--- a/packages/ctl/src/story.c
+++ b/packages/ctl/src/story.c
@@ -9,18 +9,39 @@
 {
   UPSTREAMS_MAX = 16,
   NAME_BYTES = 128,
-  /* A belief older than this says little of the moment.  */
-  BELIEF_MAX_MS = 30000,
+  /* An estimate or an entry older than this says little of the moment.  */
+  UPSTREAM_STATE_MAX_MS = 30000,
   MS_PER_S = 1000
 };
 
+/* What a line without a request tells of the VM's state.  A later line with
+   the same topic and subject replaces it.  */
+typedef enum topic
+{
+  TOPIC_NONE,
+  TOPIC_ESTIMATE, /* Of an upstream. */
+  TOPIC_REGISTER, /* The version that the VM holds of a part. */
+  TOPIC_ENTRY     /* Of an upstream in the register. */
+} topic_t;
+
+/* The first field that a line has decides.  */
+static const struct
+{
+  const char *field;
+  const char *subject;
+  topic_t topic;
+} topics[] = { { "gray=", "upstream=", TOPIC_ESTIMATE },
+               { "part=", "part=", TOPIC_REGISTER },
+               { "upstream=", "upstream=", TOPIC_ENTRY } };
+
 typedef struct log_line
 {
   char *text;
   const char *path;
   int64_t at_ms;  /* Unix time; the VMs' clocks may differ. */
   size_t read_at; /* Keeps the order of lines of one moment. */
-  bool belief;
+  topic_t topic;  /* TOPIC_NONE: a line of the request. */
+  char subject[NAME_BYTES];
 } log_line_t;
 
 typedef struct story
@@ -93,13 +114,45 @@
     memcpy (story->upstreams[story->upstream_count++], name, sizeof (name));
 }
 
-/* Keeps all lines of the request, and all of beliefs until the upstreams are
-   known.  */
+/* Sets the topic and the subject of a line that is not of the request.  */
+static void
+set_topic (log_line_t *line)
+{
+  char value[NAME_BYTES];
+  if (strstr (line->text, "component=upstreams ") == NULL
+      && strstr (line->text, "component=source ") == NULL)
+    return;
+  for (size_t i = 0; i < sizeof (topics) / sizeof (topics[0]); i++)
+    if (take_field (line->text, topics[i].field, value, sizeof (value)))
+      {
+        if (take_field (line->text, topics[i].subject, line->subject,
+                        sizeof (line->subject)))
+          line->topic = topics[i].topic;
+        return;
+      }
+}
+
+/* Adds TEXT, and takes it over, if it is of the request or tells of a state.
+   The upstreams that the request met are known only later.  */
 static bool
-is_belief (const char *line)
+add_line (story_t *story, char *text, const char *path)
 {
-  return strstr (line, "component=upstreams ") != NULL
-         || strstr (line, "component=source ") != NULL;
+  log_line_t line = { .text = text,
+                      .path = path,
+                      .at_ms = line_time_ms (text),
+                      .read_at = story->count };
+  if (names_request (story, text))
+    note_upstream (story, text);
+  else
+    {
+      set_topic (&line);
+      if (line.topic == TOPIC_NONE)
+        return false;
+    }
+  story->lines
+      = lt_realloc (story->lines, (story->count + 1) * sizeof (log_line_t));
+  story->lines[story->count++] = line;
+  return true;
 }
 
 static int
@@ -112,19 +165,8 @@
     return -errno;
   while (getline (&text, &size, file) >= 0)
     {
-      bool own = names_request (story, text);
-      if (!own && !is_belief (text))
+      if (!add_line (story, text, path))
         continue;
-      if (own)
-        note_upstream (story, text);
-      story->lines = lt_realloc (story->lines,
-                                 (story->count + 1) * sizeof (log_line_t));
-      story->lines[story->count] = (log_line_t){ .text = text,
-                                                 .path = path,
-                                                 .at_ms = line_time_ms (text),
-                                                 .read_at = story->count,
-                                                 .belief = !own };
-      story->count++;
       text = NULL; /* The line has it now. */
       size = 0;
     }
@@ -145,37 +187,47 @@
   return left->read_at < right->read_at ? -1 : 1;
 }
 
-/* A later line of the same file about the same upstream replaces this one.  */
+/* Returns whether a later line of the same file tells the same anew.  */
 static bool
 is_replaced (const story_t *story, size_t at, int64_t end_ms)
 {
-  char name[NAME_BYTES];
-  char other[NAME_BYTES];
   const log_line_t *line = &story->lines[at];
-  take_field (line->text, "upstream=", name, sizeof (name));
   for (size_t i = at + 1; i < story->count; i++)
     {
       const log_line_t *later = &story->lines[i];
       if (later->at_ms > end_ms)
         return false;
-      if (later->belief && strcmp (later->path, line->path) == 0
-          && take_field (later->text, "upstream=", other, sizeof (other))
-          && strcmp (name, other) == 0)
+      if (later->topic == line->topic && strcmp (later->path, line->path) == 0
+          && strcmp (later->subject, line->subject) == 0)
         return true;
     }
   return false;
 }
 
+/* Returns whether the log at PATH is of a VM that had the request.  */
+static bool
+had_request (const story_t *story, const char *path)
+{
+  for (size_t i = 0; i < story->count; i++)
+    if (story->lines[i].topic == TOPIC_NONE
+        && strcmp (story->lines[i].path, path) == 0)
+      return true;
+  return false;
+}
+
 static bool
 is_shown (const story_t *story, size_t at, int64_t end_ms)
 {
-  char name[NAME_BYTES];
   const log_line_t *line = &story->lines[at];
-  if (!line->belief)
+  if (line->topic == TOPIC_NONE)
     return true;
-  return line->at_ms <= end_ms && end_ms - line->at_ms <= BELIEF_MAX_MS
-         && take_field (line->text, "upstream=", name, sizeof (name))
-         && knows_upstream (story, name) && !is_replaced (story, at, end_ms);
+  bool concerns_it
+      = line->topic == TOPIC_REGISTER
+            ? had_request (story, line->path)
+            : knows_upstream (story, line->subject)
+                  && end_ms - line->at_ms <= UPSTREAM_STATE_MAX_MS;
+  return concerns_it && line->at_ms <= end_ms
+         && !is_replaced (story, at, end_ms);
 }
 
 static void
@@ -191,7 +243,7 @@
 {
   int64_t end_ms = -1;
   for (size_t i = 0; i < story->count; i++)
-    if (!story->lines[i].belief)
+    if (story->lines[i].topic == TOPIC_NONE)
       end_ms = story->lines[i].at_ms;
   if (end_ms < 0)
     {
