explain: a named rate does not hide the estimate of an upstream

Change: rates are a topic of their own. Test: Ctl.TellsTheStoryFromLogs with such a line failed before. No daemon code.

--- a/packages/ctl/src/story.c
+++ b/packages/ctl/src/story.c
@@ -20,6 +20,7 @@
 {
   TOPIC_NONE,
   TOPIC_ESTIMATE, /* Of an upstream. */
+  TOPIC_RATE,     /* That an upstream names. */
   TOPIC_REGISTER, /* The version that the VM holds of a part. */
   TOPIC_ENTRY     /* Of an upstream in the register. */
 } topic_t;
@@ -31,6 +32,7 @@
   const char *subject;
   topic_t topic;
 } topics[] = { { "gray=", "upstream=", TOPIC_ESTIMATE },
+               { "rate_milli=", "upstream=", TOPIC_RATE },
                { "part=", "part=", TOPIC_REGISTER },
                { "upstream=", "upstream=", TOPIC_ENTRY } };
 
