--- a/packages/policy/test/test_pace.cc
+++ b/packages/policy/test/test_pace.cc
@@ -1,6 +1,6 @@
 // Guards against an upstream that gets more requests than the rate that it has
 // named, summed over VMs that do not talk to each other, and against slots
-// that nobody uses.
+// that stay unused.
 #include <gtest/gtest.h>
 
 #include <algorithm>
