Hand-over test: a far sender holds up no near one

Found on reading the change again: the inbox of a VM was first in, first out over all senders, so a message of 25 ms from another region held up those of 1 ms behind it. Each sender has a connection of its own, so they are taken by arrival now. An unused member went.

--- a/packages/node/test/test_quota_handover.cc
+++ b/packages/node/test/test_quota_handover.cc
@@ -46,7 +46,6 @@
 
 struct Message
 {
-  int64_t due_us;
   std::string from;
   uint16_t type;
   uint64_t correlation;
@@ -67,7 +66,6 @@
   lt_node_t node = {}; // First, so that the directory finds the VM.
   Peers peers = {};
   World *world = nullptr;
-  int index = 0;
   std::string id, domain, region;
   lt_settings_t settings;
   lt_controller_t *quota = nullptr; // NULL while it is down.
@@ -75,7 +73,9 @@
   bool mute = false; // Its messages are lost.
   int64_t resumes_us = 0;
   int64_t next_tick_us = 0;
-  std::deque<Message> inbox;
+  // By arrival: each sender has a connection of its own, so one that is far
+  // away holds up no other.
+  std::multimap<int64_t, Message> inbox;
   std::map<uint64_t, int64_t> requested_us;
 };
 
@@ -177,7 +177,6 @@
     vms.push_back (std::make_unique<Vm> ());
     Vm &vm = *vms.back ();
     vm.world = this;
-    vm.index = i;
     vm.id = "vm-" + std::string (1, (char)('a' + i % kDomains)) + "-"
             + std::to_string (i / kDomains);
     vm.domain = "zone-" + std::to_string (i % kDomains);
@@ -243,9 +242,9 @@
     if (!world->reaches (*self, to))
       return 0; // Queued by the transport, and lost.
     int64_t delay_us = to.domain == self->domain ? kNearUs : kFarUs;
-    to.inbox.push_back ({ world->clock.now_us + delay_us, self->id, type,
-                          correlation,
-                          std::string (payload.data, payload.len) });
+    to.inbox.insert ({ world->clock.now_us + delay_us,
+                       { self->id, type, correlation,
+                         std::string (payload.data, payload.len) } });
     return 0;
   }
 
@@ -306,10 +305,10 @@
   void
   receive (Vm &vm)
   {
-    while (!vm.inbox.empty () && vm.inbox.front ().due_us <= clock.now_us)
+    while (!vm.inbox.empty () && vm.inbox.begin ()->first <= clock.now_us)
       {
-        Message m = vm.inbox.front ();
-        vm.inbox.pop_front ();
+        Message m = vm.inbox.begin ()->second;
+        vm.inbox.erase (vm.inbox.begin ());
         lt_peer_message_t message = {};
         message.type = m.type;
         message.sender = str_from (m.from.c_str ());
