Log which request lost which upstream, and which VM judged

Failed attempts now carry the fingerprint of their request; the lines 'request suspected', 'cleared' and 'quarantined' carry it too, with the VM whose notice caused them. One line a notice of a loss, which are as rare as resets. No decision changes.

--- a/packages/base/include/lt/base/hash.h
+++ b/packages/base/include/lt/base/hash.h
@@ -24,6 +24,8 @@
   bool lt_digest_equal (const lt_digest_t *a, const lt_digest_t *b);
   /** Writes 64 lower-case hexadecimal digits and a NUL.  */
   void lt_digest_hex (const lt_digest_t *digest, char out[65]);
+  /** Writes the first 16 of these digits and a NUL, for logs.  */
+  void lt_digest_short_hex (const lt_digest_t *digest, char out[17]);
   /** Parses 64 hexadecimal digits.  Returns 0 or -LT_EINVAL.  */
   int lt_digest_parse (str_t hex, lt_digest_t *digest);
   /** 64-bit SipHash under a fixed key; for placement, not for secrets.  */
--- a/packages/base/src/hash.c
+++ b/packages/base/src/hash.c
@@ -36,6 +36,12 @@
   sodium_bin2hex (out, 65, digest->bytes, LT_DIGEST_BYTES);
 }
 
+void
+lt_digest_short_hex (const lt_digest_t *digest, char out[17])
+{
+  sodium_bin2hex (out, 17, digest->bytes, 8);
+}
+
 int
 lt_digest_parse (str_t hex, lt_digest_t *digest)
 {
--- a/packages/node/src/dispatch_answer.c
+++ b/packages/node/src/dispatch_answer.c
@@ -102,13 +102,16 @@
   const lt_snapshot_t *snapshot = attempt->config->snapshot;
   const lt_upstream_t *upstream = &snapshot->upstreams[attempt->upstream];
   int64_t now_us = lt_node_now_us (request->node);
+  char fingerprint[17];
+  lt_digest_short_hex (&request->fingerprint, fingerprint);
   lt_log (LT_LOG_INFO, "dispatch",
           "msg=\"attempt failed\" request=%s attempt=%u upstream=%.*s "
-          "address=%.*s outcome=%s status=%d sent=%d ms=%lld config=%lld",
+          "address=%.*s outcome=%s status=%d sent=%d ms=%lld config=%lld "
+          "fingerprint=%s",
           request->request_id,
           (unsigned)(attempt - attempt->dispatch->attempts) + 1,
           STR_ARG (upstream->name), STR_ARG (upstream->address),
           outcome_name (outcome), attempt->status, attempt->byte_sent,
           (long long)((now_us - attempt->started_us) / LT_US_PER_MS),
-          (long long)snapshot->source_version);
+          (long long)snapshot->source_version, fingerprint);
 }
--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -104,6 +104,21 @@
   lt_buf_destroy (&payload);
 }
 
+/* Logs EVENT of the request with the fingerprint of NOTICE.  FROM is the VM
+   whose notice caused it; empty: an attempt of this VM.  */
+static void
+log_event (lt_log_level_t level, const char *event,
+           const lt_quarantine_notice_t *notice, str_t from)
+{
+  char fingerprint[17];
+  lt_digest_short_hex (&notice->fingerprint, fingerprint);
+  lt_log (level, "quarantine",
+          "msg=\"request %s\" fingerprint=%s upstreams_lost=%u round=%u "
+          "seconds=%lld from=%.*s",
+          event, fingerprint, notice->loss_count, notice->level,
+          (long long)(notice->remaining_us / LT_US_PER_S), STR_ARG (from));
+}
+
 static void
 on_observation (lt_controller_t *base, const lt_observation_event_t *event,
                 int64_t now_us)
@@ -138,12 +153,11 @@
   if (notice.level > 0 && !notice.cleared)
     {
       controller->counts[COUNT_QUARANTINED]->value++;
-      lt_log (LT_LOG_WARN, "quarantine",
-              "msg=\"request quarantined\" upstreams_lost=%u round=%u "
-              "seconds=%lld",
-              notice.loss_count, notice.level,
-              (long long)(notice.remaining_us / LT_US_PER_S));
+      log_event (LT_LOG_WARN, "quarantined", &notice, str_make ("", 0));
     }
+  else
+    log_event (LT_LOG_INFO, notice.cleared ? "cleared" : "suspected", &notice,
+               str_make ("", 0));
   send_notice (controller, &notice);
 }
 
@@ -166,11 +180,15 @@
   memcpy (received.fingerprint.bytes, wire.fingerprint.data, LT_DIGEST_BYTES);
   memcpy (received.upstreams, wire.lost_upstreams,
           sizeof (received.upstreams));
+  if (received.level == 0)
+    log_event (LT_LOG_INFO, received.cleared ? "cleared" : "suspected",
+               &received, message->sender);
   lt_quarantine_notice_t merged;
   if (lt_quarantine_on_notice (controller->quarantine, &received, now_us,
                                &merged))
     {
       controller->counts[COUNT_QUARANTINED]->value++;
+      log_event (LT_LOG_WARN, "quarantined", &merged, message->sender);
       send_notice (controller, &merged);
     }
 }
