Quarantine: a VM that collects losses decides without one of its own

Callers saw: a request under which three upstreams had ended was sent on and ended more (BUDGET). Cause: on a hosting platform losses go to one VM, chosen by the hash of the request, but lt_quarantine_on_notice started a quarantine only on a VM that had seen a loss itself. That rule is for fleets in which each loss goes to all VMs. So each VM stopped a request after three losses of its own, or when the request happened to come to the collector.

Ruled out: the notices arrive (log lines 'request suspected' with from=). Change: option decides_for_others, set on a hosting platform.

--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -289,6 +289,7 @@
     {
       controller->options.losses_max = HOSTED_LOSSES_MAX;
       controller->options.notice_delay_us = 0;
+      controller->options.decides_for_others = true;
     }
   controller->options.vm_hash = lt_hash64 (node->settings->vm_id);
   controller->quarantine = lt_quarantine_create (&controller->options);
--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -38,6 +38,10 @@
     /** Each VM ends a quarantine at a different time within this period, so
         that a single VM tries the request first.  */
     int64_t end_jitter_us;
+    /** Losses are sent to a few VMs only, which decide for all; otherwise to
+        all VMs, and only one that saw a loss itself decides, so that one loss
+        does not make every VM send notices.  */
+    bool decides_for_others;
     int64_t trial_us;   /**< Time limit of a trial request on probation. */
     uint64_t vm_hash;   /**< Hash of the VM's name. */
     size_t entries_max; /**< Maximum number of tracked fingerprints. */
@@ -53,6 +57,7 @@
                               .suspicion_us = 60 * 1000000LL,                 \
                               .probation_us = 1800 * 1000000LL,               \
                               .end_jitter_us = 10 * 1000000LL,                \
+                              .decides_for_others = false,                    \
                               .trial_us = 2 * 1000000LL,                      \
                               .vm_hash = 0,                                   \
                               .entries_max = 4096 })
@@ -119,9 +124,8 @@
   /** Merges a notice from another VM.  A VM on which the request recently got
       a response does not adopt a quarantine with fewer than
       losses_after_response_max losses.  Returns true if the merged losses
-      caused a new quarantine, in which case NOTICE must be sent to all VMs.
-      Only a VM that saw a loss itself starts a quarantine here, so that one
-      loss does not make every VM send notices.  */
+      caused a new quarantine, in which case NOTICE must be sent to all VMs
+      (see decides_for_others).  */
   bool lt_quarantine_on_notice (lt_quarantine_t *quarantine,
                                 const lt_quarantine_notice_t *received,
                                 int64_t now_us,
--- a/packages/policy/src/quarantine.c
+++ b/packages/policy/src/quarantine.c
@@ -387,7 +387,8 @@
                < (uint32_t)quarantine->options.losses_after_response_max;
   if (received->level > 0 && !responded)
     merge_quarantine (quarantine, entry, received, now_us);
-  if (received->level > 0 || !entry->lost_here
+  bool decides = entry->lost_here || quarantine->options.decides_for_others;
+  if (received->level > 0 || !decides
       || !entry_quarantine_if_due (quarantine, entry, now_us))
     return false;
   entry_make_notice (entry, now_us, notice);
--- a/packages/policy/test/test_quarantine.cc
+++ b/packages/policy/test/test_quarantine.cc
@@ -266,6 +266,27 @@
   EXPECT_EQ (1u, merged.level);
 }
 
+// Guards against a VM that collects the losses of other VMs but decides
+// nothing because it saw none itself.
+TEST_F (Quarantine, CollectorDecidesWithoutLossOfItsOwn)
+{
+  options.decides_for_others = true;
+  Vm a (options);
+  Vm b (options);
+  Vm collector (options);
+  lt_digest_t request = fingerprint ("/x");
+  lt_quarantine_notice_t loss;
+  lt_quarantine_notice_t decided;
+  ASSERT_TRUE (lt_quarantine_on_loss (a.q, &request, 1, 0, &loss));
+  EXPECT_FALSE (lt_quarantine_on_notice (collector.q, &loss, 0, &decided));
+  ASSERT_TRUE (lt_quarantine_on_loss (b.q, &request, 2, S, &loss));
+  ASSERT_TRUE (lt_quarantine_on_notice (collector.q, &loss, S, &decided));
+  EXPECT_EQ (1u, decided.level);
+  EXPECT_EQ (2u, decided.loss_count);
+  EXPECT_FALSE (lt_quarantine_on_notice (a.q, &decided, S, &loss));
+  EXPECT_EQ (REFUSED, lt_quarantine_check (a.q, &request, S).verdict);
+}
+
 // Guards against requests that differ in one part sharing a quarantine.
 TEST_F (Quarantine, FingerprintsOfDifferentRequestsDiffer)
 {
