Quarantine: only a whole response that is no failure clears losses

Cause: any 5xx and any response that was cut off counted as a response, which clears the losses of the request on all VMs. At any time some upstreams fail requests without running them, so a request that crashes every upstream that runs it was cleared again and again.

Requests that are answered with a 4xx or a success clear as before.

--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -139,8 +139,6 @@
           &notice);
       break;
     case LT_ATTEMPT_OK:
-    case LT_ATTEMPT_FAILED:
-    case LT_ATTEMPT_TRUNCATED:
       send = lt_quarantine_on_response (controller->quarantine,
                                         &event->fingerprint, now_us, &notice);
       controller->counts[COUNT_CLEARED]->value += send;
