Upstream client: a close within the response header is no complete response

Cause: libcurl ends a transfer with CURLE_OK when the connection is closed within the header, so the attempt counted as a success without a status: it cleared the losses of the request and spoke for the upstream. Callers got 502.

Test CrashingRequest.UpstreamsThatEndWithinTheirResponseAreLost, case head-closed: before, 16 of 16 requests after the third loss ended an upstream (3 are allowed); now at most 3. Case head-reset held before.

--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -102,7 +102,8 @@
 {
   if (transfer->aborted)
     return LT_TRANSFER_ABORTED;
-  if (code == CURLE_OK)
+  /* libcurl reports success when a connection is closed within the header.  */
+  if (code == CURLE_OK && transfer->header_done)
     return LT_TRANSFER_COMPLETE;
   if (transfer->send_count == 0
       && (code != CURLE_OPERATION_TIMEDOUT
