Quarantine: an upstream that ends within the body of its response is lost

Cause: only a connection that ended before the response header counted as a loss; one that ended within the body counted as a response. A time-out within the body is not a loss: the upstream still runs.

Test CrashingRequest.UpstreamsThatEndWithinTheirResponseAreLost, cases body-closed and body-reset: before, 16 of 16 requests after the third loss ended an upstream; now at most 3.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -115,6 +115,8 @@
     lt_digest_t fingerprint; /**< Of the request. */
     uint32_t workspace;
     bool byte_sent;        /**< A byte of the request may have been sent. */
+    bool connection_lost;  /**< The upstream ended the connection before its
+                              response was complete. */
     bool header_received;  /**< A response header was received. */
     bool connection_close; /**< The response carried "Connection: close". */
   } lt_observation_event_t;
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -27,11 +27,12 @@
   int64_t retry_after_ms;
   int64_t rate_milli_per_s; /* See lt_observation_event_t. */
   bool byte_sent;
-  bool closing;        /* The upstream closes the connection. */
-  bool paused;         /* Until the caller has read part of the body. */
-  bool not_run;        /* The upstream reported that it did not run. */
-  bool wrong_response; /* Of another request, or altered on the way. */
-  bool retry_decided;  /* DECISION was made on receipt of the header. */
+  bool connection_lost; /* See lt_transfer_result_t. */
+  bool closing;         /* The upstream closes the connection. */
+  bool paused;          /* Until the caller has read part of the body. */
+  bool not_run;         /* The upstream reported that it did not run. */
+  bool wrong_response;  /* Of another request, or altered on the way. */
+  bool retry_decided;   /* DECISION was made on receipt of the header. */
   lt_retry_decision_t decision;
 } attempt_t;
 
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -63,6 +63,7 @@
     .fingerprint = request->fingerprint,
     .workspace = request->workspace,
     .byte_sent = attempt->byte_sent,
+    .connection_lost = attempt->connection_lost,
     .header_received = attempt->header_us != 0,
     .connection_close = attempt->closing,
   };
@@ -382,6 +383,7 @@
 {
   attempt_t *attempt = owner;
   lt_dispatch_t *dispatch = attempt->dispatch;
+  attempt->connection_lost = result->connection_lost;
   close_attempt (attempt, attempt_outcome (attempt, result));
   dispatch->timed_out = result->end == LT_TRANSFER_TIMEOUT;
   dispatch->last_reset = result->end == LT_TRANSFER_RESET;
--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -129,22 +129,19 @@
   bool send = false;
   if (lt_digest_equal (&event->fingerprint, &none))
     return;
-  switch (event->outcome)
+  if (event->connection_lost)
     {
-    case LT_ATTEMPT_RESET:
       controller->counts[COUNT_LOSS]->value++;
       send = lt_quarantine_on_loss (
           controller->quarantine, &event->fingerprint,
           lt_hash64 (event->snapshot->upstreams[event->upstream].name), now_us,
           &notice);
-      break;
-    case LT_ATTEMPT_OK:
+    }
+  else if (event->outcome == LT_ATTEMPT_OK)
+    {
       send = lt_quarantine_on_response (controller->quarantine,
                                         &event->fingerprint, now_us, &notice);
       controller->counts[COUNT_CLEARED]->value += send;
-      break;
-    default:
-      break;
     }
   if (!send)
     return;
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -121,6 +121,9 @@
 {
   lt_transfer_result_t result = { .end = transfer_end (transfer, code),
                                   .byte_sent = transfer->send_count > 0 };
+  result.connection_lost = result.end == LT_TRANSFER_RESET
+                           || (result.end == LT_TRANSFER_TRUNCATED
+                               && code != CURLE_OPERATION_TIMEDOUT);
   void *owner = transfer->owner;
   const lt_transfer_vtable_t *vtable = transfer->vtable;
   transfer_free (transfer);
--- a/packages/node/src/upstream_client.h
+++ b/packages/node/src/upstream_client.h
@@ -28,7 +28,10 @@
   typedef struct lt_transfer_result
   {
     lt_transfer_end_t end;
-    bool byte_sent; /**< A byte of the request may have been sent. */
+    bool byte_sent;       /**< A byte of the request may have been sent. */
+    bool connection_lost; /**< The upstream ended the connection after the
+                             request was sent and before its response was
+                             complete. */
   } lt_transfer_result_t;
 
   /** Callbacks to the owner of a transfer.  The owner must not cancel the same
