--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -11,6 +11,7 @@
 
 #include <atomic>
 
+#include "lt/standin/loopback.h"
 #include "session.h"
 
 extern char **environ;
@@ -70,16 +71,6 @@
   pid_t pid = -1;
 };
 
-// The loopback address of this process's fleets.  On a shared one, another
-// process can take a port before the process that it was chosen for listens.
-inline in_addr_t
-fleet_address ()
-{
-  const in_addr_t loopback_net = 127U << 24;
-  const in_addr_t first_host = 1U << 16;
-  return loopback_net + first_host + static_cast<in_addr_t> (getpid ());
-}
-
 inline int
 free_port ()
 {
@@ -87,7 +78,7 @@
   sockaddr_in address = {};
   socklen_t len = sizeof (address);
   address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl (fleet_address ());
+  address.sin_addr.s_addr = htonl (lt_standin_loopback_address ());
   if (bind (fd, reinterpret_cast<sockaddr *> (&address), sizeof (address)) != 0
       || getsockname (fd, reinterpret_cast<sockaddr *> (&address), &len) != 0)
     abort ();
@@ -98,7 +89,7 @@
 inline std::string
 local (int port)
 {
-  in_addr address = { htonl (fleet_address ()) };
+  in_addr address = { htonl (lt_standin_loopback_address ()) };
   char text[INET_ADDRSTRLEN];
   inet_ntop (AF_INET, &address, text, sizeof (text));
   return text + (":" + std::to_string (port));
