Quarantine: tell VMs that connect later, and those that report a loss

Cause: a quarantine is announced once. A VM that starts, or was cut off, at that time never learned of it, and the collector did not answer notices about a request that it had quarantined. After a restart of many VMs each of them lost upstreams of its own.

Change: when a connection between VMs opens, the VMs of the failure domain and two others of the region send the quarantines in force, if there are any; a collector replies to a loss of a quarantined request.

Quarantine.CollectorRepliesToLossOfQuarantinedRequest is new.

--- a/packages/node/include/lt/node/quarantine_controller.h
+++ b/packages/node/include/lt/node/quarantine_controller.h
@@ -14,6 +14,7 @@
 
   struct lt_node;
   struct lt_controller;
+  struct lt_vm_identity;
   typedef struct lt_quarantine_controller lt_quarantine_controller_t;
 
   /** Creates the controller and sets node->quarantine_controller.  */
@@ -30,6 +31,10 @@
       false without a controller.  */
   bool lt_quarantine_controller_has_losses (struct lt_node *node,
                                             const lt_digest_t *fingerprint);
+  /** Sends the quarantines in force to PEER, to which a connection was opened:
+      it may have started, or have been cut off, when they were announced.  */
+  void lt_quarantine_controller_tell (struct lt_node *node,
+                                      const struct lt_vm_identity *peer);
   /** Returns the time, in microseconds, within which a notice reaches all
       VMs; 0 when there are no other VMs.  */
   int64_t lt_quarantine_notice_us (const struct lt_node *node);
--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -7,6 +7,7 @@
 
 #include "lt/base/error.h"
 #include "lt/base/log.h"
+#include "lt/node/quarantine_controller.h"
 #include "peer_transport.h"
 
 enum
@@ -132,7 +133,9 @@
                           .address = peer->peer_address,
                           .region = peer->region,
                           .failure_domain = peer->failure_domain };
-  add_vm (user, &vm);
+  mesh_controller_t *c = user;
+  add_vm (c, &vm);
+  lt_quarantine_controller_tell (c->base.node, peer);
 }
 
 static str_t
--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -11,6 +11,7 @@
 #include "lt/policy/quarantine.h"
 #include "lt/wire/frame.h"
 #include "lt/wire/message.h"
+#include "lt/wire/session.h"
 
 /* Counted events, each with its value of the metric label.  */
 #define COUNT_TABLE(X)                                                        \
@@ -36,7 +37,11 @@
    after three.  Responses are not delayed for the notices there.  */
 enum
 {
-  HOSTED_LOSSES_MAX = 3
+  HOSTED_LOSSES_MAX = 3,
+  /* VMs of other failure domains of a region that tell a VM the quarantines in
+     force, and how many of them, when it connects.  */
+  TELLERS_PER_REGION = 2,
+  TOLD_MAX = 32
 };
 
 struct lt_quarantine_controller
@@ -68,11 +73,12 @@
   return kept;
 }
 
+/* Sends NOTICE to the VMs IDS.  */
 static void
-send_notice (lt_quarantine_controller_t *controller,
-             const lt_quarantine_notice_t *notice)
+send_notice_to (lt_quarantine_controller_t *controller,
+                const lt_quarantine_notice_t *notice, const str_t *ids,
+                size_t count)
 {
-  lt_node_t *node = controller->base.node;
   lt_wire_quarantine_t message = {
     .fingerprint
     = str_make ((const char *)notice->fingerprint.bytes, LT_DIGEST_BYTES),
@@ -85,6 +91,19 @@
           sizeof (message.lost_upstreams));
   lt_buf_t payload = { 0 };
   lt_wire_quarantine_encode (&message, &payload);
+  for (size_t i = 0; i < count; i++)
+    if (lt_node_send (controller->base.node, ids[i], LT_MESSAGE_QUARANTINE, 0,
+                      lt_buf_str (&payload))
+        == 0)
+      controller->counts[COUNT_NOTICE_SENT]->value++;
+  lt_buf_destroy (&payload);
+}
+
+static void
+send_notice (lt_quarantine_controller_t *controller,
+             const lt_quarantine_notice_t *notice)
+{
+  lt_node_t *node = controller->base.node;
   size_t count
       = node->directory == NULL ? 0 : node->directory->others (node, NULL, 0);
   str_t *ids = lt_alloc ((count + 1) * sizeof (*ids));
@@ -95,13 +114,8 @@
      which notifies all VMs when it quarantines the request.  */
   if (node->registry != NULL && notice->level == 0)
     count = select_collector (node, &notice->fingerprint, ids, count);
-  for (size_t i = 0; i < count; i++)
-    if (lt_node_send (node, ids[i], LT_MESSAGE_QUARANTINE, 0,
-                      lt_buf_str (&payload))
-        == 0)
-      controller->counts[COUNT_NOTICE_SENT]->value++;
+  send_notice_to (controller, notice, ids, count);
   free (ids);
-  lt_buf_destroy (&payload);
 }
 
 /* Logs EVENT of the request with the fingerprint of NOTICE.  FROM is the VM
@@ -179,13 +193,68 @@
     log_event (LT_LOG_INFO, received.cleared ? "cleared" : "suspected",
                &received, message->sender);
   lt_quarantine_notice_t merged;
-  if (lt_quarantine_on_notice (controller->quarantine, &received, now_us,
-                               &merged))
+  switch (lt_quarantine_on_notice (controller->quarantine, &received, now_us,
+                                   &merged))
     {
+    case LT_QUARANTINE_SEND_NONE:
+      break;
+    case LT_QUARANTINE_SEND_REPLY:
+      send_notice_to (controller, &merged, &message->sender, 1);
+      break;
+    case LT_QUARANTINE_SEND_ALL:
       controller->counts[COUNT_QUARANTINED]->value++;
       log_event (LT_LOG_WARN, "quarantined", &merged, message->sender);
       send_notice (controller, &merged);
+      break;
+    }
+}
+
+/* Returns whether this VM tells PEER the quarantines in force: if both are in
+   one failure domain, or as one of a few VMs of the region, in case the whole
+   domain of PEER starts anew.  */
+static bool
+is_teller (lt_node_t *node, const lt_vm_identity_t *peer)
+{
+  if (node->directory == NULL || node->directory->others_near == NULL)
+    return false;
+  if (str_equal (peer->failure_domain, node->settings->failure_domain))
+    return true;
+  uint64_t own_weight = lt_rendezvous (peer->vm_id, node->settings->vm_id);
+  size_t before = 0;
+  for (int in_domain = 0; in_domain < 2; in_domain++)
+    {
+      size_t count
+          = node->directory->others_near (node, in_domain == 1, NULL, 0);
+      str_t *ids = lt_alloc ((count + 1) * sizeof (*ids));
+      count = count == 0 ? 0
+                         : node->directory->others_near (node, in_domain == 1,
+                                                         ids, count);
+      for (size_t i = 0; i < count; i++)
+        {
+          str_t domain;
+          str_t region;
+          if (node->directory->locate (node, ids[i], &domain, &region)
+              && !str_equal (domain, peer->failure_domain))
+            before += lt_rendezvous (peer->vm_id, ids[i]) > own_weight;
+        }
+      free (ids);
     }
+  return before < TELLERS_PER_REGION;
+}
+
+void
+lt_quarantine_controller_tell (lt_node_t *node, const lt_vm_identity_t *peer)
+{
+  lt_quarantine_controller_t *controller = node->quarantine_controller;
+  lt_quarantine_notice_t notices[TOLD_MAX];
+  if (controller == NULL)
+    return;
+  size_t count = lt_quarantine_list_active (
+      controller->quarantine, lt_node_now_us (node), notices, TOLD_MAX);
+  if (count == 0 || !is_teller (node, peer))
+    return;
+  for (size_t i = 0; i < count; i++)
+    send_notice_to (controller, &notices[i], &peer->vm_id, 1);
 }
 
 static void
--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -90,6 +90,14 @@
     int64_t retry_after_us; /**< Set if refused. */
   } lt_quarantine_check_result_t;
 
+  /** Where a notice must be sent.  */
+  typedef enum lt_quarantine_send
+  {
+    LT_QUARANTINE_SEND_NONE,
+    LT_QUARANTINE_SEND_REPLY, /**< To the sender of the notice received. */
+    LT_QUARANTINE_SEND_ALL
+  } lt_quarantine_send_t;
+
   lt_quarantine_t *
   lt_quarantine_create (const lt_quarantine_options_t *options);
   void lt_quarantine_destroy (lt_quarantine_t *quarantine);
@@ -123,13 +131,20 @@
                                   lt_quarantine_notice_t *notice);
   /** Merges a notice from another VM.  A VM on which the request recently got
       a response does not adopt a quarantine with fewer than
-      losses_after_response_max losses.  Returns true if the merged losses
-      caused a new quarantine, in which case NOTICE must be sent to all VMs
-      (see decides_for_others).  */
-  bool lt_quarantine_on_notice (lt_quarantine_t *quarantine,
-                                const lt_quarantine_notice_t *received,
-                                int64_t now_us,
-                                lt_quarantine_notice_t *notice);
+      losses_after_response_max losses.  If the merged losses caused a new
+      quarantine (see decides_for_others), NOTICE must be sent to all VMs.  A
+      VM that decides for others sends its quarantine to a VM that reports a
+      loss because it does not know of it.  */
+  lt_quarantine_send_t
+  lt_quarantine_on_notice (lt_quarantine_t *quarantine,
+                           const lt_quarantine_notice_t *received,
+                           int64_t now_us, lt_quarantine_notice_t *notice);
+  /** Copies the quarantines in force to NOTICES, at most CAP, and returns
+      their number.  */
+  size_t lt_quarantine_list_active (const lt_quarantine_t *quarantine,
+                                    int64_t now_us,
+                                    lt_quarantine_notice_t *notices,
+                                    size_t cap);
   /** Returns whether an upstream was already lost to FINGERPRINT.  A further
       reset then indicates a fault of the request rather than of the upstream.
    */
--- a/packages/policy/src/quarantine.c
+++ b/packages/policy/src/quarantine.c
@@ -359,23 +359,24 @@
     entry->ends_us = ends_us;
 }
 
-bool
+lt_quarantine_send_t
 lt_quarantine_on_notice (lt_quarantine_t *quarantine,
                          const lt_quarantine_notice_t *received,
                          int64_t now_us, lt_quarantine_notice_t *notice)
 {
+  bool decides_for_others = quarantine->options.decides_for_others;
   uint32_t losses = received->loss_count < LT_QUARANTINE_LOSSES_MAX
                         ? received->loss_count
                         : LT_QUARANTINE_LOSSES_MAX;
   if (received->remaining_us <= 0)
-    return false;
+    return LT_QUARANTINE_SEND_NONE;
   entry_t *entry
       = entry_find_unexpired (quarantine, &received->fingerprint, now_us);
   if (received->cleared)
     {
       if (entry != NULL && entry->state != ENTRY_QUARANTINED)
         entry_delete (quarantine, entry);
-      return false;
+      return LT_QUARANTINE_SEND_NONE;
     }
   if (entry == NULL)
     entry = entry_get (quarantine, &received->fingerprint, now_us);
@@ -387,12 +388,27 @@
                < (uint32_t)quarantine->options.losses_after_response_max;
   if (received->level > 0 && !responded)
     merge_quarantine (quarantine, entry, received, now_us);
-  bool decides = entry->lost_here || quarantine->options.decides_for_others;
-  if (received->level > 0 || !decides
-      || !entry_quarantine_if_due (quarantine, entry, now_us))
-    return false;
+  if (received->level > 0 || (!entry->lost_here && !decides_for_others))
+    return LT_QUARANTINE_SEND_NONE;
+  lt_quarantine_send_t send = LT_QUARANTINE_SEND_NONE;
+  if (entry_quarantine_if_due (quarantine, entry, now_us))
+    send = LT_QUARANTINE_SEND_ALL;
+  else if (decides_for_others && entry->state == ENTRY_QUARANTINED)
+    send = LT_QUARANTINE_SEND_REPLY;
   entry_make_notice (entry, now_us, notice);
-  return true;
+  return send;
+}
+
+size_t
+lt_quarantine_list_active (const lt_quarantine_t *quarantine, int64_t now_us,
+                           lt_quarantine_notice_t *notices, size_t cap)
+{
+  size_t count = 0;
+  for (const entry_t *e = quarantine->entries; e != NULL && count < cap;
+       e = e->hh.next)
+    if (e->state == ENTRY_QUARANTINED && now_us < e->ends_us)
+      entry_make_notice (e, now_us, &notices[count++]);
+  return count;
 }
 
 void
--- a/packages/policy/test/test_quarantine.cc
+++ b/packages/policy/test/test_quarantine.cc
@@ -287,6 +287,30 @@
   EXPECT_EQ (REFUSED, lt_quarantine_check (a.q, &request, S).verdict);
 }
 
+// Guards against a VM that did not get the notice of a quarantine and loses
+// one upstream after another while the collector knows better.
+TEST_F (Quarantine, CollectorRepliesToLossOfQuarantinedRequest)
+{
+  options.decides_for_others = true;
+  Vm a (options);
+  Vm late (options);
+  Vm collector (options);
+  lt_digest_t request = fingerprint ("/x");
+  lt_quarantine_notice_t loss;
+  lt_quarantine_notice_t reply;
+  lt_quarantine_on_loss (a.q, &request, 1, 0, &loss);
+  lt_quarantine_on_loss (a.q, &request, 2, 0, &loss);
+  lt_quarantine_on_notice (collector.q, &loss, 0, &reply);
+  lt_quarantine_on_loss (late.q, &request, 3, S, &loss);
+  EXPECT_EQ (LT_QUARANTINE_SEND_REPLY,
+             lt_quarantine_on_notice (collector.q, &loss, S, &reply));
+  EXPECT_EQ (LT_QUARANTINE_SEND_NONE,
+             lt_quarantine_on_notice (late.q, &reply, S, &loss));
+  EXPECT_EQ (REFUSED, lt_quarantine_check (late.q, &request, S).verdict);
+  EXPECT_EQ (1u, lt_quarantine_list_active (collector.q, S, &loss, 1));
+  EXPECT_EQ (0u, lt_quarantine_list_active (collector.q, 60 * S, &loss, 1));
+}
+
 // Guards against requests that differ in one part sharing a quarantine.
 TEST_F (Quarantine, FingerprintsOfDifferentRequestsDiffer)
 {
