Quarantine: three VMs collect the losses of a request

Cause: losses went to one VM, chosen from a list that keeps VMs that are gone. While that VM was down, or removed for good, each VM stopped a request after three losses of its own.

Change: the three VMs with the highest weights collect; each of them decides.

--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -38,6 +38,9 @@
 enum
 {
   HOSTED_LOSSES_MAX = 3,
+  /* VMs that collect the losses of a request.  The list of VMs keeps those
+     that are gone, so one of them may be.  */
+  COLLECTORS = 3,
   /* VMs of other failure domains of a region that tell a VM the quarantines in
      force, and how many of them, when it connects.  */
   TELLERS_PER_REGION = 2,
@@ -52,25 +55,35 @@
   lt_counter_t *counts[COUNTS];
 };
 
-/* Reduces IDS to the VM that collects the losses of FINGERPRINT, chosen by
-   rendezvous hashing.  Returns 1, or 0 when this VM is the collector.  */
+/* Reduces IDS to the VMs that collect the losses of FINGERPRINT, chosen by
+   rendezvous hashing among them and this VM.  Returns how many they are.  */
 static size_t
-select_collector (const lt_node_t *node, const lt_digest_t *fingerprint,
-                  str_t *ids, size_t count)
+select_collectors (const lt_node_t *node, const lt_digest_t *fingerprint,
+                   str_t *ids, size_t count)
 {
   str_t key = str_make ((const char *)fingerprint->bytes, LT_DIGEST_BYTES);
-  uint64_t max_weight = lt_rendezvous (key, node->settings->vm_id);
+  uint64_t own_weight = lt_rendezvous (key, node->settings->vm_id);
   size_t kept = 0;
-  for (size_t i = 0; i < count; i++)
+  size_t before = 0;
+  for (; kept < count && kept < COLLECTORS; kept++)
     {
-      uint64_t weight = lt_rendezvous (key, ids[i]);
-      if (weight <= max_weight)
-        continue;
-      max_weight = weight;
-      ids[0] = ids[i];
-      kept = 1;
+      size_t heaviest = kept;
+      uint64_t max_weight = 0;
+      for (size_t i = kept; i < count; i++)
+        {
+          uint64_t weight = lt_rendezvous (key, ids[i]);
+          if (weight < max_weight)
+            continue;
+          max_weight = weight;
+          heaviest = i;
+        }
+      str_t id = ids[heaviest];
+      ids[heaviest] = ids[kept];
+      ids[kept] = id;
+      before += max_weight > own_weight;
     }
-  return kept;
+  /* This VM is a collector itself.  */
+  return before < kept && kept == COLLECTORS ? kept - 1 : kept;
 }
 
 /* Sends NOTICE to the VMs IDS.  */
@@ -110,10 +123,10 @@
   if (count > 0)
     count = node->directory->others (node, ids, count);
   /* Upstreams of a hosting platform reset connections all the time, so most
-     losses never lead to a quarantine.  Notices of losses go to one VM only,
-     which notifies all VMs when it quarantines the request.  */
+     losses never lead to a quarantine.  Notices of losses go to a few VMs
+     only, one of which notifies all VMs when it quarantines the request.  */
   if (node->registry != NULL && notice->level == 0)
-    count = select_collector (node, &notice->fingerprint, ids, count);
+    count = select_collectors (node, &notice->fingerprint, ids, count);
   send_notice_to (controller, notice, ids, count);
   free (ids);
 }
