Quarantine: a VM on which the request has just run objects

Cause: the VMs that collect losses do not see the responses that a request gets elsewhere, and now that they decide, a request that runs could be refused on all VMs that had not sent it within 30 s, because three VMs lost upstreams for other reasons.

Change: a VM that had a response within 3 s replies to the announcement of a quarantine; the VM that announced it ends it on all VMs. A request that crashes every upstream never has a response.

Quarantine.VmWithRecentResponseObjects is new.

--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -38,6 +38,8 @@
 enum
 {
   HOSTED_LOSSES_MAX = 3,
+  /* A response this long ago shows that a request still runs.  */
+  HOSTED_OBJECTION_MS = 3000,
   /* VMs that collect the losses of a request.  The list of VMs keeps those
      that are gone, so one of them may be.  */
   COLLECTORS = 3,
@@ -215,8 +217,10 @@
       send_notice_to (controller, &merged, &message->sender, 1);
       break;
     case LT_QUARANTINE_SEND_ALL:
-      controller->counts[COUNT_QUARANTINED]->value++;
-      log_event (LT_LOG_WARN, "quarantined", &merged, message->sender);
+      controller->counts[merged.cleared ? COUNT_CLEARED : COUNT_QUARANTINED]
+          ->value++;
+      log_event (LT_LOG_WARN, merged.cleared ? "released" : "quarantined",
+                 &merged, message->sender);
       send_notice (controller, &merged);
       break;
     }
@@ -367,6 +371,7 @@
       controller->options.losses_max = HOSTED_LOSSES_MAX;
       controller->options.notice_delay_us = 0;
       controller->options.decides_for_others = true;
+      controller->options.objection_us = HOSTED_OBJECTION_MS * LT_US_PER_MS;
     }
   controller->options.vm_hash = lt_hash64 (node->settings->vm_id);
   controller->quarantine = lt_quarantine_create (&controller->options);
--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -26,6 +26,10 @@
         upstreams more likely crashed for another reason.  */
     int losses_after_response_max;
     int64_t response_memory_us;
+    /** A VM on which the request had a response this recently objects to a
+        quarantine, which then ends on all VMs; 0: never.  Where losses go to a
+        few VMs, those do not see that a frequent request has responses.  */
+    int64_t objection_us;
     /** Time in which a notice reaches all VMs.  After a loss, a retry and the
         reply to the caller are delayed by it.  Otherwise a caller that repeats
         the request at once through other VMs would outrun the notices.  */
@@ -51,6 +55,7 @@
   ((lt_quarantine_options_t){ .losses_max = 2,                                \
                               .losses_after_response_max = 4,                 \
                               .response_memory_us = 30 * 1000000LL,           \
+                              .objection_us = 0,                              \
                               .notice_delay_us = 60 * 1000LL,                 \
                               .first_length_us = 60 * 1000000LL,              \
                               .length_max_us = 600 * 1000000LL,               \
@@ -71,7 +76,8 @@
     lt_digest_t fingerprint;
     uint32_t level;       /**< Number of quarantines; 0: suspect only. */
     int64_t remaining_us; /**< Until the quarantine or suspicion ends. */
-    bool cleared;         /**< The request got a response: not suspect. */
+    bool cleared;         /**< The request got a response: not suspect.  With
+                             a level: an objection to that quarantine. */
     uint32_t loss_count;
     uint64_t upstreams[LT_QUARANTINE_LOSSES_MAX]; /**< Hashes of the names of
                                                      lost upstreams. */
@@ -134,7 +140,8 @@
       losses_after_response_max losses.  If the merged losses caused a new
       quarantine (see decides_for_others), NOTICE must be sent to all VMs.  A
       VM that decides for others sends its quarantine to a VM that reports a
-      loss because it does not know of it.  */
+      loss because it does not know of it.  An objection (see objection_us) is
+      sent to the VM that announced the quarantine, which tells all VMs.  */
   lt_quarantine_send_t
   lt_quarantine_on_notice (lt_quarantine_t *quarantine,
                            const lt_quarantine_notice_t *received,
--- a/packages/policy/src/quarantine.c
+++ b/packages/policy/src/quarantine.c
@@ -33,6 +33,7 @@
   int64_t ends_us;       /**< End of the state, without this VM's share of
                             end_jitter_us. */
   int64_t trial_ends_us; /**< End of the current trial on probation. */
+  bool started_here;     /**< This VM started the quarantine. */
   bool lost_here;        /**< This VM itself saw a loss. */
   int64_t loss_us;       /**< Time of the last loss that this VM saw. */
   uint32_t loss_count;
@@ -132,6 +133,18 @@
   return responded->key == key && now_us < responded->until_us;
 }
 
+static bool
+objects (const lt_quarantine_t *quarantine,
+         const lt_quarantine_notice_t *received, int64_t now_us)
+{
+  uint64_t key = fingerprint_hash (&received->fingerprint);
+  const responded_t *responded = &quarantine->responded[key % RESPONDED_SLOTS];
+  const lt_quarantine_options_t *options = &quarantine->options;
+  return received->level > 0 && responded->key == key
+         && now_us < responded->until_us - options->response_memory_us
+                         + options->objection_us;
+}
+
 /** Returns when the quarantine ends on this VM: ends_us plus an offset within
     end_jitter_us that differs between VMs.  */
 static int64_t
@@ -301,6 +314,7 @@
       || entry->loss_count < (uint32_t)losses_max)
     return false;
   entry->state = ENTRY_QUARANTINED;
+  entry->started_here = true;
   entry->level++;
   entry->ends_us
       = now_us + quarantine_length_us (&quarantine->options, entry->level);
@@ -359,6 +373,25 @@
     entry->ends_us = ends_us;
 }
 
+/** Handles a notice that a request had a response.  */
+static lt_quarantine_send_t
+on_cleared (lt_quarantine_t *quarantine, entry_t *entry,
+            const lt_quarantine_notice_t *received, int64_t now_us,
+            lt_quarantine_notice_t *notice)
+{
+  if (entry == NULL
+      || (entry->state == ENTRY_QUARANTINED
+          && (received->level == 0 || received->level < entry->level)))
+    return LT_QUARANTINE_SEND_NONE;
+  bool started_here = entry->state == ENTRY_QUARANTINED && entry->started_here;
+  entry_make_notice (entry, now_us, notice);
+  notice->cleared = true;
+  if (entry->state == ENTRY_QUARANTINED)
+    responded_set (quarantine, &received->fingerprint, now_us);
+  entry_delete (quarantine, entry);
+  return started_here ? LT_QUARANTINE_SEND_ALL : LT_QUARANTINE_SEND_NONE;
+}
+
 lt_quarantine_send_t
 lt_quarantine_on_notice (lt_quarantine_t *quarantine,
                          const lt_quarantine_notice_t *received,
@@ -373,10 +406,12 @@
   entry_t *entry
       = entry_find_unexpired (quarantine, &received->fingerprint, now_us);
   if (received->cleared)
+    return on_cleared (quarantine, entry, received, now_us, notice);
+  if (objects (quarantine, received, now_us))
     {
-      if (entry != NULL && entry->state != ENTRY_QUARANTINED)
-        entry_delete (quarantine, entry);
-      return LT_QUARANTINE_SEND_NONE;
+      *notice = *received;
+      notice->cleared = true;
+      return LT_QUARANTINE_SEND_REPLY;
     }
   if (entry == NULL)
     entry = entry_get (quarantine, &received->fingerprint, now_us);
--- a/packages/policy/test/test_quarantine.cc
+++ b/packages/policy/test/test_quarantine.cc
@@ -311,6 +311,46 @@
   EXPECT_EQ (0u, lt_quarantine_list_active (collector.q, 60 * S, &loss, 1));
 }
 
+// Guards against the quarantine of a frequent request that loses upstreams for
+// other reasons: the VMs that collect its losses do not see its responses.
+TEST_F (Quarantine, VmWithRecentResponseObjects)
+{
+  options.decides_for_others = true;
+  options.objection_us = 3 * S;
+  Vm collector (options);
+  Vm follower (options);
+  Vm serving (options);
+  lt_digest_t request = fingerprint ("/x");
+  lt_quarantine_notice_t quarantine;
+  lt_quarantine_notice_t objection;
+  lt_quarantine_notice_t release;
+  lt_quarantine_on_response (serving.q, &request, 0, &objection);
+  lt_quarantine_on_loss (collector.q, &request, 1, S, &quarantine);
+  lt_quarantine_on_loss (collector.q, &request, 2, S, &quarantine);
+  ASSERT_EQ (1u, quarantine.level);
+  lt_quarantine_on_notice (follower.q, &quarantine, S, &release);
+  ASSERT_EQ (REFUSED, lt_quarantine_check (follower.q, &request, S).verdict);
+  ASSERT_EQ (LT_QUARANTINE_SEND_REPLY,
+             lt_quarantine_on_notice (serving.q, &quarantine, S, &objection));
+  ASSERT_EQ (LT_QUARANTINE_SEND_ALL,
+             lt_quarantine_on_notice (collector.q, &objection, S, &release));
+  EXPECT_EQ (LT_QUARANTINE_SEND_NONE,
+             lt_quarantine_on_notice (follower.q, &release, S, &objection));
+  for (lt_quarantine_t *q : { collector.q, follower.q, serving.q })
+    EXPECT_EQ (CLEAN, lt_quarantine_check (q, &request, S).verdict);
+
+  // Further losses count anew, and an old response is no objection.
+  for (uint64_t upstream = 1; upstream <= 4; upstream++)
+    lt_quarantine_on_loss (collector.q, &request, upstream, 4 * S,
+                           &quarantine);
+  ASSERT_EQ (1u, quarantine.level);
+  EXPECT_EQ (
+      LT_QUARANTINE_SEND_NONE,
+      lt_quarantine_on_notice (serving.q, &quarantine, 4 * S, &objection));
+  EXPECT_EQ (REFUSED,
+             lt_quarantine_check (serving.q, &request, 4 * S).verdict);
+}
+
 // Guards against requests that differ in one part sharing a quarantine.
 TEST_F (Quarantine, FingerprintsOfDifferentRequestsDiffer)
 {
