Register: versions are compared within an era of the store only

Cause: the store gives out versions again. A VM that held version 88 watched from 88 and never saw the change that had this number in the new state; all guards against older results compared the same numbers. The class: a counter of another system taken as monotonic for good.

Change: the adapter passes on the store's era with each result. When a VM learns of a later era, from any response or from another VM, it reads all records again; results and messages of an earlier era are dropped. What is known to be later than the copy stays: the configuration by its own version, upstreams by start and count of writes of their own records; those that left are not taken back for 10 s, in which what was lost is written again.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -134,6 +134,7 @@
     lt_platform_t platform;
     lt_registry_t *registry;          /**< NULL unless hosted. */
     lt_remote_clock_t registry_clock; /**< Shared by all VMs. */
+    int64_t registry_era;      /**< See lt_registry_result_t; 0: unknown. */
     uint64_t incarnation;      /**< Higher at each start of this VM id. */
     lt_snapshot_ref_t *config; /**< Configuration in force; NULL before the
                                     first. */
--- a/packages/node/include/lt/node/registry.h
+++ b/packages/node/include/lt/node/registry.h
@@ -39,7 +39,11 @@
   {
     str_t name;
     int64_t version; /**< Increases with each change of the record. */
-    bool removed;    /**< The record was deleted or is unreadable. */
+    /** Count that the writer of the record raises with each write of one
+        incarnation; 0: none.  Unlike the version it is the writer's own, so it
+        orders records of different eras.  */
+    int64_t revision;
+    bool removed; /**< The record was deleted or is unreadable. */
     const lt_deployment_t *deployment;
     lt_deployment_upstream_t upstream; /**< warm_until_us: time left. */
     lt_registry_vm_t vm;
@@ -54,7 +58,11 @@
     int error;
     bool history_lost; /**< Watch missed changes: read all records. */
     int64_t version;   /**< Version to watch from next. */
-    int64_t clock_us;  /**< Steady clock of the registry; 0: unknown. */
+    /** Rises when the registry comes back from an older copy: versions are
+        comparable within an era only.  0: unknown.  Set in failed results as
+        well, if the registry responded.  */
+    int64_t era;
+    int64_t clock_us; /**< Steady clock of the registry; 0: unknown. */
     const lt_registry_record_t *records;
     size_t count;
     /** The records in the registry's own encoding, for decode; may be
--- a/packages/node/include/lt/node/source_controller.h
+++ b/packages/node/include/lt/node/source_controller.h
@@ -27,6 +27,12 @@
   lt_source_controller_registry_age_us (lt_source_controller_t *controller,
                                         int64_t now_us);
 
+  /** The registry, or another VM, has named ERA (see lt_registry_result_t).  A
+      later one than before means that the registry came back from an older
+      copy: all records are read again, and what is known to be later than the
+      copy is kept.  */
+  void lt_source_controller_note_era (struct lt_node *node, int64_t era);
+
   /** Returns whether requests with API keys may be served: always, unless the
       settings have fail_closed and the registry has not responded within
       revoke_ms.  */
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -154,7 +154,7 @@
     changed = lt_source_remove_unlisted (c, now_us) || changed
               || c->install_count == 0;
   if (watch->kind == LT_REGISTRY_UPSTREAMS)
-    changed = lt_source_remove_departed (c) || changed;
+    changed = lt_source_remove_departed (c, now_us) || changed;
   int64_t after
       = c->configuration == NULL ? -1 : c->configuration->source_version;
   if (changed || after != before)
@@ -176,12 +176,13 @@
     return;
   lt_log (LT_LOG_INFO, "source",
           "msg=\"register %s\" part=%s version=%lld before=%lld records=%zu "
-          "from=%.*s age_ms=%lld behind_ms=%lld",
+          "from=%.*s age_ms=%lld behind_ms=%lld era=%lld",
           watch->complete ? "updated" : "read", kind_name (watch->kind),
           (long long)result->version, (long long)watch->version, result->count,
           STR_ARG (origin->vm),
           (long long)(origin->age_us < 0 ? -1 : origin->age_us / LT_US_PER_MS),
-          (long long)(behind_us / LT_US_PER_MS));
+          (long long)(behind_us / LT_US_PER_MS),
+          (long long)watch->controller->base.node->registry_era);
 }
 
 void
@@ -340,11 +341,17 @@
   int64_t now_us = lt_node_now_us (c->base.node);
   source_origin_t origin = { .age_us = lt_source_age_us (watch, now_us) };
   watch->in_flight = false;
+  lt_source_controller_note_era (c->base.node, result->era);
   if (result->error != 0)
     {
       record_failure (watch, result->error, now_us);
       return;
     }
+  if (lt_source_is_outdated (watch, result))
+    {
+      watch->next_us = now_us + RETRY_MIN_MS * LT_US_PER_MS;
+      return;
+    }
   record_response (watch, result, now_us);
   if (result->history_lost)
     {
@@ -394,6 +401,7 @@
   int64_t wait_ms = watch_wait_ms (watch);
   lt_registry_t *registry = watch->controller->base.node->registry;
   watch->asked_version = watch->complete ? watch->version : 0;
+  watch->asked_all = !watch->complete;
   int error = watch->complete
                   ? registry->vtable->watch (
                       registry, watch->kind, watch->version, wait_ms,
@@ -418,6 +426,7 @@
 {
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   lt_source_relay_tick (c, now_us);
+  lt_source_era_tick (c, now_us);
   for (int i = 0; i < 2; i++)
     if (!c->watches[i].in_flight && now_us >= c->watches[i].next_us
         && needs_call (&c->watches[i], now_us))
@@ -455,6 +464,7 @@
 {
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   lt_source_remove_all (c);
+  lt_source_forget_departed (c);
   lt_relay_destroy (c->relay);
   lt_snapshot_destroy (c->configuration);
   base->node->source_controller = NULL;
--- a/packages/node/src/source_entries.c
+++ b/packages/node/src/source_entries.c
@@ -57,6 +57,7 @@
   to->warm_until_us
       = source->warm_until_us > 0 ? now_us + source->warm_until_us : 0;
   entry->version = record->version;
+  entry->revision = record->revision;
   entry->missing = false;
 }
 
@@ -96,6 +97,7 @@
       return false;
     }
   log_upstream (c, entry, "gone");
+  lt_source_note_departed (c, entry, now_us);
   entry_destroy (c, entry);
   return true;
 }
@@ -106,10 +108,15 @@
 {
   upstream_entry_t *entry = NULL;
   HASH_FIND (hh, c->entries, record->name.data, record->name.len, entry);
-  if (entry != NULL && record->version < entry->version)
-    return false;
+  if (entry != NULL && lt_source_is_older (c, entry, record))
+    {
+      entry->listed = true;
+      return false;
+    }
   if (record->removed)
     return entry != NULL && remove_upstream (c, entry, now_us);
+  if (entry == NULL && lt_source_has_departed (c, record, now_us))
+    return false;
   bool is_new = entry == NULL;
   bool was_draining = !is_new && entry->upstream.draining;
   bool restarted
@@ -119,6 +126,7 @@
   else
     HASH_DEL (c->entries, entry); /* NOLINT(clang-analyzer-*) */
   entry_set (entry, record, now_us);
+  entry->era = c->base.node->registry_era;
   entry->listed = true;
   HASH_ADD_KEYPTR (hh, c->entries, entry->upstream.name.data,
                    entry->upstream.name.len, entry);
@@ -146,7 +154,7 @@
 }
 
 bool
-lt_source_remove_departed (lt_source_controller_t *c)
+lt_source_remove_departed (lt_source_controller_t *c, int64_t now_us)
 {
   bool changed = false;
   upstream_entry_t *entry;
@@ -161,6 +169,7 @@
     if (missing * OUTAGE_MISSING_DIVISOR > total)
       continue;
     log_upstream (c, entry, "gone");
+    lt_source_note_departed (c, entry, now_us);
     entry_destroy (c, entry);
     changed = true;
   }
@@ -194,6 +203,7 @@
     if (!entry->missing)
       continue;
     log_upstream (c, entry, "did not come back");
+    lt_source_note_departed (c, entry, now_us);
     entry_destroy (c, entry);
     changed = true;
   }
--- /dev/null
+++ b/packages/node/src/source_era.c
@@ -0,0 +1,152 @@
+#include <stdlib.h>
+
+#include "lt/base/log.h"
+#include "source_internal.h"
+
+enum
+{
+  /* After the registry came back from an older copy, writers repeat within
+     seconds what was lost.  Until then its records may be older than what is
+     known.  */
+  REPEAT_MS = 10 * 1000,
+  /* Longer than the time that such a copy lacks, and REPEAT_MS.  */
+  DEPARTED_MEMORY_MS = 60 * 1000,
+  DEPARTED_MAX = 8192,
+  /* VMs read the records again within this time, one after the other.  */
+  READ_SPREAD_MS = 200
+};
+
+static void
+read_all_again (lt_source_controller_t *c, record_watch_t *watch,
+                int64_t now_us)
+{
+  watch->complete = false;
+  watch->behind = false;
+  watch->next_us = now_us
+                   + (int64_t)lt_rng_below (&c->base.node->rng,
+                                            READ_SPREAD_MS * LT_US_PER_MS);
+}
+
+void
+lt_source_controller_note_era (lt_node_t *node, int64_t era)
+{
+  lt_source_controller_t *c = node->source_controller;
+  int64_t before = node->registry_era;
+  if (era <= before)
+    return;
+  node->registry_era = era;
+  if (before == 0 || c == NULL)
+    return;
+  int64_t now_us = lt_node_now_us (node);
+  c->era_since_us = now_us;
+  c->recovered_us = now_us;
+  lt_log (LT_LOG_WARN, "source",
+          "msg=\"register restored from an older copy; reading all\" era=%lld "
+          "before=%lld configuration=%lld upstreams=%lld",
+          (long long)era, (long long)before,
+          (long long)c->watches[LT_REGISTRY_CONFIG].version,
+          (long long)c->watches[LT_REGISTRY_UPSTREAMS].version);
+  for (int i = 0; i < 2; i++)
+    read_all_again (c, &c->watches[i], now_us);
+}
+
+bool
+lt_source_is_outdated (const record_watch_t *watch,
+                       const lt_registry_result_t *result)
+{
+  int64_t era = watch->controller->base.node->registry_era;
+  if (result->era != 0 && result->era < era)
+    return true;
+  return !watch->asked_all && !watch->complete;
+}
+
+bool
+lt_source_is_older (const lt_source_controller_t *c,
+                    const upstream_entry_t *entry,
+                    const lt_registry_record_t *record)
+{
+  if (entry->era == c->base.node->registry_era)
+    return record->version < entry->version;
+  if (record->removed)
+    return false;
+  uint64_t incarnation = entry->upstream.incarnation;
+  return record->upstream.incarnation < incarnation
+         || (record->upstream.incarnation == incarnation
+             && record->revision < entry->revision);
+}
+
+static void
+departed_delete (lt_source_controller_t *c, departed_upstream_t *departed)
+{
+  HASH_DEL (c->departed, departed); /* NOLINT(clang-analyzer-*) */
+  free (departed->name);
+  free (departed);
+}
+
+void
+lt_source_note_departed (lt_source_controller_t *c,
+                         const upstream_entry_t *entry, int64_t now_us)
+{
+  const lt_deployment_upstream_t *upstream = &entry->upstream;
+  departed_upstream_t *departed = NULL;
+  HASH_FIND (hh, c->departed, upstream->name.data, upstream->name.len,
+             departed);
+  if (departed != NULL)
+    departed_delete (c, departed);
+  else if (HASH_COUNT (c->departed) >= DEPARTED_MAX)
+    departed_delete (c, c->departed);
+  departed = lt_alloc (sizeof (*departed));
+  departed->name = str_dup (upstream->name);
+  departed->incarnation = upstream->incarnation;
+  departed->revision = entry->revision;
+  departed->era = c->base.node->registry_era;
+  departed->at_us = now_us;
+  HASH_ADD_KEYPTR (hh, c->departed, departed->name, upstream->name.len,
+                   departed);
+}
+
+bool
+lt_source_has_departed (lt_source_controller_t *c,
+                        const lt_registry_record_t *record, int64_t now_us)
+{
+  departed_upstream_t *departed = NULL;
+  HASH_FIND (hh, c->departed, record->name.data, record->name.len, departed);
+  if (departed == NULL || departed->era == c->base.node->registry_era
+      || now_us - c->era_since_us >= REPEAT_MS * LT_US_PER_MS)
+    return false;
+  if (record->upstream.incarnation != departed->incarnation
+      || record->revision > departed->revision)
+    return false;
+  c->departed_listed = true;
+  return true;
+}
+
+void
+lt_source_era_tick (lt_source_controller_t *c, int64_t now_us)
+{
+  departed_upstream_t *departed;
+  departed_upstream_t *next;
+  /* In the order in which they went.  */
+  HASH_ITER (hh, c->departed, departed, next)
+  {
+    if (now_us - departed->at_us < DEPARTED_MEMORY_MS * LT_US_PER_MS)
+      break;
+    departed_delete (c, departed);
+  }
+  if (!c->departed_listed
+      || now_us - c->era_since_us < REPEAT_MS * LT_US_PER_MS)
+    return;
+  c->departed_listed = false;
+  read_all_again (c, &c->watches[LT_REGISTRY_UPSTREAMS], now_us);
+}
+
+void
+lt_source_forget_departed (lt_source_controller_t *c)
+{
+  departed_upstream_t *departed;
+  departed_upstream_t *next;
+  HASH_ITER (hh, c->departed, departed, next)
+  {
+    departed_delete (c, departed);
+  }
+}
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -31,6 +31,7 @@
   int64_t version;
   int64_t changed_version;  /* Changes after it are not known to exist. */
   int64_t asked_version;    /* Of the call in flight. */
+  bool asked_all;           /* The call in flight reads all records. */
   bool complete;            /* Completely read; now watched. */
   bool in_flight;           /* A call is in flight. */
   bool behind;              /* Another VM has reported later changes. */
@@ -52,18 +53,34 @@
 {
   UT_hash_handle hh;
   int64_t version;
-  bool missing; /* Absent from the registry; kept for now. */
-  bool listed;  /* Listed by the read in flight. */
+  int64_t era;      /* Of the version. */
+  int64_t revision; /* See lt_registry_record_t. */
+  bool missing;     /* Absent from the registry; kept for now. */
+  bool listed;      /* Listed by the read in flight. */
   lt_deployment_upstream_t upstream;
   lt_buf_t strings;
 } upstream_entry_t;
 
+/* The last known state of an upstream that is gone.  */
+typedef struct departed_upstream
+{
+  UT_hash_handle hh;
+  char *name;
+  uint64_t incarnation;
+  int64_t revision;
+  int64_t era;
+  int64_t at_us;
+} departed_upstream_t;
+
 struct lt_source_controller
 {
   lt_controller_t base;
   record_watch_t watches[2];
   lt_snapshot_t *configuration; /* Without upstreams; NULL at first. */
   upstream_entry_t *entries;
+  departed_upstream_t *departed;
+  bool departed_listed; /* The copy lists upstreams that are gone. */
+  int64_t era_since_us; /* When this VM learned of the era; 0: at its start. */
   int64_t install_count;
   int64_t recovered_us; /* End of the last outage, of any kind; 0: none. */
   lt_relay_t *relay;
@@ -89,6 +106,29 @@
 /** Returns when the registry had last responded to both watches; 0: never.  */
 int64_t lt_source_verified_us (const lt_source_controller_t *c);
 
+/* source_era.c */
+
+/** Returns whether RESULT, which arrived for WATCH, is of an earlier era, or
+    lists changes although all records are to be read.  */
+bool lt_source_is_outdated (const record_watch_t *watch,
+                            const lt_registry_result_t *result);
+/** Returns whether RECORD is older than what is known of ENTRY.  */
+bool lt_source_is_older (const lt_source_controller_t *c,
+                         const upstream_entry_t *entry,
+                         const lt_registry_record_t *record);
+/** Remembers that the upstream of ENTRY is gone.  */
+void lt_source_note_departed (lt_source_controller_t *c,
+                              const upstream_entry_t *entry, int64_t now_us);
+/** Returns whether RECORD is of an upstream that went before the registry came
+    back from an older copy, and was not written since.  */
+bool lt_source_has_departed (lt_source_controller_t *c,
+                             const lt_registry_record_t *record,
+                             int64_t now_us);
+/** Forgets upstreams that are gone for long.  Reads all records again when
+    those of departed upstreams are no longer left out.  */
+void lt_source_era_tick (lt_source_controller_t *c, int64_t now_us);
+void lt_source_forget_departed (lt_source_controller_t *c);
+
 /* source_entries.c */
 
 /** Applies a record of an upstream.  Returns whether the set of upstreams
@@ -103,7 +143,7 @@
 bool lt_source_remove_unlisted (lt_source_controller_t *c, int64_t now_us);
 /** Removes missing entries of services that lack too few entries for an expiry
     by an outage.  Returns whether any was removed.  */
-bool lt_source_remove_departed (lt_source_controller_t *c);
+bool lt_source_remove_departed (lt_source_controller_t *c, int64_t now_us);
 /** Removes entries that are still missing at the end of the retention time.
     Returns whether any was removed.  */
 bool lt_source_expire_missing (lt_source_controller_t *c, int64_t now_us);
--- a/packages/node/src/source_relay.c
+++ b/packages/node/src/source_relay.c
@@ -51,7 +51,8 @@
   lt_wire_registry_report_t report
       = { .sent_us = now_us,
           .serving = lt_source_is_healthy (c) && !c->base.node->draining,
-          .outage_age_us = outage_age_us (c, now_us) };
+          .outage_age_us = outage_age_us (c, now_us),
+          .era = c->base.node->registry_era };
   for (int i = 0; i < LT_WIRE_REGISTRY_KINDS; i++)
     report.parts[i] = (lt_wire_registry_part_t){
       .version = c->watches[i].version,
@@ -75,6 +76,7 @@
           .after_version = watch->asked_version,
           .version = result->version,
           .outage_age_us = outage_age_us (c, now_us),
+          .era = c->base.node->registry_era,
           .records = result->encoded };
   lt_buf_t payload = { 0 };
   lt_wire_registry_records_encode (&message, &payload);
@@ -127,6 +129,15 @@
   c->relayed[SOURCE_RELAY_BEHIND]->value++;
 }
 
+/* Returns whether ERA, of a message of another VM, is the one that this VM
+   knows, or a later one, which it takes over.  */
+static bool
+is_of_era (lt_source_controller_t *c, int64_t era)
+{
+  lt_source_controller_note_era (c->base.node, era);
+  return era == c->base.node->registry_era;
+}
+
 static void
 on_report (lt_source_controller_t *c, const lt_peer_message_t *message,
            int64_t now_us)
@@ -137,6 +148,8 @@
       c->relayed[SOURCE_RELAY_MALFORMED]->value++;
       return;
     }
+  if (!is_of_era (c, report.era))
+    return;
   int64_t config_us = report.parts[LT_REGISTRY_CONFIG].verified_us;
   int64_t upstreams_us = report.parts[LT_REGISTRY_UPSTREAMS].verified_us;
   lt_relay_report_t summary = {
@@ -195,6 +208,8 @@
       return;
     }
   record_watch_t *watch = &c->watches[records.kind];
+  if (!is_of_era (c, records.era))
+    return;
   if (!watch->complete || records.version <= watch->version
       || records.after_version > watch->version)
     return;
--- a/packages/store/include/lt/store/http_client.h
+++ b/packages/store/include/lt/store/http_client.h
@@ -37,6 +37,9 @@
     const char *url;
     str_t body;
     const char *headers[4]; /**< "Name: value"; ends at the first NULL. */
+    /** Name of a response header to return; NULL: none.  A string that lives
+        until the response.  */
+    const char *response_header;
     int64_t timeout_ms;
   } http_request_t;
 
@@ -47,6 +50,7 @@
                   -LT_ECANCELED. */
     long status;
     str_t body;
+    str_t header; /**< Value of response_header; empty: absent. */
   } http_response_t;
 
   typedef void (*http_done_t) (void *user, const http_response_t *response);
--- a/packages/store/src/http_client.c
+++ b/packages/store/src/http_client.c
@@ -41,6 +41,7 @@
   lt_buf_t body;
   size_t body_read;
   lt_buf_t response;
+  const char *response_header;
   http_done_t done;
   void *user;
 };
@@ -74,6 +75,18 @@
     }
 }
 
+static str_t
+find_response_header (const transfer_t *transfer)
+{
+  struct curl_header *header = NULL;
+  if (transfer->response_header == NULL
+      || curl_easy_header (transfer->easy, transfer->response_header, 0,
+                           CURLH_HEADER, -1, &header)
+             != CURLHE_OK)
+    return str_make (NULL, 0);
+  return str_from (header->value);
+}
+
 static void
 transfer_end (transfer_t *transfer, int error)
 {
@@ -83,6 +96,7 @@
       curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE,
                          &response.status);
       response.body = lt_buf_str (&transfer->response);
+      response.header = find_response_header (transfer);
     }
   http_done_t done = transfer->done;
   transfer->done = NULL;
@@ -229,6 +243,7 @@
   transfer->easy = curl_easy_init ();
   transfer->done = done;
   transfer->user = user;
+  transfer->response_header = request->response_header;
   lt_buf_append_str (&transfer->body, request->body);
   CURL *easy = transfer->easy;
   curl_easy_setopt (easy, CURLOPT_URL, request->url);
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -268,6 +268,7 @@
     int64_t sent_us; /**< On the sender's clock. */
     bool serving;    /**< False: the sender cannot read for others now. */
     int64_t outage_age_us; /**< Since the end of the last outage; -1: none. */
+    int64_t era;           /**< Era of the versions; 0: unknown. */
     lt_wire_registry_part_t parts[LT_WIRE_REGISTRY_KINDS];
   } lt_wire_registry_report_t;
 
@@ -285,6 +286,7 @@
     int64_t after_version;
     int64_t version;
     int64_t outage_age_us; /**< As in lt_wire_registry_report_t. */
+    int64_t era;           /**< The same. */
     str_t records;         /**< In the encoding of the registry. */
   } lt_wire_registry_records_t;
 
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -19,8 +19,8 @@
   SNAPSHOT_GET_FIELDS = 2,
   SNAPSHOT_DATA_FIELDS = 4,
   DRAIN_FIELDS = 3,
-  REGISTRY_REPORT_FIELDS = 3 + 3 * LT_WIRE_REGISTRY_KINDS,
-  REGISTRY_RECORDS_FIELDS = 5,
+  REGISTRY_REPORT_FIELDS = 4 + 3 * LT_WIRE_REGISTRY_KINDS,
+  REGISTRY_RECORDS_FIELDS = 6,
   QUARANTINE_FIELDS = 5,
   UPDATE_FIELDS = 4,
   MEMBER_STATE_MAX = 3,
@@ -438,6 +438,7 @@
   lt_pack_i64 (out, message->sent_us);
   lt_pack_bool (out, message->serving);
   lt_pack_i64 (out, message->outage_age_us);
+  lt_pack_i64 (out, message->era);
   for (int i = 0; i < LT_WIRE_REGISTRY_KINDS; i++)
     {
       lt_pack_i64 (out, message->parts[i].version);
@@ -456,6 +457,7 @@
   message->sent_us = unpack_non_negative (&in);
   message->serving = lt_unpack_bool (&in);
   message->outage_age_us = lt_unpack_i64 (&in, -1, INT64_MAX);
+  message->era = unpack_non_negative (&in);
   for (int i = 0; i < LT_WIRE_REGISTRY_KINDS; i++)
     {
       message->parts[i].version = unpack_non_negative (&in);
@@ -474,6 +476,7 @@
   lt_pack_i64 (out, message->after_version);
   lt_pack_i64 (out, message->version);
   lt_pack_i64 (out, message->outage_age_us);
+  lt_pack_i64 (out, message->era);
   lt_pack_bin (out, message->records);
 }
 
@@ -488,6 +491,7 @@
   message->after_version = unpack_non_negative (&in);
   message->version = unpack_non_negative (&in);
   message->outage_age_us = lt_unpack_i64 (&in, -1, INT64_MAX);
+  message->era = unpack_non_negative (&in);
   message->records = lt_unpack_bin (&in, LT_WIRE_REGISTRY_RECORDS_MAX_BYTES);
   return lt_unpack_end (&in);
 }
