Mesh: list and announce again when the registry came back from a copy

Cause: a VM announces itself once. A copy that is older than its record does not list it, so VMs that start later did not know it, had fewer VMs in their shares of rates, and, where the copy lacked the secret too, made a second one with which no other VM accepts their connections.

Change: in a new era each VM reads the list once more; one that is missing announces itself, and the secret of the fleet is written again if it is missing (under the condition that there is none).

--- a/packages/node/src/mesh_controller.c
+++ b/packages/node/src/mesh_controller.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/base/log.h"
 #include "lt/node/quarantine_controller.h"
+#include "lt/node/source_controller.h"
 #include "peer_transport.h"
 
 enum
@@ -55,6 +56,8 @@
   bool call_pending; /* A call to the registry is in progress. */
   bool failing;      /* The last call failed. */
   int lists_read;
+  int64_t era;        /* Of the registry, when the last call began. */
+  bool secret_listed; /* The last list had the secret. */
   int connect_rounds; /* Rounds of connecting, up to FIRST_CONNECT_ROUNDS. */
   int64_t next_us;
   int64_t next_connect_us;
@@ -264,15 +267,21 @@
 handle_list (mesh_controller_t *c, const lt_registry_result_t *result,
              int64_t now_us)
 {
+  c->secret_listed = false;
   for (size_t i = 0; i < result->count; i++)
     if (result->records[i].removed)
       continue;
     else if (result->records[i].secret.len > 0)
-      use_secret (c, result->records[i].secret);
+      {
+        c->secret_listed = true;
+        use_secret (c, result->records[i].secret);
+      }
     else
       add_vm (c, &result->records[i].vm);
   c->lists_read++;
-  c->step = c->announced && c->transport != NULL ? STEP_IDLE : STEP_ANNOUNCE;
+  c->step = c->announced && c->secret_listed && c->transport != NULL
+                ? STEP_IDLE
+                : STEP_ANNOUNCE;
   int64_t wait_ms = c->lists_read <= FIRST_LISTS ? FIRST_LIST_MS : LIST_MS;
   wait_ms = wait_ms / 2
             + (int64_t)lt_rng_below (&c->base.node->rng, (uint64_t)wait_ms);
@@ -285,6 +294,7 @@
   mesh_controller_t *c = user;
   int64_t now_us = lt_node_now_us (c->base.node);
   c->call_pending = false;
+  lt_source_controller_note_era (c->base.node, result->era);
   log_state_change (c, result->error);
   if (result->error == -LT_ECONFLICT)
     {
@@ -301,6 +311,7 @@
   else
     {
       c->announced = true;
+      c->secret_listed = true;
       use_secret (c, str_from (c->proposed_secret));
       c->step = STEP_IDLE;
       c->next_us = now_us + FIRST_LIST_MS / 2 * LT_US_PER_MS
@@ -331,15 +342,37 @@
   c->proposed_secret[0] = '\0';
   if (c->transport == NULL)
     propose_secret (c);
+  else if (!c->secret_listed)
+    memcpy (c->proposed_secret, c->secret, sizeof (c->secret));
   return node->registry->vtable->announce (node->registry, &vm,
                                            str_from (c->proposed_secret),
                                            CALL_TIMEOUT_MS, on_result, c);
 }
 
+/* A registry that came back from an older copy may lack this VM's record and
+   the secret.  */
+static void
+list_again_in_new_era (mesh_controller_t *c, int64_t now_us)
+{
+  int64_t era = c->base.node->registry_era;
+  if (c->call_pending || era == c->era)
+    return;
+  if (c->era != 0)
+    {
+      c->announced = false;
+      c->step = STEP_LIST;
+      c->next_us = now_us
+                   + (int64_t)lt_rng_below (&c->base.node->rng,
+                                            RETRY_MS * LT_US_PER_MS);
+    }
+  c->era = era;
+}
+
 static void
 next_call (mesh_controller_t *c, int64_t now_us)
 {
   lt_registry_t *registry = c->base.node->registry;
+  list_again_in_new_era (c, now_us);
   if (c->call_pending || now_us < c->next_us)
     return;
   if (c->step == STEP_IDLE)
