A refusal that names another request says nothing about this one

Cause: 'not run' was taken from any response with the header that says so, and from any 421, whatever request id it named. An upstream that writes an earlier refusal once more would have made a request run a second time at another upstream, or callers be told that it had not run. On the platform a connection serves one request, so it takes an upstream that answers with a wrong id.

Change: such a response is one of another request, which is discarded. Test Answers.RefusalOfAnotherRequestIsDiscarded (503, 429, 421): before, each never-repeat request reached two upstreams; now one, and the caller gets 502.

--- a/packages/node/src/dispatch_answer.c
+++ b/packages/node/src/dispatch_answer.c
@@ -8,6 +8,19 @@
   STATUS_MISDIRECTED = 421
 };
 
+/* Returns whether the response names this request, or names none.  */
+static bool
+is_of_request (const attempt_t *attempt, const lt_header_list_t *headers)
+{
+  const lt_request_t *request = attempt->dispatch->request;
+  str_t name = request->node->dialect->request_id;
+  size_t count = lt_header_list_count (headers, name);
+  return count == 0
+         || (count == 1
+             && str_equal (lt_header_list_get (headers, name),
+                           str_from (request->request_id)));
+}
+
 /* Returns whether the response is not the upstream's response to this request.
    A success must carry the request id and the upstream's seal.  A failure
    without a request id is accepted, because it cannot be taken for a success.
@@ -15,21 +28,15 @@
 static bool
 is_wrong_response (const attempt_t *attempt, const lt_header_list_t *headers)
 {
-  const lt_request_t *request = attempt->dispatch->request;
-  const lt_dialect_t *dialect = request->node->dialect;
+  const lt_dialect_t *dialect = attempt->dispatch->request->node->dialect;
   bool success = attempt->status >= STATUS_OK_FIRST
                  && attempt->status <= STATUS_OK_LAST;
-  str_t id = lt_header_list_get (headers, dialect->request_id);
-  if (id.data != NULL || success)
-    {
-      if (!str_equal (id, str_from (request->request_id)))
-        return true;
-      if (lt_header_list_count (headers, dialect->request_id) > 1)
-        return true;
-    }
+  if (!is_of_request (attempt, headers))
+    return true;
   if (!success)
     return false;
-  return lt_header_list_count (headers, dialect->seal) != 1
+  return lt_header_list_count (headers, dialect->request_id) != 1
+         || lt_header_list_count (headers, dialect->seal) != 1
          || lt_header_list_count (headers, STR_LIT ("Content-Encoding")) > 0;
 }
 
@@ -40,11 +47,12 @@
   const lt_dialect_t *dialect = attempt->dispatch->request->node->dialect;
   if (!dialect->response_echoes_id)
     return;
-  attempt->not_run
+  bool says_not_run
       = (dialect->misdirected_is_not_run
          && attempt->status == STATUS_MISDIRECTED)
         || (attempt->status >= 400
             && lt_header_list_count (headers, dialect->not_run) > 0);
+  attempt->not_run = says_not_run && is_of_request (attempt, headers);
   attempt->wrong_response
       = !attempt->not_run && is_wrong_response (attempt, headers);
 }
