Quarantine: an upstream that has started again is lost again

Cause: losses were counted by the name of the upstream. Where a service has few upstreams that start again under their names, the second loss of each did not count, and the request was never quarantined.

Change: name and start count. An upstream that resets connections without starting again still counts once.

--- a/packages/node/src/quarantine_controller.c
+++ b/packages/node/src/quarantine_controller.c
@@ -148,6 +148,15 @@
           (long long)(notice->remaining_us / LT_US_PER_S), STR_ARG (from));
 }
 
+/* An upstream that has started again is another one: it was lost again.  */
+static uint64_t
+upstream_hash (const lt_upstream_t *upstream)
+{
+  const uint64_t parts[]
+      = { lt_hash64 (upstream->name), upstream->incarnation };
+  return lt_hash64 (str_make ((const char *)parts, sizeof (parts)));
+}
+
 static void
 on_observation (lt_controller_t *base, const lt_observation_event_t *event,
                 int64_t now_us)
@@ -163,7 +172,7 @@
       controller->counts[COUNT_LOSS]->value++;
       send = lt_quarantine_on_loss (
           controller->quarantine, &event->fingerprint,
-          lt_hash64 (event->snapshot->upstreams[event->upstream].name), now_us,
+          upstream_hash (&event->snapshot->upstreams[event->upstream]), now_us,
           &notice);
     }
   else if (event->outcome == LT_ATTEMPT_OK)
--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -1,10 +1,11 @@
 /** @file
     Quarantine of requests that crash the upstreams that run them.  When the
-    connection of a request is reset or closed before the response header, this
-    counts as a loss of the upstream, and requests with the same fingerprint
-    are suspect.  After losses of two different upstreams the fingerprint is
-    quarantined: such requests are refused for a time that doubles with each
-    quarantine.  VMs exchange notices of losses and quarantines.  */
+    connection of a request is reset or closed before the response is complete,
+    this counts as a loss of the upstream, and requests with the same
+    fingerprint are suspect.  After losses of two different upstreams the
+   fingerprint is quarantined: such requests are refused for a time that
+   doubles with each quarantine.  VMs exchange notices of losses and
+   quarantines.  */
 #ifndef LT_POLICY_QUARANTINE_H
 #define LT_POLICY_QUARANTINE_H
 
@@ -79,8 +80,8 @@
     bool cleared;         /**< The request got a response: not suspect.  With
                              a level: an objection to that quarantine. */
     uint32_t loss_count;
-    uint64_t upstreams[LT_QUARANTINE_LOSSES_MAX]; /**< Hashes of the names of
-                                                     lost upstreams. */
+    uint64_t upstreams[LT_QUARANTINE_LOSSES_MAX]; /**< Hashes of the lost
+                                                     upstreams. */
   } lt_quarantine_notice_t;
 
   typedef enum lt_quarantine_verdict
@@ -118,8 +119,9 @@
   lt_quarantine_check_result_t
   lt_quarantine_check (lt_quarantine_t *quarantine,
                        const lt_digest_t *fingerprint, int64_t now_us);
-  /** Reports that the connection to UPSTREAM (hash of its name) ended before
-      the response header.  Returns true if NOTICE must be sent to all VMs.  */
+  /** Reports that UPSTREAM, a hash that differs for each start of an upstream,
+      ended the connection before its response was complete.  Returns true if
+     NOTICE must be sent to all VMs.  */
   bool lt_quarantine_on_loss (lt_quarantine_t *quarantine,
                               const lt_digest_t *fingerprint,
                               uint64_t upstream, int64_t now_us,
