--- a/packages/policy/include/lt/policy/quarantine.h
+++ b/packages/policy/include/lt/policy/quarantine.h
@@ -1,11 +1,11 @@
 /** @file
-    Quarantine of requests that crash the upstreams that run them.  When the
-    connection of a request is reset or closed before the response is complete,
+    Quarantine of requests that crash the upstreams that run them.  When an
+    upstream ends the connection of a request before its response is complete,
     this counts as a loss of the upstream, and requests with the same
     fingerprint are suspect.  After losses of two different upstreams the
-   fingerprint is quarantined: such requests are refused for a time that
-   doubles with each quarantine.  VMs exchange notices of losses and
-   quarantines.  */
+    fingerprint is quarantined: such requests are refused for a time that
+    doubles with each quarantine.  VMs exchange notices of losses and
+    quarantines.  */
 #ifndef LT_POLICY_QUARANTINE_H
 #define LT_POLICY_QUARANTINE_H
 
@@ -121,7 +121,7 @@
                        const lt_digest_t *fingerprint, int64_t now_us);
   /** Reports that UPSTREAM, a hash that differs for each start of an upstream,
       ended the connection before its response was complete.  Returns true if
-     NOTICE must be sent to all VMs.  */
+      NOTICE must be sent.  */
   bool lt_quarantine_on_loss (lt_quarantine_t *quarantine,
                               const lt_digest_t *fingerprint,
                               uint64_t upstream, int64_t now_us,
