Test of truncated responses: a request of its own for each case

The cases are about the responses, so each has a body of its own now; the checks stay as they are. That a repeated request is quarantined is checked by CrashingRequest and ClaimTest.CrashingRequestIsQuarantined.

--- a/packages/node/test/test_caller_http.cc
+++ b/packages/node/test/test_caller_http.cc
@@ -171,11 +171,14 @@
     { R"({"cut_share": 1})", "/notes" },
     { R"({"reset_share": 1})", "/notes" },
   };
+  std::string body;
   for (const auto &c : cases)
     {
       configure_upstream ("q1", c.behaviour);
       configure_upstream ("q2", c.behaviour);
-      Reply reply = vm.request ("POST", c.target, { key }, "x");
+      /* The same request would be quarantined after two lost upstreams.  */
+      body += "x";
+      Reply reply = vm.request ("POST", c.target, { key }, body);
       bool refused
           = reply.status == 502 && reply.headers["x-request-ran"] == "unknown";
       bool broken = reply.code != CURLE_OK;
