--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -33,14 +33,18 @@
 std::atomic<int> refused{ 0 };
 
 void
-send_requests (Entry *entry, int number, int64_t until_ms)
+send_requests (Record *record, Entry *entry, int number, int64_t until_ms)
 {
   sleep_ms (number * PAUSE_MS / (CLIENTS * MACHINES));
   while (now_ms () < until_ms)
     {
-      auto link = connect_to (entry->pick ((size_t)number)->ip, Ports::front);
+      const Machine *machine = entry->pick ((size_t)number);
+      auto link = connect_to (machine->ip, Ports::front);
       std::string attempt = next_attempt ();
+      std::string status = "nothing";
       Message answer;
+      record->add ("sent     %s to %s", attempt.c_str (),
+                   machine->id.c_str ());
       {
         std::lock_guard<std::mutex> guard (lock);
         sent_ms[attempt] = now_ms ();
@@ -49,7 +53,9 @@
           && link->write (request_text (attempt, "POST", "/unsafe/2f",
                                         TENANT.key, DEADLINE_MS))
           && link->read (&answer, now_ms () + DEADLINE_MS) == Wait::Arrived)
-        refused += answer.word (1) == "429";
+        status = answer.word (1);
+      refused += status == "429";
+      record->add ("answered %s %s", attempt.c_str (), status.c_str ());
       sleep_ms (PAUSE_MS);
     }
 }
@@ -98,7 +104,8 @@
   int64_t began_ms = now_ms ();
   std::vector<std::thread> clients;
   for (int i = 0; i < CLIENTS * MACHINES; i++)
-    clients.emplace_back (send_requests, &entry, i, began_ms + LENGTH_MS);
+    clients.emplace_back (send_requests, &record, &entry, i,
+                          began_ms + LENGTH_MS);
   sleep_ms (STOP_MS);
   Machine &stopped = *deployment.machines[0];
   if (has_trouble ())
--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -34,6 +34,8 @@
   std::string attempt = next_attempt ();
   auto link = connect_to (machine.ip, Ports::front);
   Message answer;
+  record.add ("sent     %s with key %s to %s", attempt.c_str (), key,
+              machine.id.c_str ());
   if (link == nullptr
       || !link->write (request_text (attempt, "POST", "/unsafe/2f", key,
                                      DEADLINE_MS, "one panel"))
@@ -42,8 +44,7 @@
   outcome->sent++;
   std::lock_guard<std::mutex> guard (lock);
   outcome->ran += runs.count (attempt) > 0;
-  record.add ("%s with key %s to %s: %s, %s", attempt.c_str (), key,
-              machine.id.c_str (), answer.word (1).c_str (),
+  record.add ("answered %s %s, %s", attempt.c_str (), answer.word (1).c_str (),
               runs.count (attempt) > 0 ? "ran" : "did not run");
 }
 
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -54,6 +54,8 @@
       Message answer;
       int64_t sent_ms = now_ms ();
       sent++;
+      deployment->record.add ("sent     %s to %s", attempt.c_str (),
+                              machine->id.c_str ());
       Wait wait = Wait::Ended;
       if (link->write (text))
         wait = link->read (&answer, sent_ms + DEADLINE_MS + 500);
