Callers: a request right behind a response keeps its whole deadline

Cause: a request was taken for one sent ahead if it began in the turn of the event loop that completed the one before, and its deadline then counted from the start of that one. libmicrohttpd runs several times in a turn, so a prompt caller's bytes are read by a later run of the same turn.

Change: a run reads a connection once at most and before anything else, so only bytes passed on in the run that completed the request before were read earlier. The server counts runs and keeps the time of the last read.

--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -35,9 +35,9 @@
   struct caller_connection *next;
   int fd;
   int open_exchanges;       /* Requests that are being received or served. */
-  int64_t waiting_since_us; /* Bytes of the next request wait; 0: none. */
-  int64_t last_started_us;  /* Of the last request. */
-  unsigned int completed_iteration; /* Of the loop, when it completed. */
+  int64_t waiting_since_us; /* Unread bytes wait on the socket; 0: none. */
+  int64_t input_us;         /* Last read by libmicrohttpd; 0: none yet. */
+  uint64_t input_run;       /* Run of the daemon in which that holds. */
 } caller_connection_t;
 
 typedef struct exchange exchange_t;
@@ -280,6 +280,25 @@
   lt_buf_append (&request->body, data, len);
 }
 
+/* Returns when the input of CALLER that libmicrohttpd passes on now arrived.
+   Without a read since the last call or response, that is the time of the read
+   before: the bytes waited in its buffer.  */
+static int64_t
+note_input (lt_caller_server_t *server, caller_connection_t *caller)
+{
+  int64_t now_us = lt_node_now_us (server->node);
+  if (caller == NULL)
+    return now_us;
+  if (caller->input_run == server->http.runs)
+    return caller->input_us;
+  int64_t first_us
+      = caller->waiting_since_us != 0 ? caller->waiting_since_us : now_us;
+  caller->waiting_since_us = 0;
+  caller->input_us = now_us;
+  caller->input_run = server->http.runs;
+  return first_us;
+}
+
 static enum MHD_Result
 on_access (void *cls, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *upload_data,
@@ -291,6 +310,8 @@
   exchange->connection = connection;
   if (exchange->caller_disconnected)
     return MHD_NO;
+  if (!exchange->chain_started)
+    note_input (exchange->server, exchange->caller);
   if (exchange->request == NULL)
     return start_request (exchange, method, version);
   if (*upload_data_size > 0)
@@ -346,31 +367,11 @@
   caller_connection_t *caller;
   DL_FOREACH (server->connections, caller)
   {
-    if (caller->open_exchanges == 0 && caller->last_started_us != 0)
+    if (caller->open_exchanges == 0 && caller->input_us != 0)
       shutdown (caller->fd, SHUT_RD);
   }
 }
 
-/* Returns when the first bytes of the next request of CALLER arrived.  Bytes
-   that libmicrohttpd processes right after a response were received together
-   with the request before.  */
-static int64_t
-next_received_us (lt_node_t *node, caller_connection_t *caller)
-{
-  int64_t now_us = lt_node_now_us (node);
-  int64_t received_us = now_us;
-  if (caller == NULL)
-    return now_us;
-  if (caller->waiting_since_us != 0)
-    received_us = caller->waiting_since_us;
-  else if (caller->last_started_us != 0
-           && caller->completed_iteration == ev_iteration (node->loop))
-    received_us = caller->last_started_us;
-  caller->waiting_since_us = 0;
-  caller->last_started_us = received_us;
-  return received_us;
-}
-
 static void *
 on_target (void *cls, const char *uri, struct MHD_Connection *connection)
 {
@@ -379,8 +380,7 @@
   exchange->connection = connection;
   exchange->target = str_dup (str_from (uri));
   exchange->caller = find_caller_connection (connection);
-  exchange->received_us
-      = next_received_us (exchange->server->node, exchange->caller);
+  exchange->received_us = note_input (exchange->server, exchange->caller);
   if (exchange->caller != NULL)
     exchange->caller->open_exchanges++;
   DL_APPEND (exchange->server->exchanges, exchange);
@@ -404,8 +404,8 @@
   if (exchange->caller != NULL)
     {
       exchange->caller->open_exchanges--;
-      exchange->caller->completed_iteration
-          = ev_iteration (exchange->server->node->loop);
+      /* What follows in this run was read before the response.  */
+      exchange->caller->input_run = exchange->server->http.runs;
     }
   if (exchange->target != NULL)
     memset (exchange->target, 0, strlen (exchange->target));
--- a/packages/node/src/http_loop.c
+++ b/packages/node/src/http_loop.c
@@ -9,6 +9,7 @@
 run_daemon (lt_http_loop_t *http)
 {
   http->run_needed = false;
+  http->runs++;
   MHD_run (http->daemon);
 }
 
--- a/packages/node/src/http_loop.h
+++ b/packages/node/src/http_loop.h
@@ -6,6 +6,7 @@
 
 #include <ev.h>
 #include <stdarg.h>
+#include <stdint.h>
 #include <microhttpd.h>
 
 #include "lt/base/str.h"
@@ -23,6 +24,8 @@
     ev_timer timeout;
     ev_prepare prepare;
     bool run_needed;
+    uint64_t runs; /* Of the daemon; each reads a connection once at most,
+                      before anything else is done with it. */
   } lt_http_loop_t;
 
   /** Watches DAEMON (started with MHD_USE_EPOLL).  Returns 0 or -LT_EIO.  */
--- a/packages/node/test/test_pipelining.cc
+++ b/packages/node/test/test_pipelining.cc
@@ -49,6 +49,17 @@
          + "\r\n";
 }
 
+size_t
+content_length (std::string head)
+{
+  for (char &c : head)
+    c = static_cast<char> (tolower (c));
+  size_t at = head.find ("content-length: ");
+  return at == std::string::npos
+             ? 0
+             : static_cast<size_t> (atol (head.c_str () + at + 16));
+}
+
 // Splits TEXT into responses with a length; "" marks bytes that are none.
 std::vector<std::string>
 split_responses (std::string text)
@@ -62,14 +73,7 @@
           responses.push_back ("");
           return responses;
         }
-      std::string head = text.substr (0, end + 4);
-      for (char &c : head)
-        c = static_cast<char> (tolower (c));
-      size_t at = head.find ("content-length: ");
-      size_t length
-          = at == std::string::npos
-                ? 0
-                : static_cast<size_t> (atol (head.c_str () + at + 16));
+      size_t length = content_length (text.substr (0, end + 4));
       responses.push_back (text.substr (0, end + 4 + length));
       text.erase (0, end + 4 + length);
     }
@@ -104,6 +108,26 @@
   return received;
 }
 
+// Reads one response with a length; it is cut off if the connection ends.
+std::string
+read_response (int fd)
+{
+  std::string received;
+  char buffer[4096];
+  for (;;)
+    {
+      size_t end = received.find ("\r\n\r\n");
+      if (end != std::string::npos
+          && received.size ()
+                 >= end + 4 + content_length (received.substr (0, end + 4)))
+        return received;
+      ssize_t got = read (fd, buffer, sizeof (buffer));
+      if (got <= 0)
+        return received;
+      received.append (buffer, static_cast<size_t> (got));
+    }
+}
+
 int
 status_of (const std::string &response)
 {
@@ -239,6 +263,80 @@
   EXPECT_EQ (1, runs ());
 }
 
+// A caller that sends its next request right behind a response gets the whole
+// deadline for it: a request read within the turn of the loop that completed
+// the one before was taken for a pipelined one, and its deadline began with
+// that one.
+TEST_F (Pipelining, PromptFollowUpKeepsItsOwnDeadline)
+{
+  constexpr int kCallers = 6;
+  constexpr int kRounds = 60;
+  configure (R"({"latency_ms": 10})");
+  // Open routes need no confirmed configuration, which ages with the clock.
+  std::string bytes = get ("/stock/1", "X-Deadline-Ms: 800\r\n");
+  uint16_t port = lt_daemon_port (vm.daemon);
+  std::atomic<int> sent{ 0 };
+  std::atomic<int> not_served{ 0 };
+  auto call = [&] {
+    int fd = connect_to_vm (port);
+    for (int round = 0; round < kRounds; round++)
+      {
+        (void)!write (fd, bytes.data (), bytes.size ());
+        sent++;
+        not_served += status_of (read_response (fd)) != 200;
+      }
+    close (fd);
+  };
+  vm.run_while ([&] {
+    std::vector<std::thread> callers;
+    for (int i = 0; i < kCallers; i++)
+      callers.emplace_back (call);
+    // The clock moves once while each request is served, by less than its
+    // deadline.
+    for (int round = 1; round <= kRounds; round++)
+      {
+        while (sent < round * kCallers)
+          std::this_thread::sleep_for (std::chrono::microseconds (100));
+        std::this_thread::sleep_for (std::chrono::milliseconds (3));
+        vm.clock.now_us += 500 * 1000;
+      }
+    for (std::thread &caller : callers)
+      caller.join ();
+  });
+  EXPECT_EQ (0, not_served);
+}
+
+// The deadline of a request that arrives with the rest of an upload counts
+// from then, also when the upload's head had been sent ahead of it.
+TEST_F (Pipelining, DeadlineBehindALateBodyCountsFromArrival)
+{
+  vm.clock.now_us += 1;
+  configure (R"({"latency_ms": 100})");
+  std::string ahead = get ("/quotes/1")
+                      + "POST /quotes/2 HTTP/1.1\r\nHost: x\r\n" + kKey
+                      + "Content-Length: 4\r\n\r\n";
+  std::string late
+      = "body"
+        + get ("/quotes/3", "X-Deadline-Ms: 950\r\nConnection: close\r\n");
+  std::vector<int> statuses;
+  uint16_t port = lt_daemon_port (vm.daemon);
+  vm.run_while ([&] {
+    int fd = connect_to_vm (port);
+    ASSERT_GE (fd, 0);
+    (void)!write (fd, ahead.data (), ahead.size ());
+    std::this_thread::sleep_for (std::chrono::milliseconds (30));
+    vm.clock.now_us += 500 * 1000;
+    statuses.push_back (status_of (read_response (fd)));
+    (void)!write (fd, late.data (), late.size ());
+    std::this_thread::sleep_for (std::chrono::milliseconds (30));
+    vm.clock.now_us += 500 * 1000;
+    for (const std::string &response : split_responses (read_to_end (fd)))
+      statuses.push_back (status_of (response));
+    close (fd);
+  });
+  EXPECT_EQ ((std::vector<int>{ 200, 200, 200 }), statuses);
+}
+
 // A planned stop between two pipelined requests: the first is answered with
 // "Connection: close", the rest counts as not read.
 TEST_F (Pipelining, StopAnswersTheFirstAndClosesTheConnection)
