Configuration: no route opens when the last workspace is removed

The platform's rule is another one: keys are asked for if the table is there. An empty table, and one of another type, count as no workspaces.

Test replaced: Deployment.WithoutWorkspacesNoRouteNeedsAKey asserted the fault; Deployment.RoutesKeepTheirAccessWithoutWorkspaces checks the access of all routes instead of one.

--- a/packages/config/include/lt/config/deployment.h
+++ b/packages/config/include/lt/config/deployment.h
@@ -77,9 +77,9 @@
   } lt_deployment_upstream_t;
 
   /** Builds a snapshot without upstreams.  Keys are stored as keyed hashes
-      under KEY_SECRET.  Without workspaces no route needs a key.  Returns 0 or
-      -LT_EINVAL: two rows of one name, two routes of one host and prefix, one
-      key of two workspaces, or a split to an unknown service.  */
+      under KEY_SECRET.  Returns 0 or -LT_EINVAL: two rows of one name, two
+      routes of one host and prefix, one key of two workspaces, or a split to
+     an unknown service.  */
   int lt_snapshot_from_deployment (const lt_deployment_t *deployment,
                                    str_t key_secret, lt_snapshot_t **snapshot);
   /** Makes a snapshot with the rows of BASE and these upstreams; those of
--- a/packages/config/src/deployment.c
+++ b/packages/config/src/deployment.c
@@ -100,7 +100,7 @@
     .name = lt_arena_copy (s->arena, from->name),
     .path = lt_arena_copy (s->arena, from->prefix),
     .host = lt_arena_copy (s->arena, from->host),
-    .access = s->workspace_count == 0 ? LT_ACCESS_OPEN : from->access,
+    .access = from->access,
     .action = from->action,
     .timeout_ms = from->timeout_ms,
     .max_body_bytes
--- a/packages/config/test/test_deployment.cc
+++ b/packages/config/test/test_deployment.cc
@@ -132,11 +132,16 @@
           .unlimited);
 }
 
-TEST_F (Deployment, WithoutWorkspacesNoRouteNeedsAKey)
+// Routes must not open because no workspace is left.
+TEST_F (Deployment, RoutesKeepTheirAccessWithoutWorkspaces)
 {
   workspaces.clear ();
+  routes[1].access = LT_ACCESS_OPEN;
   ASSERT_EQ (0, build ());
-  EXPECT_EQ (LT_ACCESS_OPEN, base->routes[0].access);
+  ASSERT_EQ (3u, base->route_count);
+  EXPECT_EQ (LT_ACCESS_KEYED, base->routes[0].access);
+  EXPECT_EQ (LT_ACCESS_OPEN, base->routes[1].access);
+  EXPECT_EQ (LT_ACCESS_KEYED, base->routes[2].access);
 }
 
 TEST_F (Deployment, ContradictionsAreRefused)
