Planned stop: late requests are passed on only if they can end before SIGKILL

Cause: after accepting has ended only connections between two requests are closed; what arrives on the others, also the end of an upload, starts as usual while another request keeps the process running.

Change: once accepting has ended, a request starts, and a further attempt is sent, only if the deadline lies before the end of the grace less 250 ms; others are refused at once as 503 stopping, not run, Retry-After 10 ms.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -158,6 +158,10 @@
     int64_t in_flight; /**< Callers' requests in flight. */
     str_t peer_secret; /**< Shared by all VMs; empty: no peer connections. */
     bool draining;     /**< This VM drains and will stop. */
+    int64_t
+        drain_accepts_until_us; /**< While draining: when accepting ends. */
+    int64_t drain_ends_us;      /**< While draining: when this process may be
+                                   killed;      0: not known. */
     /** The configuration was confirmed as current at least once since the
         start, so that keyed requests could be served.  Until then the VM
         reports that it is not ready.  */
@@ -181,6 +185,10 @@
 
   /** Returns the monotonic time of the node's clock in microseconds.  */
   int64_t lt_node_now_us (lt_node_t *node);
+  /** Returns whether a request that starts now and may last until DEADLINE_US
+      could be cut by the end of the drain.  False while this VM accepts
+      connections.  */
+  bool lt_node_may_cut (lt_node_t *node, int64_t deadline_us);
   /** Appends a controller.  The node takes ownership.  */
   void lt_node_add_controller (lt_node_t *node, lt_controller_t *controller);
   /** Appends a filter to the chain.  The node takes ownership.  */
--- a/packages/node/include/lt/node/refusal.h
+++ b/packages/node/include/lt/node/refusal.h
@@ -67,6 +67,8 @@
      LT_RUN_STATE_NOT_RUN, 5, "The action could not be claimed")              \
   X (LT_REFUSE_NO_UPSTREAM, "no-upstream", 503, LT_RUN_STATE_NOT_RUN, 1,      \
      "No upstream can take the request")                                      \
+  X (LT_REFUSE_STOPPING, "stopping", 503, LT_RUN_STATE_NOT_RUN, 0,            \
+     "This VM stops before the deadline")                                     \
   X (LT_REFUSE_UPSTREAM_FAILED, "upstream-failed", 502, LT_RUN_STATE_UNKNOWN, \
      0, "The upstream failed")                                                \
   X (LT_REFUSE_DEADLINE, "deadline-exceeded", 504, LT_RUN_STATE_UNKNOWN, 0,   \
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -121,6 +121,9 @@
   lt_filter_result_t lt_request_refuse_after (lt_request_t *request,
                                               lt_refusal_t refusal,
                                               int64_t retry_after_ms);
+  /** Refuses a request that this VM may not complete before it stops (see
+      lt_node_may_cut).  */
+  lt_filter_result_t lt_request_refuse_stopping (lt_request_t *request);
   /** Finishes a request whose response is complete or has failed: calls the
       done hooks and wakes the sink.  */
   void lt_request_finish (lt_request_t *request);
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -49,7 +49,6 @@
   lt_caller_server_t *callers;
   lt_readiness_t *readiness;
   ev_timer tick;
-  int64_t drain_started_us;
 };
 
 lt_node_t *
@@ -99,12 +98,11 @@
 continue_drain (lt_daemon_t *daemon, int64_t now_us)
 {
   lt_node_t *node = &daemon->node;
-  int64_t grace_us = drain_grace_us (node->settings);
-  if (now_us - daemon->drain_started_us < grace_us)
+  if (now_us < node->drain_accepts_until_us)
     return;
   lt_caller_server_quiesce (daemon->callers);
   bool waits_for_connections
-      = now_us - daemon->drain_started_us - grace_us < CONNECTION_WAIT_US;
+      = now_us - node->drain_accepts_until_us < CONNECTION_WAIT_US;
   if (node->in_flight > 0
       || (waits_for_connections
           && lt_caller_server_connections (daemon->callers) > 0))
@@ -335,7 +333,11 @@
   if (node->draining)
     return;
   node->draining = true;
-  daemon->drain_started_us = lt_node_now_us (node);
+  int64_t now_us = lt_node_now_us (node);
+  node->drain_accepts_until_us = now_us + drain_grace_us (node->settings);
+  if (node->settings->hosting != NULL)
+    node->drain_ends_us
+        = now_us + node->settings->stop_grace_ms * LT_US_PER_MS;
   lt_log (LT_LOG_INFO, "daemon", "msg=\"drain started\" grace_ms=%lld",
           (long long)(drain_grace_us (node->settings) / LT_US_PER_MS));
 }
--- a/packages/node/src/filter_deadline.c
+++ b/packages/node/src/filter_deadline.c
@@ -20,6 +20,8 @@
   request->deadline_us = request->started_us + timeout_ms * LT_US_PER_MS;
   if (lt_node_now_us (filter->node) >= request->deadline_us)
     return lt_request_refuse (request, LT_REFUSE_DEADLINE);
+  if (lt_node_may_cut (filter->node, request->deadline_us))
+    return lt_request_refuse_stopping (request);
   return LT_FILTER_CONTINUE;
 }
 
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -471,7 +471,9 @@
 {
   lt_pools_t *pools = dispatch_pools (dispatch);
   int64_t now_us = lt_node_now_us (dispatch->request->node);
-  if (dispatch->request->caller_disconnected)
+  if (dispatch->request->caller_disconnected
+      || lt_node_may_cut (dispatch->request->node,
+                          dispatch->request->deadline_us))
     return false;
   int64_t picked = lt_dispatch_pick (dispatch);
   if (picked < 0)
@@ -552,6 +554,8 @@
     return refuse (request, LT_REFUSE_NO_CONFIG);
   if (lt_node_now_us (filter->node) >= request->deadline_us)
     return refuse (request, LT_REFUSE_DEADLINE);
+  if (lt_node_may_cut (filter->node, request->deadline_us))
+    return lt_request_refuse_stopping (request);
   lt_dispatch_t *dispatch = lt_alloc (sizeof (*dispatch));
   request->dispatch = dispatch;
   dispatch->request = request;
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -5,6 +5,12 @@
 #include "bus.h"
 #include "lt/base/error.h"
 
+enum
+{
+  /* Time to write the last response and to end.  */
+  DRAIN_END_MARGIN_MS = 250
+};
+
 lt_snapshot_ref_t *
 lt_snapshot_ref_create (lt_snapshot_t *snapshot)
 {
@@ -37,6 +43,15 @@
   return lt_clock_now_us (node->clock);
 }
 
+bool
+lt_node_may_cut (lt_node_t *node, int64_t deadline_us)
+{
+  return node->draining && node->drain_ends_us != 0
+         && lt_node_now_us (node) >= node->drain_accepts_until_us
+         && deadline_us + DRAIN_END_MARGIN_MS * LT_US_PER_MS
+                > node->drain_ends_us;
+}
+
 void
 lt_node_add_controller (lt_node_t *node, lt_controller_t *controller)
 {
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -10,6 +10,12 @@
 #include "node_counters.h"
 #include "pools.h"
 
+enum
+{
+  /* Callers can return at once, as new connections go to other VMs.  */
+  STOPPING_RETRY_AFTER_MS = 10
+};
+
 /* Called again when the body has been received, which may take long: a revoked
    key must not keep working while its caller sends the body slowly (invariant
    I4, see docs/invariants.md).  */
@@ -239,6 +245,13 @@
       request, refusal, lt_refusal_get (refusal)->retry_after_s * 1000LL);
 }
 
+lt_filter_result_t
+lt_request_refuse_stopping (lt_request_t *request)
+{
+  return lt_request_refuse_after (request, LT_REFUSE_STOPPING,
+                                  STOPPING_RETRY_AFTER_MS);
+}
+
 int64_t
 lt_request_remaining_ms (const lt_request_t *request, int64_t now_us)
 {
