Planned stop: a request that crosses the close of its connection is answered or not run

Cause: the connection is shut down for reading whatever its socket holds. The kernel passes on what has arrived and what arrives next; the end of input behind it is then taken for the caller leaving.

--- a/packages/node/src/caller_linger.c
+++ b/packages/node/src/caller_linger.c
@@ -70,8 +70,8 @@
   lingering_close (timer->data);
 }
 
-static bool
-has_input (int fd)
+bool
+lt_socket_has_input (int fd)
 {
   char byte;
   return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -80,7 +80,7 @@
 void
 lt_linger_add (lt_linger_t *linger, int fd)
 {
-  if (!has_input (fd))
+  if (!lt_socket_has_input (fd))
     return;
   int copy = fcntl (fd, F_DUPFD_CLOEXEC, 0);
   if (copy < 0)
--- a/packages/node/src/caller_linger.h
+++ b/packages/node/src/caller_linger.h
@@ -6,6 +6,7 @@
 #define LT_NODE_CALLER_LINGER_H
 
 #include <ev.h>
+#include <stdbool.h>
 
 #ifdef __cplusplus
 extern "C"
@@ -24,6 +25,8 @@
     int count;
   } lt_linger_t;
 
+  /** Returns whether received bytes of FD are not read yet.  */
+  bool lt_socket_has_input (int fd);
   /** Called before FD is closed: if it has unread input, keeps a duplicate of
       it open until the caller closes, for at most LT_LINGER_MS.  */
   void lt_linger_add (lt_linger_t *linger, int fd);
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -34,6 +34,7 @@
   struct caller_connection *prev;
   struct caller_connection *next;
   int fd;
+  bool read_closed;         /* By this server, see close_idle. */
   int open_exchanges;       /* Requests that are being received or served. */
   int64_t waiting_since_us; /* Unread bytes wait on the socket; 0: none. */
   int64_t input_us;         /* Last read by libmicrohttpd; 0: none yet. */
@@ -360,15 +361,20 @@
 
 /* Closes connections between two requests, as their callers can tell that the
    next one was not read.  The first request of a connection may be on its
-   way.  */
+   way.  A request that has arrived is served.  The kernel still passes on the
+   bytes of one that arrives later; it is dropped (see on_target), since the
+   end of input behind it would look like its caller leaving.  */
 static void
 close_idle (lt_caller_server_t *server)
 {
   caller_connection_t *caller;
   DL_FOREACH (server->connections, caller)
   {
-    if (caller->open_exchanges == 0 && caller->input_us != 0)
-      shutdown (caller->fd, SHUT_RD);
+    if (caller->open_exchanges > 0 || caller->input_us == 0
+        || lt_socket_has_input (caller->fd))
+      continue;
+    caller->read_closed = true;
+    shutdown (caller->fd, SHUT_RD);
   }
 }
 
@@ -382,7 +388,13 @@
   exchange->caller = find_caller_connection (connection);
   exchange->received_us = note_input (exchange->server, exchange->caller);
   if (exchange->caller != NULL)
-    exchange->caller->open_exchanges++;
+    {
+      exchange->caller->open_exchanges++;
+      exchange->caller_disconnected = exchange->caller->read_closed;
+      if (exchange->caller_disconnected)
+        lt_log (LT_LOG_INFO, "caller-server",
+                "msg=\"request on a connection that is closing dropped\"");
+    }
   DL_APPEND (exchange->server->exchanges, exchange);
   return exchange;
 }
