Test: a body without end is held back with its caller

It cannot happen here with one response: heads, chunk framing and trailers are bounded (StrayBytes.EndlessBytesAreCutOff, eight forms), and a body is read no faster than its caller reads it.

What was missing is a test of the latter.

Looked at and left: a smaller SO_RCVBUF towards upstreams.

--- a/packages/node/test/test_stray_bytes.cc
+++ b/packages/node/test/test_stray_bytes.cc
@@ -2,6 +2,8 @@
 // and bytes without end in a head or a body.
 #include <gtest/gtest.h>
 
+#include <sys/ioctl.h>
+
 #include "raw_upstream.h"
 #include "session.h"
 
@@ -224,3 +226,73 @@
       EXPECT_TRUE (reply.status != 200 || reply.code != CURLE_OK) << c.name;
     }
 }
+
+// Returns the largest number of unread bytes on a socket of this process.
+int
+most_unread_bytes ()
+{
+  int most = 0;
+  for (int fd = 3; fd < 1024; fd++)
+    {
+      int unread = 0;
+      if (ioctl (fd, FIONREAD, &unread) == 0 && unread > most)
+        most = unread;
+    }
+  return most;
+}
+
+// A body without end whose caller stops reading: the VM must keep a bounded
+// part of it, in its memory and unread in its socket, and serve other callers.
+TEST (StrayBytes, EndlessBodiesAreHeldBackWithTheirCaller)
+{
+  const int64_t kReadBytes = 200 << 20;
+  const std::string block (100000, 'a');
+  RawUpstream upstream ([&] (RawUpstream &u, int fd, const std::string &head) {
+    bool endless = target_of (head) == "/quotes/endless";
+    u.send_text (fd,
+                 endless ? "HTTP/1.1 200 OK\r\n\r\n" : ok_response ("whole"));
+    if (endless)
+      u.send_endlessly (fd, block);
+    return false;
+  });
+  Vm vm;
+  install_with (vm, upstream);
+  uint16_t port = lt_daemon_port (vm.daemon);
+  int64_t kept = -1;
+  int unread = -1;
+  Reply other;
+  vm.run_while ([&] {
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+    sockaddr_in to = {};
+    to.sin_family = AF_INET;
+    to.sin_port = htons (port);
+    to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    int received = 128 * 1024;
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &received, sizeof (received));
+    ASSERT_EQ (0,
+               connect (fd, reinterpret_cast<sockaddr *> (&to), sizeof (to)));
+    std::string text
+        = std::string ("GET /quotes/endless HTTP/1.1\r\nHost: x\r\n") + kKey
+          + "\r\n\r\n";
+    (void)!write (fd, text.data (), text.size ());
+    std::string buffer (1 << 20, '\0');
+    int64_t left = kReadBytes;
+    ssize_t got = 1;
+    while (left > 0 && (got = read (fd, &buffer[0], buffer.size ())) > 0)
+      left -= got;
+    EXPECT_GT (got, 0);
+    sleep_ms (300);
+    unread = most_unread_bytes ();
+    kept = upstream.bytes_sent - (kReadBytes - left);
+    other = fetch ("GET",
+                   "http://127.0.0.1:" + std::to_string (port) + "/quotes/1",
+                   { kKey }, "");
+    close (fd);
+  });
+  EXPECT_LE (kept, kReadMax + 2 * kSocketBuffers);
+  EXPECT_GE (unread, 0);
+  EXPECT_LE (unread, 1024 * 1024);
+  EXPECT_EQ (200, other.status);
+  EXPECT_EQ ("whole", other.body);
+  printf ("kept %lld unread %d\n", (long long)kept, unread);
+}
