Signals: a further SIGTERM does not shorten the drain

Cause: SIGTERM and SIGINT had one handler, whose second call left the event loop. That is meant for a person at a terminal; a platform has SIGKILL.

Evidence: Signals.FurtherTerminationsDoNotShortenTheDrain failed before: the process had ended 250 ms after the second SIGTERM.

Change: SIGTERM starts the drain and changes nothing during one; a second SIGINT ends the process at once, as before.

--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -17,10 +17,20 @@
   EXIT_FINDINGS = 2
 };
 
-/* The first SIGTERM or SIGINT starts the drain; a further one stops the
-   process at once.  */
+/* Starts the drain.  Planned stops may overlap, so a further SIGTERM changes
+   nothing; SIGKILL is there for an immediate end.  */
 static void
 on_terminate (struct ev_loop *loop, ev_signal *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  lt_daemon_drain (watcher->data);
+}
+
+/* Starts the drain; during one, a person at a terminal ends the process at
+   once.  */
+static void
+on_interrupt (struct ev_loop *loop, ev_signal *watcher, int events)
 {
   (void)events;
   lt_daemon_t *daemon = watcher->data;
@@ -85,7 +95,7 @@
   ev_signal_init (&reload, on_reload, SIGHUP);
   ev_signal_start (loop, &reload);
   ev_signal_init (&terminate, on_terminate, SIGTERM);
-  ev_signal_init (&interrupt, on_terminate, SIGINT);
+  ev_signal_init (&interrupt, on_interrupt, SIGINT);
   terminate.data = daemon;
   interrupt.data = daemon;
   ev_signal_start (loop, &terminate);
--- a/packages/node/test/test_signals.cc
+++ b/packages/node/test/test_signals.cc
@@ -16,10 +16,10 @@
 
 // Starts the daemon and returns once main has begun.
 pid_t
-start_daemon ()
+start_daemon (int grace_ms = 0)
 {
   std::string program = LT_BINARY_DIR "/packages/node/lavendertrackd";
-  std::string grace = "--drain-grace-ms=0";
+  std::string grace = "--drain-grace-ms=" + std::to_string (grace_ms);
   char *argv[] = { &program[0], &grace[0], nullptr };
   std::string variables[]
       = { "LAVENDERTRACK_LISTEN=127.0.0.1:0",
@@ -84,3 +84,31 @@
           << "SIGTERM after " << delay_us << ", status " << status;
     }
 }
+
+// A further SIGTERM within a planned stop, as when two stops overlap, must not
+// end the process at once and cut running requests.
+TEST (Signals, FurtherTerminationsDoNotShortenTheDrain)
+{
+  pid_t pid = start_daemon (1500);
+  kill (pid, SIGTERM);
+  for (int i = 0; i < 3; i++)
+    {
+      EXPECT_EQ (-1, wait_for (pid, 250)) << "after " << i << " further ones";
+      kill (pid, SIGTERM);
+    }
+  int status = wait_for (pid, 20000);
+  EXPECT_TRUE (WIFEXITED (status) && WEXITSTATUS (status) == 0)
+      << "status " << status;
+}
+
+// A person at a terminal ends the process at once by a second SIGINT.
+TEST (Signals, ASecondInterruptEndsTheDrain)
+{
+  pid_t pid = start_daemon (60000);
+  kill (pid, SIGINT);
+  EXPECT_EQ (-1, wait_for (pid, 500));
+  kill (pid, SIGINT);
+  int status = wait_for (pid, 20000);
+  EXPECT_TRUE (WIFEXITED (status) && WEXITSTATUS (status) == 0)
+      << "status " << status;
+}
