--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -158,10 +158,10 @@
     int64_t in_flight; /**< Callers' requests in flight. */
     str_t peer_secret; /**< Shared by all VMs; empty: no peer connections. */
     bool draining;     /**< This VM drains and will stop. */
-    int64_t
-        drain_accepts_until_us; /**< While draining: when accepting ends. */
-    int64_t drain_ends_us;      /**< While draining: when this process may be
-                                   killed;      0: not known. */
+    /** While draining: when accepting ends.  */
+    int64_t drain_accepts_until_us;
+    /** While draining: when this process may be killed; 0: not known.  */
+    int64_t drain_ends_us;
     /** The configuration was confirmed as current at least once since the
         start, so that keyed requests could be served.  Until then the VM
         reports that it is not ready.  */
