Upstream client: a request's body is held once

Cause: each attempt gave the collected body to libcurl to copy.

Change: libcurl reads the request's own copy. A request that is destroyed within a callback of libcurl leaves its body to the client, which frees it after the callback, behind the cancelled transfers.

--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -9,6 +9,7 @@
 #include "lt/node/node.h"
 #include "node_counters.h"
 #include "pools.h"
+#include "upstream_client.h"
 
 enum
 {
@@ -84,7 +85,7 @@
   node->in_flight_gauge->value = (double)node->in_flight;
   lt_header_list_destroy (&request->headers);
   lt_header_list_destroy (&request->response.headers);
-  lt_buf_destroy (&request->body);
+  lt_upstream_client_free_body (node->upstreams, &request->body);
   lt_buf_destroy (&request->response.body);
   wipe_and_free (request->key);
   free (request->method);
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -38,10 +38,18 @@
   bool free_pending; /* Cancelled in a callback; freed after it. */
 };
 
+/* A body that is freed after the callback in progress.  */
+typedef struct freed_body
+{
+  struct freed_body *next;
+  lt_buf_t body;
+} freed_body_t;
+
 struct lt_upstream_client
 {
   lt_curl_loop_t *curl;
   lt_transfer_t *transfers;
+  freed_body_t *freed_bodies;
   CURL *idle[IDLE_HANDLES_MAX];
   int idle_count;
   bool any_free_pending;
@@ -86,6 +94,18 @@
     }
 }
 
+static void
+free_bodies (lt_upstream_client_t *client)
+{
+  while (client->freed_bodies != NULL)
+    {
+      freed_body_t *freed = client->freed_bodies;
+      client->freed_bodies = freed->next;
+      lt_buf_destroy (&freed->body);
+      free (freed);
+    }
+}
+
 /* Returns whether the connect timeout expired but the timeout of the transfer
    did not.  */
 static bool
@@ -143,7 +163,10 @@
 static void
 on_worked (void *user)
 {
-  free_pending_transfers (user);
+  lt_upstream_client_t *client = user;
+  free_pending_transfers (client);
+  if (!lt_curl_loop_in_libcurl (client->curl))
+    free_bodies (client);
 }
 
 static const lt_curl_loop_vtable_t curl_vtable
@@ -332,7 +355,7 @@
     {
       curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE,
                         (curl_off_t)options->body.len);
-      curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS,
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDS,
                         options->body.data == NULL ? "" : options->body.data);
     }
   char *method = str_dup (options->method);
@@ -410,6 +433,22 @@
   transfer->client->any_free_pending = true;
 }
 
+void
+lt_upstream_client_free_body (lt_upstream_client_t *client, lt_buf_t *body)
+{
+  if (client == NULL || body->data == NULL
+      || !lt_curl_loop_in_libcurl (client->curl))
+    {
+      lt_buf_destroy (body);
+      return;
+    }
+  freed_body_t *freed = lt_alloc (sizeof (*freed));
+  freed->body = *body;
+  freed->next = client->freed_bodies;
+  client->freed_bodies = freed;
+  *body = (lt_buf_t){ 0 };
+}
+
 void
 lt_transfer_unpause (lt_transfer_t *transfer)
 {
@@ -442,6 +481,7 @@
     /* transfer_free unlinks the head.
        NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
     transfer_free (client->transfers);
+  free_bodies (client);
   for (int i = 0; i < client->idle_count; i++)
     curl_easy_cleanup (client->idle[i]);
   lt_curl_loop_destroy (client->curl);
--- a/packages/node/src/upstream_client.h
+++ b/packages/node/src/upstream_client.h
@@ -57,7 +57,9 @@
     str_t method;
     str_t target;                    /**< Path and query. */
     const lt_header_list_t *headers; /**< Sent unchanged; copied. */
-    str_t body;                      /**< Copied. */
+    /** Not copied: must last until the transfer has ended, see
+        lt_upstream_client_free_body.  */
+    str_t body;
     int64_t timeout_ms;
     int64_t connect_ms; /**< Connect timeout; 0: default. */
   } lt_transfer_options_t;
@@ -75,6 +77,11 @@
       a late response cannot reach another request.  */
   void lt_transfer_cancel (lt_transfer_t *transfer);
   void lt_transfer_unpause (lt_transfer_t *transfer);
+  /** Frees BODY, whose transfers have ended or were cancelled.  libcurl may
+      still read the body of a transfer that was cancelled in a callback; BODY
+      is then freed after it.  */
+  void lt_upstream_client_free_body (lt_upstream_client_t *client,
+                                     lt_buf_t *body);
 
 #ifdef __cplusplus
 }
