--- a/packages/config/include/lt/config/deployment.h
+++ b/packages/config/include/lt/config/deployment.h
@@ -31,6 +31,8 @@
     int32_t attempts_max;
     const lt_deployment_split_t *splits; /**< At least one. */
     uint32_t split_count;
+    const str_t *allowed_regions;  /**< Regions that may serve its requests. */
+    uint32_t allowed_region_count; /**< 0: no restriction. */
   } lt_deployment_route_t;
 
   typedef struct lt_deployment_service
@@ -38,6 +40,10 @@
     str_t name;
     str_t health_path;
     int32_t connections; /**< That an upstream accepts from all VMs. */
+    int32_t warm_up_ms;  /**< An upstream is cold for this long; 0: never. */
+    /** Requests per 1,000 s that a cold upstream takes from all VMs; 0: any.
+     */
+    int64_t warm_up_rate_milli_per_s;
   } lt_deployment_service_t;
 
   typedef struct lt_deployment_workspace
@@ -48,6 +54,8 @@
     int32_t priority;
     int64_t rate_milli_per_s; /**< 0: unlimited. */
     int64_t burst;
+    const str_t *allowed_regions;  /**< As in lt_deployment_route_t. */
+    uint32_t allowed_region_count; /**< 0: no restriction. */
   } lt_deployment_workspace_t;
 
   typedef struct lt_deployment
--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -14,6 +14,10 @@
 
 /** Index that stands for "no row".  */
 #define LT_NO_INDEX UINT32_MAX
+/** Most region names that allowed-region lists of one snapshot may use, and
+    the bit of a region that none of them names.  */
+#define LT_REGIONS_MAX 63
+#define LT_REGION_BIT_OTHER 63
 
   typedef enum lt_access
   {
@@ -35,6 +39,8 @@
     int64_t burst;            /**< Requests, fleet-wide. */
     int32_t priority;         /**< 0: highest; before that of the route. */
     bool unlimited;           /**< Rate and burst do not apply. */
+    uint64_t allowed_regions; /**< Mask over the snapshot's regions; 0: no
+                                 restriction. */
   } lt_workspace_t;
 
   /** Where a key comes from and whether it may be used.  */
@@ -61,6 +67,11 @@
     uint32_t first_upstream;
     uint32_t upstream_count; /**< Upstreams of a service are contiguous. */
     str_t health_path;       /**< Empty: the built-in one. */
+    int32_t warm_up_ms;      /**< An upstream is cold for this long; 0:
+                                never. */
+    /** Requests per 1,000 s that a cold upstream takes from all VMs; 0: any.
+     */
+    int64_t warm_up_rate_milli_per_s;
   } lt_service_t;
 
   typedef struct lt_upstream
@@ -72,7 +83,8 @@
     str_t address; /**< "ip:port". */
     int32_t slots;
     int32_t connections;
-    bool drained; /**< Takes no new work: an operator's or its own wish. */
+    bool drained;   /**< Takes no new work: an operator's or its own wish. */
+    bool evacuated; /**< Takes no new work: its failure domain is evacuated. */
     /** Changes with each start under the same name; 0: not known.  */
     uint64_t incarnation;
     int64_t warm_until_us; /**< Slow until then, by this VM's clock. */
@@ -114,6 +126,8 @@
     int32_t attempts_max;      /**< Upstreams per request; 0: built-in. */
     int32_t latency_target_ms; /**< 0: none. */
     int32_t priority;          /**< 0: highest. */
+    uint64_t allowed_regions;  /**< Mask over the snapshot's regions; 0: no
+                                  restriction. */
   } lt_route_t;
 
   /** A planned stop of an upstream, in microseconds since the epoch (UTC).  */
@@ -144,6 +158,8 @@
     lt_stop_t *stops;
     uint32_t stop_count;
     lt_caller_limits_t limits;
+    str_t *regions; /**< Names that allowed_regions masks refer to. */
+    uint32_t region_count;
     /** Version as the operator knows it; 0: that is VERSION.  */
     int64_t source_version;
     bool by_host; /**< Routes match by host and raw path prefix. */
--- a/packages/node/include/lt/node/settings.h
+++ b/packages/node/include/lt/node/settings.h
@@ -38,6 +38,8 @@
     int64_t drain_grace_ms;
     int64_t upstream_connections; /**< Bound per upstream on this VM. */
     int64_t max_connections;      /**< Bound on callers' connections. */
+    int64_t memory_limit_mb;      /**< Of this process; 0: a share of the
+                                     machine's memory. */
     int64_t claim_retention_days; /**< 0: kept without limit. */
     int64_t seed; /**< Of the random numbers; 0: from the system. */
     str_t peer_secret;
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -20,7 +20,9 @@
     uint32_t service;
     const uint32_t *tried; /**< Upstreams that must not be picked. */
     uint32_t tried_count;
-    bool repeatable; /**< A failure would be retried elsewhere. */
+    bool repeatable;          /**< A failure would be retried elsewhere. */
+    uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
+                                 restriction. */
   } lt_pick_t;
 
   typedef struct lt_pools_vtable
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -130,6 +130,9 @@
     bool leaving;          /**< Gets no new requests, as when draining. */
     int64_t warm_until_us; /**< End of its warm-up. */
     uint32_t place;        /**< Index of the place that this VM has for it. */
+    uint32_t region_bit;   /**< Bit of its region in allowed_regions masks. */
+    /** Rate that it takes from all VMs until warm_until_us; 0: any.  */
+    int64_t warm_rate_milli_per_s;
   } lt_choice_upstream_t;
 
   typedef struct lt_choice_request
@@ -139,6 +142,8 @@
                             */
     uint32_t tried_count;
     bool repeatable; /**< The request may be retried after a failure. */
+    uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
+                                 restriction. */
   } lt_choice_request_t;
 
   /** The estimate of an upstream's state.  */
