Choice of upstreams by the likely cost of requests, off by default

Requests that look alike cost upstreams 140 to 470 ms, and a few five to seven times as much, while the choice counts them all as one. Other VMs' requests count with the mean cost of the service, so the messages are as before.

--- a/packages/node/include/lt/node/settings.h
+++ b/packages/node/include/lt/node/settings.h
@@ -41,6 +41,8 @@
     int64_t memory_limit_mb;      /**< Of this process; 0: a share of the
                                      machine's memory. */
     int64_t claim_retention_days; /**< 0: kept without limit. */
+    int64_t cost_aware_choice;    /**< 1: choose upstreams by the likely cost
+                                     of requests. */
     int64_t seed; /**< Of the random numbers; 0: from the system. */
     str_t peer_secret;
     str_t operator_key;
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -16,6 +16,7 @@
 #include "lt/node/admin_api.h"
 #include "lt/node/claim_controller.h"
 #include "lt/node/config_controller.h"
+#include "lt/node/cost_controller.h"
 #include "lt/node/health_controller.h"
 #include "lt/node/limit_controller.h"
 #include "lt/node/quarantine_controller.h"
@@ -197,6 +198,8 @@
 add_hosted_controllers (lt_node_t *node)
 {
   lt_node_add_controller (node, lt_mesh_controller_create (node));
+  if (node->settings->cost_aware_choice)
+    lt_node_add_controller (node, lt_cost_controller_create (node));
   lt_controller_t *upstreams = lt_upstream_controller_create (node);
   lt_node_add_controller (node, upstreams);
   node->pools = lt_upstream_controller_pools (upstreams);
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -7,6 +7,7 @@
 
 #include "dispatch.h"
 #include "lt/node/node.h"
+#include "lt/policy/cost.h"
 #include "lt/policy/retry.h"
 #include "upstream_client.h"
 
@@ -49,6 +50,7 @@
   lt_buf_t target;
   uint64_t service_hash;
   uint64_t workspace_hash;
+  lt_cost_key_t cost;   /* Set if the pools use costs. */
   bool timed_out;       /* The last attempt timed out. */
   bool last_reset;      /* The last attempt's connection was reset. */
   bool refusal_pending; /* The retry timer only delays the refusal. */
@@ -82,6 +84,13 @@
     the decision.  */
 lt_retry_decision_t lt_dispatch_decide_hedge (lt_dispatch_t *dispatch);
 bool lt_dispatch_is_idempotent (const lt_dispatch_t *dispatch);
+/** Sets the keys of the request's likely cost, once, if the pools use
+    costs.  */
+void lt_dispatch_describe_cost (lt_dispatch_t *dispatch);
+/** Report that ATTEMPT begins or has ended, for pools that use costs.  */
+void lt_dispatch_begin_work (const attempt_t *attempt);
+void lt_dispatch_end_work (const attempt_t *attempt,
+                           lt_attempt_outcome_t outcome, int64_t latency_us);
 /** Maps the end of a transfer to a failure of the retry policy.  */
 lt_retry_failure_t lt_dispatch_failure (lt_transfer_end_t end);
 
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -73,11 +73,13 @@
       if (index != LT_NO_INDEX)
         tried[count++] = index;
     }
+  lt_dispatch_describe_cost (dispatch);
   lt_pick_t pick = {
     .service = dispatch->service,
     .tried = tried,
     .tried_count = count,
     .repeatable = can_retry_next (dispatch),
+    .cost = &dispatch->cost,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -49,6 +49,7 @@
   if (attempt->byte_sent && attempt->not_run)
     dispatch->may_have_run--;
   request->byte_sent = dispatch->may_have_run > 0;
+  lt_dispatch_end_work (attempt, outcome, end_us - attempt->started_us);
   pools->vtable->end (pools, attempt->config->snapshot, attempt->upstream);
   lt_dispatch_log_attempt (attempt, outcome);
   lt_observation_event_t event = {
@@ -489,6 +490,7 @@
   lt_snapshot_ref_acquire (attempt->config);
   dispatch->attempt_count++;
   record_attempt (dispatch->request, attempt);
+  lt_dispatch_begin_work (attempt);
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
   return true;
 }
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -6,6 +6,7 @@
 #define LT_NODE_POOLS_H
 
 #include "lt/node/node.h"
+#include "lt/policy/cost.h"
 
 #ifdef __cplusplus
 extern "C"
@@ -23,8 +24,18 @@
     bool repeatable;          /**< A failure would be retried elsewhere. */
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
+    const lt_cost_key_t *cost; /**< Keys of its likely cost. */
   } lt_pick_t;
 
+  /** An attempt, for a choice by the likely cost of requests.  */
+  typedef struct lt_pool_attempt
+  {
+    const lt_snapshot_t *snapshot;
+    uint32_t upstream; /**< Index into SNAPSHOT. */
+    uint64_t id;       /**< Unique for this incarnation of the VM. */
+    const lt_cost_key_t *cost;
+  } lt_pool_attempt_t;
+
   typedef struct lt_pools_vtable
   {
     /** Returns the snapshot that upstream indexes refer to, or NULL before
@@ -49,6 +60,12 @@
                    uint32_t upstream);
     void (*end) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
                  uint32_t upstream);
+    /** Called before begin and end, with LATENCY_US as the time that the
+        upstream took.  May be NULL: costs are not used.  */
+    void (*begin_work) (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
+                        int64_t now_us);
+    void (*end_work) (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
+                      lt_attempt_outcome_t outcome, int64_t latency_us);
   } lt_pools_vtable_t;
 
   struct lt_pools
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/base/hash.h"
 #include "lt/base/log.h"
+#include "lt/node/cost_controller.h"
 #include "lt/node/node.h"
 #include "lt/policy/choice.h"
 #include "lt/wire/frame.h"
@@ -44,6 +45,7 @@
 {
   lt_controller_t base;
   lt_pools_t pools;
+  lt_pools_vtable_t vtable; /* Of POOLS. */
   lt_choice_t *choice;
   lt_snapshot_ref_t *config;
   pending_update_t *updates; /* Indexed by upstream of CONFIG. */
@@ -95,7 +97,8 @@
   lt_choice_request_t request = { .service = pick->service,
                                   .tried = pick->tried,
                                   .tried_count = pick->tried_count,
-                                  .repeatable = pick->repeatable };
+                                  .repeatable = pick->repeatable,
+                                  .cost = pick->cost };
   return lt_choice_pick (controller_of_pools (pools)->choice, &request,
                          now_us);
 }
@@ -171,6 +174,26 @@
   mark_changed (c, &snapshot->upstreams[upstream]);
 }
 
+static void
+pools_begin_work (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
+                  int64_t now_us)
+{
+  lt_upstream_controller_t *c = controller_of_pools (pools);
+  const lt_upstream_t *u = &attempt->snapshot->upstreams[attempt->upstream];
+  lt_cost_controller_begin (c->base.node->cost_controller, c->choice,
+                            upstream_id (u), attempt, now_us);
+}
+
+static void
+pools_end_work (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
+                lt_attempt_outcome_t outcome, int64_t latency_us)
+{
+  lt_upstream_controller_t *c = controller_of_pools (pools);
+  const lt_upstream_t *u = &attempt->snapshot->upstreams[attempt->upstream];
+  lt_cost_controller_end (c->base.node->cost_controller, upstream_id (u),
+                          attempt, outcome, latency_us);
+}
+
 static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
                                                 .pick = pools_pick,
                                                 .on_refused = pools_refuse,
@@ -525,7 +548,14 @@
   const char *help = "News about upstreams between VMs.";
   c->base.vtable = &vtable;
   c->base.node = node;
-  c->pools.vtable = &pools_vtable;
+  c->vtable = pools_vtable;
+  c->pools.vtable = &c->vtable;
+  if (node->cost_controller != NULL)
+    {
+      c->vtable.begin_work = pools_begin_work;
+      c->vtable.end_work = pools_end_work;
+      options.work = lt_cost_controller_work (node->cost_controller);
+    }
   c->choice = lt_choice_create (&options, &node->rng);
   c->places = lt_upstream_places_create (node);
   ev_timer_init (&c->flush, on_flush, UPDATE_DELAY_S, 0);
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -25,6 +25,8 @@
 #endif
 
   struct lt_rng;
+  struct lt_cost_key;
+  struct lt_work;
 
   /** What the outcome of an attempt shows about its upstream.  */
   typedef enum lt_choice_evidence
@@ -93,6 +95,9 @@
     /** Time constant of the exponential decay of the counts behind both
         shares.  */
     int64_t failing_decay_us;
+    /** Cost-aware choice: the work left at upstreams takes the place of counts
+        of requests.  NULL: counts.  Must outlive the choice.  */
+    struct lt_work *work;
   } lt_choice_options_t;
 
 /* The losses follow the prices that the hosting platform documents; the rates
@@ -144,6 +149,8 @@
     bool repeatable; /**< The request may be retried after a failure. */
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
+    const struct lt_cost_key
+        *cost; /**< For a choice by work; NULL: unknown. */
   } lt_choice_request_t;
 
   /** The estimate of an upstream's state.  */
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/base/rng.h"
 #include "lt/base/str.h"
+#include "lt/policy/work.h"
 
 enum
 {
@@ -242,16 +243,32 @@
   return sum;
 }
 
+static double
+work_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
+           const lt_cost_key_t *cost, int64_t now_us)
+{
+  const lt_choice_options_t *o = &choice->options;
+  lt_work_load_t load
+      = { .upstream = estimate->id,
+          .slots = estimate->upstream.slots,
+          .own = estimate->own_in_flight,
+          .peers = peers_in_flight (choice, estimate, now_us) };
+  lt_work_forecast_t forecast = lt_work_expect (o->work, &load, cost, now_us);
+  return o->busy_loss * forecast.fill + o->queue_loss * forecast.delay;
+}
+
 static double
 waiting_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-              int64_t now_us)
+              const lt_choice_request_t *request, int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
   int32_t slots = estimate->upstream.slots > 0 ? estimate->upstream.slots : 1;
   int32_t load
       = estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
   double loss = 0;
-  if (load < slots)
+  if (o->work != NULL && request->cost != NULL)
+    loss = work_loss (choice, estimate, request->cost, now_us);
+  else if (load < slots)
     loss = o->busy_loss * load / slots;
   else
     loss = o->busy_loss + o->queue_loss * (load - slots + 1) / slots;
@@ -274,7 +291,7 @@
       = failure_share * (request->repeatable ? o->retryable_loss : 1.0);
   loss += unreachable_now (choice, estimate, now_us) * o->unreachable_loss;
   loss += o->distance_loss[estimate->upstream.distance];
-  return loss + waiting_loss (choice, estimate, now_us);
+  return loss + waiting_loss (choice, estimate, request, now_us);
 }
 
 static bool
