Choice by work: allow for the age of other VMs' reports

The choice by work expects the requests that ended and began since the reports: the turnover of the known load, spread to where there is room (Dahlin 2000), and chooses in proportion to the room. Upstreams of other failure domains, for which there are no reports, count as loaded as the own domain's up to 0.85 of their slots.

--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -99,6 +99,8 @@
                                   .tried_count = pick->tried_count,
                                   .repeatable = pick->repeatable,
                                   .cost = pick->cost };
+  if (pools->vtable->begin_work == NULL)
+    request.cost = NULL;
   return lt_choice_pick (controller_of_pools (pools)->choice, &request,
                          now_us);
 }
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -95,8 +95,8 @@
     /** Time constant of the exponential decay of the counts behind both
         shares.  */
     int64_t failing_decay_us;
-    /** Cost-aware choice: the work left at upstreams takes the place of counts
-        of requests.  NULL: counts.  Must outlive the choice.  */
+    /** Cost-aware choice: for requests with a cost the work left at upstreams
+        takes the place of counts.  NULL: off.  Must outlive the choice.  */
     struct lt_work *work;
   } lt_choice_options_t;
 
@@ -149,8 +149,8 @@
     bool repeatable; /**< The request may be retried after a failure. */
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
-    const struct lt_cost_key
-        *cost; /**< For a choice by work; NULL: unknown. */
+    /** For a choice by work, which needs the option; NULL: by counts.  */
+    const struct lt_cost_key *cost;
   } lt_choice_request_t;
 
   /** The estimate of an upstream's state.  */
--- a/packages/policy/include/lt/policy/work.h
+++ b/packages/policy/include/lt/policy/work.h
@@ -10,6 +10,8 @@
 #ifndef LT_POLICY_WORK_H
 #define LT_POLICY_WORK_H
 
+#include <stdbool.h>
+
 #include "lt/policy/cost.h"
 
 #ifdef __cplusplus
@@ -17,6 +19,8 @@
 {
 #endif
 
+  struct lt_rng;
+
   /** Parameters of the expected delay.  */
   typedef struct lt_work_options
   {
@@ -34,6 +38,14 @@
     /** Bound of the logarithm of one observation's ratio.  */
     double slow_log_max;
     int64_t slow_decay_us; /**< Time constant of the decay. */
+    /** Age of the newest report on a load that changes.  */
+    int64_t report_age_us;
+    /** Bound of the random loss that spreads requests over upstreams with
+        room.  */
+    double spread_loss;
+    /** Share of the slots up to which an upstream counts as in use by VMs that
+        do not report to this one.  */
+    double unreported_fill;
   } lt_work_options_t;
 
 #define LT_WORK_OPTIONS_DEFAULT                                               \
@@ -42,7 +54,10 @@
                         .slow_prior_weight = 4,                               \
                         .slow_margin = 0.25,                                  \
                         .slow_log_max = 1.5,                                  \
-                        .slow_decay_us = 10 * 1000 * 1000 })
+                        .slow_decay_us = 10 * 1000 * 1000,                    \
+                        .report_age_us = 100 * 1000,                          \
+                        .spread_loss = 0.05,                                  \
+                        .unreported_fill = 0.85 })
 
   /** An upstream and its requests in progress, as the choice knows them.  */
   typedef struct lt_work_load
@@ -51,16 +66,9 @@
     int32_t slots;
     int32_t own;   /**< Of this VM. */
     int32_t peers; /**< Of other VMs, as reported. */
+    bool reported; /**< Other VMs report their requests there. */
   } lt_work_load_t;
 
-  /** What a request must expect at an upstream.  */
-  typedef struct lt_work_forecast
-  {
-    double fill;  /**< Share of the slots in use, at most 1. */
-    double delay; /**< Of this request and, by its cost, of later ones, in
-                       mean costs of the service. */
-  } lt_work_forecast_t;
-
   /** How an attempt ended, for the predictor and the upstream's speed.  */
   typedef enum lt_work_end
   {
@@ -96,10 +104,17 @@
       took.  Unknown attempts are ignored.  */
   void lt_work_end (lt_work_t *work, uint64_t upstream, uint64_t attempt,
                     lt_work_end_t end, int64_t latency_us, int64_t now_us);
-  /** Returns what a request of KEY must expect at the upstream of LOAD.  */
-  lt_work_forecast_t lt_work_expect (lt_work_t *work,
-                                     const lt_work_load_t *load,
-                                     const lt_cost_key_t *key, int64_t now_us);
+  /** Offers the upstream of LOAD, with INDEX, to the next call of
+      lt_work_pick.  LOSS is the expected loss there without that by load.  */
+  void lt_work_offer (lt_work_t *work, uint32_t index, double loss,
+                      const lt_work_load_t *load);
+  /** Returns the index of the offered upstream where a request of KEY loses
+      least, or -LT_EUNAVAILABLE if none was offered.  BUSY_LOSS and QUEUE_LOSS
+      are those of lt_choice_options_t; the latter is the loss by a delay of
+      one mean cost.  */
+  int64_t lt_work_pick (lt_work_t *work, const lt_cost_key_t *key,
+                        double busy_loss, double queue_loss,
+                        struct lt_rng *rng, int64_t now_us);
   /** Returns the factor by which the upstream takes longer than expected; 1
       without evidence.  */
   double lt_work_slowness (const lt_work_t *work, uint64_t upstream,
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -243,18 +243,15 @@
   return sum;
 }
 
-static double
-work_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-           const lt_cost_key_t *cost, int64_t now_us)
+/* Offers an upstream to the choice by work, which adds the loss by load.  */
+static void
+offer (const lt_choice_t *choice, uint32_t index, double loss, int64_t now_us)
 {
-  const lt_choice_options_t *o = &choice->options;
-  lt_work_load_t load
-      = { .upstream = estimate->id,
-          .slots = estimate->upstream.slots,
-          .own = estimate->own_in_flight,
-          .peers = peers_in_flight (choice, estimate, now_us) };
-  lt_work_forecast_t forecast = lt_work_expect (o->work, &load, cost, now_us);
-  return o->busy_loss * forecast.fill + o->queue_loss * forecast.delay;
+  const upstream_estimate_t *e = choice->by_index[index];
+  bool reported = e->upstream.distance == LT_DISTANCE_SAME_DOMAIN;
+  lt_work_load_t load = { e->id, e->upstream.slots, e->own_in_flight,
+                          peers_in_flight (choice, e, now_us), reported };
+  lt_work_offer (choice->options.work, index, loss, &load);
 }
 
 static double
@@ -266,9 +263,9 @@
   int32_t load
       = estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
   double loss = 0;
-  if (o->work != NULL && request->cost != NULL)
-    loss = work_loss (choice, estimate, request->cost, now_us);
-  else if (load < slots)
+  if (request->cost != NULL)
+    load = 0; /* See offer. */
+  if (load < slots)
     loss = o->busy_loss * load / slots;
   else
     loss = o->busy_loss + o->queue_loss * (load - slots + 1) / slots;
@@ -415,6 +412,7 @@
 {
   int64_t best = -LT_EUNAVAILABLE;
   double least = INFINITY;
+  const lt_choice_options_t *o = &choice->options;
   int64_t trial = pick_trial (choice, request, now_us);
   if (trial >= 0)
     return trial;
@@ -424,13 +422,18 @@
       if (!is_eligible (choice, request, i, now_us))
         continue;
       double loss = expected_loss (choice, estimate, request, now_us)
-                    + choice->options.jitter * lt_rng_unit (choice->rng);
+                    + o->jitter * lt_rng_unit (choice->rng);
+      if (request->cost != NULL)
+        offer (choice, i, loss, now_us);
       if (loss >= least)
         continue;
       least = loss;
       best = i;
     }
-  return best;
+  return request->cost == NULL
+             ? best
+             : lt_work_pick (o->work, request->cost, o->busy_loss,
+                             o->queue_loss, choice->rng, now_us);
 }
 
 void
--- a/packages/policy/src/work.c
+++ b/packages/policy/src/work.c
@@ -5,15 +5,20 @@
 #include <uthash.h>
 
 #include "lt/base/clock.h"
+#include "lt/base/error.h"
+#include "lt/base/rng.h"
 #include "lt/base/str.h"
 
 enum
 {
   ATTEMPTS_FIRST_CAP = 4,
+  OFFERS_FIRST_CAP = 64,
   SWEEP_INTERVAL_S = 10,
   SLOW_DECAYS_KEPT = 5 /* Time constants after which evidence is dropped. */
 };
 
+/* Least room of an upstream, in requests.  */
+#define ROOM_MIN 0.1
 /* Where the expected wait makes up most of the time, the rest of it is taken
    for the cost, but at least this share.  */
 #define COST_MIN_SHARE 0.2
@@ -39,6 +44,15 @@
   int64_t slow_us;
 } upstream_work_t;
 
+/* An upstream that is offered to the next pick.  */
+typedef struct offer
+{
+  uint32_t index;
+  double loss;
+  lt_work_load_t load;
+  double expected; /* Requests there now, as expected. */
+} offer_t;
+
 struct lt_work
 {
   lt_work_options_t options;
@@ -47,6 +61,9 @@
   uint64_t completed;
   uint64_t stopped;
   int64_t swept_us;
+  offer_t *offers;
+  uint32_t offer_count;
+  uint32_t offer_cap;
 };
 
 lt_work_t *
@@ -79,6 +96,7 @@
     remove_upstream (work, upstream);
   }
   lt_cost_destroy (work->cost);
+  free (work->offers);
   free (work);
 }
 
@@ -175,40 +193,142 @@
   return sum;
 }
 
-/* Returns the wait for a slot at the upstream of LOAD, in mean costs of the
-   service.  With free slots there is none; behind N requests with WORK left it
-   takes as many ends of requests as are too many, and the slots together end
-   one each WORK / N / slots.  */
+/* Returns the wait for a slot behind COUNT requests that have WORK left, in
+   mean costs of the service: it takes as many ends of requests as are too
+   many, and one of them ends each WORK / COUNT / SLOTS.  */
 static double
-expected_wait (const lt_work_load_t *load, int32_t slots, double work)
+expected_wait (double count, int32_t slots, double work)
 {
-  int32_t count = load->own + load->peers;
-  if (count < slots)
+  if (count <= slots - 1)
     return 0;
-  return (double)(count - slots + 1) / slots * work / count;
+  return (count - slots + 1) / slots * work / count;
+}
+
+void
+lt_work_offer (lt_work_t *work, uint32_t index, double loss,
+               const lt_work_load_t *load)
+{
+  if (work->offer_count == work->offer_cap)
+    {
+      work->offer_cap
+          = work->offer_cap == 0 ? OFFERS_FIRST_CAP : work->offer_cap * 2;
+      work->offers = lt_realloc (work->offers,
+                                 work->offer_cap * sizeof (*work->offers));
+    }
+  offer_t *offer = &work->offers[work->offer_count++];
+  *offer = (offer_t){ .index = index, .loss = loss, .load = *load };
+  if (offer->load.slots < 1)
+    offer->load.slots = 1;
 }
 
-lt_work_forecast_t
-lt_work_expect (lt_work_t *work, const lt_work_load_t *load,
-                const lt_cost_key_t *key, int64_t now_us)
+static int
+by_expected (const void *a, const void *b)
+{
+  double x = ((const offer_t *)a)->expected;
+  double y = ((const offer_t *)b)->expected;
+  return (x > y) - (x < y);
+}
+
+/* Reports are about a tenth of a second old, and all VMs of the failure domain
+   have the same ones: if each chose the least loaded upstream, all would
+   choose the same.  So requests that ended and began since are expected at
+   each upstream: the first in proportion to its load, the others where there
+   is room (Dahlin, "Interpreting Stale Load Information", IEEE TPDS 11(10),
+   2000).  Returns the load up to which these others fill the upstreams.  */
+static double
+fill_level (lt_work_t *work, double mean_us)
+{
+  double turnover = (double)work->options.report_age_us / mean_us;
+  double unseen = 0;
+  uint32_t reported = 0;
+  for (uint32_t i = 0; i < work->offer_count; i++)
+    {
+      offer_t *offer = &work->offers[i];
+      const lt_work_load_t *load = &offer->load;
+      double ended = fmin (load->peers, load->slots) * fmin (turnover, 1);
+      offer->expected = load->own + load->peers;
+      if (!load->reported)
+        continue;
+      offer->expected -= ended;
+      unseen += ended;
+      reported++;
+    }
+  qsort (work->offers, work->offer_count, sizeof (*work->offers), by_expected);
+  double level = 0;
+  double sum = 0;
+  uint32_t below = 0;
+  for (uint32_t i = 0; i < work->offer_count; i++)
+    {
+      const offer_t *offer = &work->offers[i];
+      if (!offer->load.reported)
+        continue;
+      if (below > 0 && offer->expected >= level)
+        break;
+      sum += offer->expected;
+      below++;
+      level = (unseen + sum) / below;
+    }
+  return reported == 0 ? 0 : level;
+}
+
+/* Returns the loss by load of a request with COST (in mean costs) at the
+   upstream of OFFER.  */
+static double
+load_loss (const lt_work_t *work, const offer_t *offer, double level,
+           double cost, double mean_us, double busy_loss, double queue_loss,
+           int64_t now_us)
 {
   const lt_work_options_t *o = &work->options;
+  const lt_work_load_t *load = &offer->load;
   const upstream_work_t *upstream = find (work, load->upstream);
-  int32_t slots = load->slots > 0 ? load->slots : 1;
-  int32_t count = load->own + load->peers;
-  double mean_us = lt_cost_service_mean_us (work->cost, key, now_us);
-  double cost = lt_cost_mean_us (work->cost, key, now_us) / mean_us;
+  double count = offer->expected;
+  if (load->reported && count < level)
+    count = level;
+  /* Where other VMs do not report, their load is likely as here, but without
+     a queue: else requests would stay here while there is room.  */
+  if (!load->reported)
+    count += fmin (level, load->slots * o->unreported_fill);
   /* Other VMs report counts: on average each of their requests has the mean
      cost of the service left.  */
+  int32_t known = load->own + load->peers;
   double left = own_work (work, upstream, mean_us, o->request_work_max, now_us)
                 + load->peers;
+  double per_request = known > 0 ? left / known : 1;
   double slow = slowness (work, upstream, now_us);
-  double fill = left / slots;
-  if (count >= slots || fill > 1)
-    fill = 1;
-  double delay = expected_wait (load, slots, left) * slow + cost * (slow - 1)
-                 + o->cost_weight * (cost - 1) * fill;
-  return (lt_work_forecast_t){ .fill = fill, .delay = delay };
+  double fill = fmin (1, count / load->slots);
+  double delay = expected_wait (count, load->slots, count * per_request) * slow
+                 + cost * (slow - 1) + o->cost_weight * (cost - 1) * fill;
+  return busy_loss * fill + queue_loss * delay;
+}
+
+int64_t
+lt_work_pick (lt_work_t *work, const lt_cost_key_t *key, double busy_loss,
+              double queue_loss, lt_rng_t *rng, int64_t now_us)
+{
+  int64_t best = -LT_EUNAVAILABLE;
+  double least = INFINITY;
+  double mean_us = lt_cost_service_mean_us (work->cost, key, now_us);
+  double cost = lt_cost_mean_us (work->cost, key, now_us) / mean_us;
+  double level = fill_level (work, mean_us);
+  for (uint32_t i = 0; i < work->offer_count; i++)
+    {
+      const offer_t *offer = &work->offers[i];
+      double room = fmax (level - offer->expected, ROOM_MIN);
+      /* Among upstreams with equal losses each is chosen in proportion to its
+         room: the least of exponential variates with the rooms as rates.  The
+         bound keeps a request from going far away by chance.  */
+      double spread = fmin (lt_rng_exponential (rng, 1) / room, 1);
+      double loss = offer->loss
+                    + load_loss (work, offer, level, cost, mean_us, busy_loss,
+                                 queue_loss, now_us)
+                    + work->options.spread_loss * spread;
+      if (loss >= least)
+        continue;
+      least = loss;
+      best = offer->index;
+    }
+  work->offer_count = 0;
+  return best;
 }
 
 void
@@ -233,7 +353,7 @@
     .id = attempt,
     .key = *key,
     .started_us = now_us,
-    .wait_us = expected_wait (load, slots, left) * mean_us
+    .wait_us = expected_wait (load->own + load->peers, slots, left) * mean_us
                * slowness (work, upstream, now_us),
     .expected_us = lt_cost_mean_us (work->cost, key, now_us),
   };
