--- a/packages/policy/src/work.c
+++ b/packages/policy/src/work.c
@@ -234,13 +234,12 @@
    choose the same.  So requests that ended and began since are expected at
    each upstream: the first in proportion to its load, the others where there
    is room (Dahlin, "Interpreting Stale Load Information", IEEE TPDS 11(10),
-   2000).  Returns the load up to which these others fill the upstreams.  */
+   2000).  Returns the load up to which these others fill the upstreams, and
+   their number in UNSEEN.  */
 static double
-fill_level (lt_work_t *work, double mean_us)
+fill_level (lt_work_t *work, double mean_us, double *unseen)
 {
   double turnover = (double)work->options.report_age_us / mean_us;
-  double unseen = 0;
-  uint32_t reported = 0;
   for (uint32_t i = 0; i < work->offer_count; i++)
     {
       offer_t *offer = &work->offers[i];
@@ -250,8 +249,7 @@
       if (!load->reported)
         continue;
       offer->expected -= ended;
-      unseen += ended;
-      reported++;
+      *unseen += ended;
     }
   qsort (work->offers, work->offer_count, sizeof (*work->offers), by_expected);
   double level = 0;
@@ -266,9 +264,9 @@
         break;
       sum += offer->expected;
       below++;
-      level = (unseen + sum) / below;
+      level = (*unseen + sum) / below;
     }
-  return reported == 0 ? 0 : level;
+  return level;
 }
 
 /* Returns the loss by load of a request with COST (in mean costs) at the
@@ -297,7 +295,8 @@
   double slow = slowness (work, upstream, now_us);
   double fill = fmin (1, count / load->slots);
   double delay = expected_wait (count, load->slots, count * per_request) * slow
-                 + cost * (slow - 1) + o->cost_weight * (cost - 1) * fill;
+                 + cost * (slow - 1)
+                 + o->cost_weight * fmax (cost - 1, 0) * fill;
   return busy_loss * fill + queue_loss * delay;
 }
 
@@ -309,7 +308,9 @@
   double least = INFINITY;
   double mean_us = lt_cost_service_mean_us (work->cost, key, now_us);
   double cost = lt_cost_mean_us (work->cost, key, now_us) / mean_us;
-  double level = fill_level (work, mean_us);
+  double unseen = 0;
+  double level = fill_level (work, mean_us, &unseen);
+  double spread_loss = work->options.spread_loss * fmin (unseen, 1);
   for (uint32_t i = 0; i < work->offer_count; i++)
     {
       const offer_t *offer = &work->offers[i];
@@ -321,7 +322,7 @@
       double loss = offer->loss
                     + load_loss (work, offer, level, cost, mean_us, busy_loss,
                                  queue_loss, now_us)
-                    + work->options.spread_loss * spread;
+                    + spread_loss * spread;
       if (loss >= least)
         continue;
       least = loss;
