--- a/packages/policy/bench/bench_cost.c
+++ b/packages/policy/bench/bench_cost.c
@@ -33,12 +33,14 @@
 typedef enum way
 {
   WAY_COUNTS,
+  WAY_EQUAL,  /* By work, with one key for all requests. */
   WAY_ORACLE, /* One key for each tenth of the logarithm of the true cost. */
   WAY_LEARNED,
   WAYS
 } way_t;
 
-static const char *const way_names[] = { "counts", "oracle", "learned" };
+static const char *const way_names[]
+    = { "counts", "equal", "oracle", "learned" };
 
 typedef struct job
 {
@@ -147,9 +149,11 @@
 static lt_cost_key_t
 key_for (const sim_t *s, uint32_t kind, double cost_ms)
 {
-  uint64_t route = s->way == WAY_ORACLE
-                       ? 1000 + (uint64_t)(10 * log (cost_ms + 1))
-                       : kind;
+  uint64_t route = kind;
+  if (s->way == WAY_EQUAL)
+    route = 1;
+  if (s->way == WAY_ORACLE)
+    route = 1000 + (uint64_t)(10 * log (cost_ms + 1));
   lt_cost_features_t features = { .service = 1, .route = route };
   return lt_cost_key_make (&features);
 }
