--- a/packages/policy/bench/bench_cost.c
+++ b/packages/policy/bench/bench_cost.c
@@ -4,13 +4,15 @@
     with means of 140 to 470 ms and a lognormal spread of 0.3 to 0.8, and 2% of
     them take 5 to 7 times as long.  VMs report their load to the 20 of their
     failure domain 0.1 s after a change and choose among the upstreams of three
-    domains.  Arguments: SEED VMS UTILISATION_PERCENT SECONDS.
+    domains.  Arguments: SEED VMS UTILISATION_PERCENT SECONDS; with 0 VMs the
+    time and memory of the predictor at the size of docs/CAPACITY.md.
 
     Printed for each way to choose: wait in the upstream's queue (p50, p99, as
     a share of the requests' own cost at p99 too), rejected requests, work of
     the busiest upstream over the mean, error of the prediction.  */
 #include <stdio.h>
 #include <stdlib.h>
+#include <time.h>
 
 #include "lt/base/clock.h"
 #include "lt/base/rng.h"
@@ -93,9 +95,18 @@
   size_t waits_cap;
   uint64_t arrived;
   uint64_t rejected;
+  double pick_s; /* Time of this machine in lt_choice_pick. */
   double error_sum;
 } sim_t;
 
+static double
+seconds_now (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (double)now.tv_sec + (double)now.tv_nsec * 1e-9;
+}
+
 static int64_t
 now_us (const sim_t *s)
 {
@@ -275,7 +286,9 @@
   lt_cost_key_t key = key_for (s, kind, cost_ms);
   lt_choice_request_t request
       = { .repeatable = true, .cost = vm->work == NULL ? NULL : &key };
+  double start_s = seconds_now ();
   int64_t picked = lt_choice_pick (vm->choice, &request, now_us (s));
+  s->pick_s += seconds_now () - start_s;
   uint32_t index = vm->index[picked];
   job_t job = { .vm = vm_index,
                 .upstream = index,
@@ -327,13 +340,14 @@
     mean_ms += s->waits_ms[i] / (double)s->waits;
   printf ("%-8s requests=%llu wait_mean_ms=%.1f wait_p50_ms=%.0f "
           "wait_p99_ms=%.0f wait_over_cost_p99=%.2f rejected=%llu "
-          "busiest_over_mean=%.2f log_error=%.2f\n",
+          "busiest_over_mean=%.2f log_error=%.2f pick_us=%.1f\n",
           way_names[s->way], (unsigned long long)s->arrived, mean_ms,
           sim_quantile (s->waits_ms, s->waits, 0.5),
           sim_quantile (s->waits_ms, s->waits, 0.99),
           sim_quantile (s->slowdowns, s->waits, 0.99),
           (unsigned long long)s->rejected, most / (sum / s->upstream_count),
-          s->error_sum / (double)(s->arrived == 0 ? 1 : s->arrived));
+          s->error_sum / (double)(s->arrived == 0 ? 1 : s->arrived),
+          s->pick_s * 1e6 / (double)s->next_id);
 }
 
 static void
@@ -388,6 +402,60 @@
   free (s.slowdowns);
 }
 
+/* Time and memory of the predictor with 19,000 routes and 45,000 workspaces,
+   of which few send most requests.  */
+static void
+measure_predictor (uint64_t seed)
+{
+  enum
+  {
+    REQUESTS = 2000000,
+    REQUEST_INTERVAL_US = 13333 /* 75 a second. */
+  };
+  lt_cost_options_t options = LT_COST_OPTIONS_DEFAULT;
+  lt_cost_t *cost = lt_cost_create (&options);
+  lt_cost_key_t *keys = calloc (REQUESTS, sizeof (*keys));
+  lt_rng_t rng;
+  lt_rng_init (&rng, seed);
+  for (size_t i = 0; i < REQUESTS; i++)
+    {
+      double skew = lt_rng_unit (&rng);
+      lt_cost_features_t features
+          = { .service = lt_rng_below (&rng, 1300),
+              .workspace = (uint64_t)(45000 * pow (skew, 6)) };
+      features.route
+          = features.service * 100 + lt_rng_below (&rng, 19000 / 1300);
+      keys[i] = lt_cost_key_make (&features);
+    }
+  double start_s = seconds_now ();
+  for (size_t i = 0; i < REQUESTS; i++)
+    lt_cost_learn (cost, &keys[i], 300e3, 1, (int64_t)i * REQUEST_INTERVAL_US);
+  double middle_s = seconds_now ();
+  double sum = 0;
+  for (size_t i = 0; i < REQUESTS; i++)
+    sum += lt_cost_mean_us (cost, &keys[i],
+                            REQUESTS * (int64_t)REQUEST_INTERVAL_US);
+  double end_s = seconds_now ();
+  size_t full = 0;
+  size_t routes = 0;
+  lt_cost_view_t view;
+  for (size_t i = 0; i < REQUESTS; i++)
+    {
+      full += lt_cost_look_up (cost, keys[i].full, 0, &view) == 0;
+      routes += lt_cost_look_up (cost, keys[i].route, 0, &view) == 0;
+    }
+  lt_cost_stats_t stats = lt_cost_get_stats (cost);
+  printf ("predictor learn_ns=%.0f mean_ns=%.0f keys=%u evictions=%llu "
+          "bytes=%zu known_key_share=%.3f known_route_share=%.3f mean_us=%.0f"
+          "\n",
+          (middle_s - start_s) * 1e9 / REQUESTS,
+          (end_s - middle_s) * 1e9 / REQUESTS, stats.keys,
+          (unsigned long long)stats.evictions, stats.bytes,
+          (double)full / REQUESTS, (double)routes / REQUESTS, sum / REQUESTS);
+  free (keys);
+  lt_cost_destroy (cost);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -401,7 +469,9 @@
   uint32_t vms = (uint32_t)strtoul (argv[2], NULL, 10);
   double utilisation = strtod (argv[3], NULL) / 100;
   int64_t seconds = strtoll (argv[4], NULL, 10);
-  for (int way = 0; way < WAYS; way++)
+  if (vms == 0)
+    measure_predictor (seed);
+  for (int way = 0; way < WAYS && vms > 0; way++)
     simulate ((way_t)way, seed, vms, utilisation, seconds);
   return 0;
 }
--- a/packages/policy/src/cost.c
+++ b/packages/policy/src/cost.c
@@ -20,7 +20,11 @@
   /* Counts from which a histogram's quantiles or its tail are used.  */
   QUANTILE_COUNTS_MIN = 20 * COUNT_SCALE,
   TAIL_COUNTS_MIN = 2 * COUNT_SCALE,
-  TIME_STEP_US = 100 * 1000
+  TIME_STEP_US = 100 * 1000,
+  COARSE_BIT = 1, /* In the keys of routes and services. */
+  /* How much more the evidence of these counts when a key is replaced: all
+     keys of the route fall back to it.  */
+  COARSE_FACTOR = 16
 };
 
 #define FIRST_BUCKET_US 1000.0
@@ -94,12 +98,6 @@
   return class;
 }
 
-static uint64_t
-nonzero (uint64_t key)
-{
-  return key == 0 ? 1 : key;
-}
-
 lt_cost_key_t
 lt_cost_key_make (const lt_cost_features_t *features)
 {
@@ -108,15 +106,16 @@
   uint64_t full
       = mix (mix (route, features->method), size_class (features->body_bytes));
   full = mix (full, features->workspace);
-  return (lt_cost_key_t){ .full = nonzero (full),
-                          .route = nonzero (route),
-                          .service = nonzero (service) };
+  /* Keys are not 0, and those of routes and services are odd.  */
+  return (lt_cost_key_t){ .full = (full << 1) | (1ULL << 63),
+                          .route = route | COARSE_BIT,
+                          .service = service | COARSE_BIT };
 }
 
 static entry_t *
 set_of (const lt_cost_t *cost, uint64_t key)
 {
-  return &cost->entries[(key & (cost->set_count - 1)) * WAYS];
+  return &cost->entries[((key >> 1) & (cost->set_count - 1)) * WAYS];
 }
 
 static const entry_t *
@@ -151,6 +150,8 @@
         return &set[i];
       double weight
           = set[i].key == 0 ? -1 : weight_now (cost, &set[i], now_us);
+      if ((set[i].key & COARSE_BIT) != 0)
+        weight *= COARSE_FACTOR;
       if (weight >= least_weight)
         continue;
       least_weight = weight;
@@ -158,7 +159,7 @@
     }
   if (least->key == 0)
     cost->stats.keys++;
-  else if (least_weight >= WEIGHT_MIN)
+  else if (weight_now (cost, least, now_us) >= WEIGHT_MIN)
     cost->stats.evictions++;
   *least = (entry_t){ .key = key };
   return least;
--- a/packages/policy/src/work.c
+++ b/packages/policy/src/work.c
@@ -64,6 +64,7 @@
   offer_t *offers;
   uint32_t offer_count;
   uint32_t offer_cap;
+  double *loads; /* Expected ones of the offers with reports. */
 };
 
 lt_work_t *
@@ -97,6 +98,7 @@
   }
   lt_cost_destroy (work->cost);
   free (work->offers);
+  free (work->loads);
   free (work);
 }
 
@@ -214,6 +216,8 @@
           = work->offer_cap == 0 ? OFFERS_FIRST_CAP : work->offer_cap * 2;
       work->offers = lt_realloc (work->offers,
                                  work->offer_cap * sizeof (*work->offers));
+      work->loads
+          = lt_realloc (work->loads, work->offer_cap * sizeof (*work->loads));
     }
   offer_t *offer = &work->offers[work->offer_count++];
   *offer = (offer_t){ .index = index, .loss = loss, .load = *load };
@@ -222,10 +226,10 @@
 }
 
 static int
-by_expected (const void *a, const void *b)
+by_value (const void *a, const void *b)
 {
-  double x = ((const offer_t *)a)->expected;
-  double y = ((const offer_t *)b)->expected;
+  double x = *(const double *)a;
+  double y = *(const double *)b;
   return (x > y) - (x < y);
 }
 
@@ -240,6 +244,7 @@
 fill_level (lt_work_t *work, double mean_us, double *unseen)
 {
   double turnover = (double)work->options.report_age_us / mean_us;
+  uint32_t reported = 0;
   for (uint32_t i = 0; i < work->offer_count; i++)
     {
       offer_t *offer = &work->offers[i];
@@ -250,21 +255,15 @@
         continue;
       offer->expected -= ended;
       *unseen += ended;
+      work->loads[reported++] = offer->expected;
     }
-  qsort (work->offers, work->offer_count, sizeof (*work->offers), by_expected);
+  qsort (work->loads, reported, sizeof (*work->loads), by_value);
   double level = 0;
   double sum = 0;
-  uint32_t below = 0;
-  for (uint32_t i = 0; i < work->offer_count; i++)
+  for (uint32_t i = 0; i < reported && (i == 0 || work->loads[i] < level); i++)
     {
-      const offer_t *offer = &work->offers[i];
-      if (!offer->load.reported)
-        continue;
-      if (below > 0 && offer->expected >= level)
-        break;
-      sum += offer->expected;
-      below++;
-      level = (*unseen + sum) / below;
+      sum += work->loads[i];
+      level = (*unseen + sum) / (i + 1);
     }
   return level;
 }
@@ -314,6 +313,8 @@
   for (uint32_t i = 0; i < work->offer_count; i++)
     {
       const offer_t *offer = &work->offers[i];
+      if (offer->loss >= least)
+        continue; /* The loss by load is never negative. */
       double room = fmax (level - offer->expected, ROOM_MIN);
       /* Among upstreams with equal losses each is chosen in proportion to its
          room: the least of exponential variates with the rooms as rates.  The
--- a/packages/policy/test/test_work.cc
+++ b/packages/policy/test/test_work.cc
@@ -299,6 +299,24 @@
     }
 }
 
+// The random loss that spreads requests over upstreams with room does not send
+// them to one that fails, nor to another region.
+TEST_F (Work, SpreadingKeepsToGoodUpstreams)
+{
+  teach ();
+  upstreams[3].distance = LT_DISTANCE_OTHER_REGION;
+  configure ();
+  for (uint64_t id = 1; id <= 3; id++)
+    report (id, 1, 2);
+  for (int i = 0; i < 3; i++)
+    lt_choice_observe (choice, 1, LT_CHOICE_FAILURE, now);
+  std::map<int64_t, int> chosen = picks (1000);
+  EXPECT_EQ (0, chosen[1]);
+  EXPECT_EQ (0, chosen[4]);
+  EXPECT_GT (chosen[2], 300);
+  EXPECT_GT (chosen[3], 300);
+}
+
 // A request without a cost is chosen for as without the option.
 TEST_F (Work, RequestsWithoutCostGoByCounts)
 {
