--- a/packages/policy/src/work.c
+++ b/packages/policy/src/work.c
@@ -305,6 +305,8 @@
 {
   int64_t best = -LT_EUNAVAILABLE;
   double least = INFINITY;
+  if (work->offer_count == 0)
+    return best;
   double mean_us = lt_cost_service_mean_us (work->cost, key, now_us);
   double cost = lt_cost_mean_us (work->cost, key, now_us) / mean_us;
   double unseen = 0;
