Caller server: a deadline begins when the head of its request is complete

Callers saw: requests whose head came in more than one read got 504 deadline-exceeded before their time, also while an upstream was at work on them in a planned stop. Cause: the start of a request was taken when its request line was parsed. A caller within the limit for heads (3 s) lost up to that time of its deadline and of the route's timeout. Ruled out: a stale mark of waiting input and a read during the response before it; tests of both passed on the old code. Heads that arrive in one read, and pipelined ones, count as before.

--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -64,7 +64,8 @@
   caller_connection_t *caller;
   lt_request_t *request;
   char *target;
-  int64_t received_us; /* When the first bytes of the request arrived. */
+  int64_t received_us;   /* When the head of the request was complete. */
+  uint64_t received_run; /* Run of the daemon in which that holds. */
   bool suspended;
   bool chain_started;
   bool responded;
@@ -311,10 +312,16 @@
   exchange->connection = connection;
   if (exchange->caller_disconnected)
     return MHD_NO;
-  if (!exchange->chain_started)
-    note_input (exchange->server, exchange->caller);
+  int64_t input_us = exchange->chain_started
+                         ? 0
+                         : note_input (exchange->server, exchange->caller);
   if (exchange->request == NULL)
-    return start_request (exchange, method, version);
+    {
+      /* The head took more than one read.  */
+      if (exchange->received_run != exchange->server->http.runs)
+        exchange->received_us = input_us;
+      return start_request (exchange, method, version);
+    }
   if (*upload_data_size > 0)
     {
       append_body (exchange->request, upload_data, *upload_data_size);
@@ -387,6 +394,7 @@
   exchange->target = str_dup (str_from (uri));
   exchange->caller = find_caller_connection (connection);
   exchange->received_us = note_input (exchange->server, exchange->caller);
+  exchange->received_run = exchange->server->http.runs;
   if (exchange->caller != NULL)
     {
       exchange->caller->open_exchanges++;
--- a/packages/node/test/test_pipelining.cc
+++ b/packages/node/test/test_pipelining.cc
@@ -306,6 +306,41 @@
   EXPECT_EQ (0, not_served);
 }
 
+// A caller that takes long to send the head of its request gets the whole
+// deadline: it began with the request line, so that the request was broken off
+// early.
+TEST_F (Pipelining, DeadlineCountsFromTheEndOfTheHead)
+{
+  vm.clock.now_us += 1;
+  configure (R"({"latency_ms": 100})");
+  // Open routes need no confirmed configuration, which ages with the clock.
+  const std::string bytes = get ("/stock/1", "X-Deadline-Ms: 700\r\n");
+  const std::string before = get ("/stock/2");
+  uint16_t port = lt_daemon_port (vm.daemon);
+  for (size_t part : { bytes.find ('\n') + 1, bytes.size () - 2 })
+    for (bool follows : { false, true })
+      {
+        int status = 0;
+        vm.run_while ([&] {
+          int fd = connect_to_vm (port);
+          ASSERT_GE (fd, 0);
+          std::string first = (follows ? before : "") + bytes.substr (0, part);
+          (void)!write (fd, first.data (), first.size ());
+          if (follows)
+            {
+              EXPECT_EQ (200, status_of (read_response (fd)));
+            }
+          std::this_thread::sleep_for (std::chrono::milliseconds (50));
+          vm.clock.now_us += 800 * 1000;
+          (void)!write (fd, bytes.data () + part, bytes.size () - part);
+          status = status_of (read_response (fd));
+          close (fd);
+        });
+        EXPECT_EQ (200, status)
+            << part << " bytes ahead, behind another: " << follows;
+      }
+}
+
 // The deadline of a request that arrives with the rest of an upload counts
 // from then, also when the upload's head had been sent ahead of it.
 TEST_F (Pipelining, DeadlineBehindALateBodyCountsFromArrival)
