Allowed regions and evacuated failure domains: the hosted path

Requests of a route or workspace with allowedRegions go only to upstreams of these regions, and nothing new goes to the upstreams of an evacuated failure domain. Rows evacuate/ZONE of the operator's table come with the watch of the configuration.

--- a/packages/config/include/lt/config/deployment.h
+++ b/packages/config/include/lt/config/deployment.h
@@ -80,14 +80,15 @@
     str_t region;
     int32_t slots;
     bool draining;
+    bool evacuated; /**< Its failure domain is evacuated. */
     uint64_t incarnation;
     int64_t warm_until_us;
   } lt_deployment_upstream_t;
 
   /** Builds a snapshot without upstreams.  Keys are stored as keyed hashes
       under KEY_SECRET.  Returns 0 or -LT_EINVAL: two rows of one name, two
-      routes of one host and prefix, one key of two workspaces, or a split to
-     an unknown service.  */
+      routes of one host and prefix, one key of two workspaces, a split to an
+      unknown service, or more than LT_REGIONS_MAX region names.  */
   int lt_snapshot_from_deployment (const lt_deployment_t *deployment,
                                    str_t key_secret, lt_snapshot_t **snapshot);
   /** Makes a snapshot with the rows of BASE and these upstreams; those of
--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -195,6 +195,15 @@
       byte.  Returns NULL when there is none.  */
   const lt_route_t *lt_snapshot_match_host (const lt_snapshot_t *snapshot,
                                             str_t host, str_t path);
+  /** Returns the bit of REGION in allowed_regions masks of SNAPSHOT, or
+      LT_REGION_BIT_OTHER when no list names it.  */
+  uint32_t lt_snapshot_region_bit (const lt_snapshot_t *snapshot,
+                                   str_t region);
+  /** Converts MASK, over the regions of FROM, to the regions of TO by name.
+      Names that TO lacks are left out, so that the result may be 0.  */
+  uint64_t lt_snapshot_convert_regions (const lt_snapshot_t *from,
+                                        uint64_t mask,
+                                        const lt_snapshot_t *to);
   /** Returns whether WORKSPACE may use ROUTE.  */
   bool lt_route_allows (const lt_route_t *route, uint32_t workspace);
   /** Return an index, or LT_NO_INDEX.  */
--- a/packages/config/src/deployment.c
+++ b/packages/config/src/deployment.c
@@ -6,6 +6,7 @@
 #include "index.h"
 #include "lt/base/error.h"
 #include "lt/config/sheet.h"
+#include "regions.h"
 
 /* Rows begin with their name; find_name in snapshot.c needs them sorted.  */
 static int
@@ -28,6 +29,19 @@
   return false;
 }
 
+static int
+add_regions (lt_snapshot_t *s, const lt_deployment_t *d)
+{
+  lt_region_names_t names = { .count = 0 };
+  for (uint32_t i = 0; i < d->route_count; i++)
+    for (uint32_t k = 0; k < d->routes[i].allowed_region_count; k++)
+      lt_region_names_add (&names, d->routes[i].allowed_regions[k]);
+  for (uint32_t i = 0; i < d->workspace_count; i++)
+    for (uint32_t k = 0; k < d->workspaces[i].allowed_region_count; k++)
+      lt_region_names_add (&names, d->workspaces[i].allowed_regions[k]);
+  return lt_regions_build (s, &names);
+}
+
 static int
 add_services (lt_snapshot_t *s, const lt_deployment_t *d)
 {
@@ -61,7 +75,10 @@
                               .rate_milli_per_s = from->rate_milli_per_s,
                               .burst = from->burst,
                               .priority = from->priority,
-                              .unlimited = from->rate_milli_per_s == 0 };
+                              .unlimited = from->rate_milli_per_s == 0,
+                              .allowed_regions = lt_regions_mask (
+                                  s, from->allowed_regions,
+                                  from->allowed_region_count) };
       s->key_count += from->key_count;
     }
   qsort (s->workspaces, s->workspace_count, sizeof (*s->workspaces),
@@ -110,6 +127,8 @@
     .attempts_max = from->attempts_max,
     .latency_target_ms = from->latency_target_ms,
     .priority = from->priority,
+    .allowed_regions = lt_regions_mask (s, from->allowed_regions,
+                                        from->allowed_region_count),
   };
   route->splits
       = lt_arena_alloc (s->arena, from->split_count * sizeof (*route->splits));
@@ -153,7 +172,9 @@
   s->source_version = deployment->version;
   s->limits = deployment->limits;
   s->by_host = true;
-  int error = add_services (s, deployment);
+  int error = add_regions (s, deployment);
+  if (error == 0)
+    error = add_services (s, deployment);
   if (error == 0)
     error = add_workspaces (s, deployment);
   if (error == 0)
@@ -184,6 +205,7 @@
     .address = lt_arena_copy (s->arena, from->address),
     .slots = from->slots,
     .drained = from->draining,
+    .evacuated = from->evacuated,
     .incarnation = from->incarnation,
     .warm_until_us = from->warm_until_us,
   };
--- a/packages/node/include/lt/node/registry.h
+++ b/packages/node/include/lt/node/registry.h
@@ -33,8 +33,8 @@
     str_t failure_domain;
   } lt_registry_vm_t;
 
-  /** A record of the registry.  DEPLOYMENT, UPSTREAM or VM is set according to
-      its kind.  */
+  /** A record of the registry.  DEPLOYMENT or EVACUATED_DOMAIN, UPSTREAM or VM
+      is set according to its kind.  */
   typedef struct lt_registry_record
   {
     str_t name;
@@ -45,6 +45,9 @@
     int64_t revision;
     bool removed; /**< The record was deleted or is unreadable. */
     const lt_deployment_t *deployment;
+    /** Failure domain whose upstreams take no new work while the record
+        exists; empty: the record is a configuration.  */
+    str_t evacuated_domain;
     lt_deployment_upstream_t upstream; /**< warm_until_us: time left. */
     lt_registry_vm_t vm;
     str_t secret; /**< Shared by the fleet; kind LT_REGISTRY_VMS only. */
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -94,6 +94,8 @@
     bool caller_disconnected; /**< Continues only for its outcome. */
     bool refused;
     bool ended;
+    bool restricted; /**< Only some regions may serve it; set with the first
+                        choice of an upstream. */
     bool byte_sent; /**< Some upstream may have run the request. */
     int attempts;
     char upstream[LT_REQUEST_ID_MAX + 1]; /**< Of the last attempt. */
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -42,6 +42,8 @@
   lt_snapshot_ref_t *config; /* Snapshot of the pools at the last attempt. */
   str_t service_name;        /* Belongs to the request's snapshot. */
   uint32_t service;          /* Index in CONFIG; LT_NO_INDEX: absent. */
+  bool restricted;           /* ALLOWED_REGIONS applies; empty: nowhere. */
+  uint64_t allowed_regions;  /* Mask over the regions of CONFIG. */
   attempt_t attempts[ATTEMPTS_MAX];
   uint32_t attempt_count;
   uint32_t may_have_run; /* Attempts sent, without those marked not_run. */
@@ -59,6 +61,9 @@
 /** Switches DISPATCH to the pools' configuration and picks an upstream that
     was not tried yet.  Returns its index or -LT_EUNAVAILABLE.  */
 int64_t lt_dispatch_pick (lt_dispatch_t *dispatch);
+/** Returns whether the route and the workspace of the request allow no region
+    in common, as of the last lt_dispatch_pick.  */
+bool lt_dispatch_has_no_region (const lt_dispatch_t *dispatch);
 /** Sets NOT_RUN and WRONG_RESPONSE of ATTEMPT from a response header.  */
 void lt_dispatch_check_response (attempt_t *attempt,
                                  const lt_header_list_t *headers);
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -8,6 +8,58 @@
   return dispatch->request->route->action == LT_ACTION_IDEMPOTENT;
 }
 
+static void
+restrict_regions (lt_dispatch_t *dispatch, const lt_snapshot_t *snapshot,
+                  uint64_t mask)
+{
+  if (mask == 0)
+    return;
+  mask = lt_snapshot_convert_regions (snapshot, mask,
+                                      dispatch->config->snapshot);
+  dispatch->allowed_regions
+      = dispatch->restricted ? dispatch->allowed_regions & mask : mask;
+  dispatch->restricted = true;
+}
+
+/* Applies the regions that the request's route and workspace allow.  Where the
+   snapshot of the request and that of the pools differ, the newer one that
+   still has the route or the workspace counts.  A route of the same name for
+   other requests is another route.  */
+static void
+use_allowed_regions (lt_dispatch_t *dispatch)
+{
+  const lt_request_t *request = dispatch->request;
+  const lt_snapshot_t *own = request->snapshot;
+  const lt_snapshot_t *pools = dispatch->config->snapshot;
+  const lt_route_t *route = request->route;
+  dispatch->restricted = false;
+  dispatch->allowed_regions = 0;
+  bool newer = pools->version > own->version;
+  uint32_t index
+      = newer ? lt_snapshot_find_route (pools, route->name) : LT_NO_INDEX;
+  if (index != LT_NO_INDEX && str_equal (pools->routes[index].path, route->path)
+      && str_equal_nocase (pools->routes[index].host, route->host))
+    restrict_regions (dispatch, pools, pools->routes[index].allowed_regions);
+  else
+    restrict_regions (dispatch, own, route->allowed_regions);
+  if (request->workspace == LT_NO_INDEX)
+    return;
+  const lt_workspace_t *workspace = &own->workspaces[request->workspace];
+  index = newer ? lt_snapshot_find_workspace (pools, workspace->name)
+                : LT_NO_INDEX;
+  if (index != LT_NO_INDEX)
+    restrict_regions (dispatch, pools,
+                      pools->workspaces[index].allowed_regions);
+  else
+    restrict_regions (dispatch, own, workspace->allowed_regions);
+}
+
+bool
+lt_dispatch_has_no_region (const lt_dispatch_t *dispatch)
+{
+  return dispatch->restricted && dispatch->allowed_regions == 0;
+}
+
 /* Switches to the pools' snapshot, which may be newer than that of earlier
    attempts; the service is then looked up by name.  */
 static void
@@ -19,6 +71,7 @@
   dispatch->config = lt_snapshot_ref_acquire (config);
   dispatch->service
       = lt_snapshot_find_service (config->snapshot, dispatch->service_name);
+  use_allowed_regions (dispatch);
 }
 
 /* Counts the attempts that were or may yet be sent: a connection that failed
@@ -60,7 +113,8 @@
   if (config == NULL || dispatch->attempt_count == ATTEMPTS_MAX)
     return -LT_EUNAVAILABLE;
   use_pools_config (dispatch, config);
-  if (dispatch->service == LT_NO_INDEX)
+  request->restricted = dispatch->restricted;
+  if (dispatch->service == LT_NO_INDEX || lt_dispatch_has_no_region (dispatch))
     return -LT_EUNAVAILABLE;
   for (uint32_t i = 0; i < dispatch->attempt_count; i++)
     {
@@ -78,6 +132,7 @@
     .tried = tried,
     .tried_count = count,
     .repeatable = can_retry_next (dispatch),
+    .allowed_regions = dispatch->allowed_regions,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -282,8 +282,10 @@
   int64_t now_us = lt_node_now_us (request->node);
   int64_t wait_us
       = pools->vtable->wait_us == NULL || dispatch->service == LT_NO_INDEX
+                || lt_dispatch_has_no_region (dispatch)
             ? 0
-            : pools->vtable->wait_us (pools, dispatch->service, now_us);
+            : pools->vtable->wait_us (pools, dispatch->service,
+                                      dispatch->allowed_regions, now_us);
   if (wait_us == 0)
     return refuse (request, LT_REFUSE_NO_UPSTREAM);
   return refuse_after (request, LT_REFUSE_NO_UPSTREAM,
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -35,10 +35,11 @@
     /** Returns the connect timeout of UPSTREAM in milliseconds; 0: the
         default.  May be NULL.  */
     int64_t (*connect_ms) (lt_pools_t *pools, uint32_t upstream);
-    /** Returns how long it takes until an upstream of SERVICE, whose
-        upstreams take requests at a rate, takes another one; 0: rates are not
-        the reason.  May be NULL.  */
-    int64_t (*wait_us) (lt_pools_t *pools, uint32_t service, int64_t now_us);
+    /** Returns how long it takes until an upstream of SERVICE in
+        ALLOWED_REGIONS, whose upstreams take requests at a rate, takes another
+        one; 0: rates are not the reason.  May be NULL.  */
+    int64_t (*wait_us) (lt_pools_t *pools, uint32_t service,
+                        uint64_t allowed_regions, int64_t now_us);
     /** Called when a request for SERVICE of SNAPSHOT was refused before any
         attempt.  May be NULL.  */
     void (*on_refused) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -206,13 +206,15 @@
 
 /* Reports a refused request to the pools.  A service whose requests are mostly
    refused, for whatever reason, counts as failing, and its idle upstreams are
-   then tried.  */
+   then tried.  The refusal of a request that only some regions may serve shows
+   nothing about the upstreams of the others.  */
 static void
 notify_pools (const lt_request_t *request)
 {
   const lt_route_t *route = request->route;
   lt_pools_t *pools = request->node->pools;
-  if (route == NULL || request->attempts > 0 || pools == NULL
+  if (route == NULL || request->attempts > 0 || request->restricted
+      || pools == NULL
       || pools->vtable->on_refused == NULL)
     return;
   int64_t now_us = lt_node_now_us (request->node);
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -70,7 +70,10 @@
   upstream_entry_t *next;
   HASH_ITER (hh, c->entries, entry, next)
   {
-    upstreams[used++] = entry->upstream;
+    upstreams[used] = entry->upstream;
+    upstreams[used].evacuated
+        = lt_source_is_evacuated (c, entry->upstream.failure_domain);
+    used++;
   }
   int64_t version = (c->configuration->source_version << INSTALL_COUNT_BITS)
                     + ++c->install_count;
@@ -133,6 +136,20 @@
           snapshot->workspace_count);
 }
 
+/* Returns whether the set of upstreams changed, or which of them are
+   evacuated.  */
+static bool
+apply_record (lt_source_controller_t *c, const record_watch_t *watch,
+              const lt_registry_record_t *record, int64_t now_us)
+{
+  if (watch->kind == LT_REGISTRY_UPSTREAMS)
+    return lt_source_apply_upstream (c, record, now_us);
+  if (record->evacuated_domain.len > 0)
+    return lt_source_apply_evacuation (c, record, now_us);
+  apply_deployment (c, record);
+  return false;
+}
+
 static void
 apply_records (lt_source_controller_t *c, record_watch_t *watch,
                const lt_registry_result_t *result, int64_t now_us)
@@ -143,13 +160,13 @@
       = c->configuration == NULL ? -1 : c->configuration->source_version;
   if (full_read && watch->kind == LT_REGISTRY_UPSTREAMS)
     lt_source_unlist_all (c);
+  if (full_read && watch->kind == LT_REGISTRY_CONFIG)
+    lt_source_unlist_evacuations (c);
   for (size_t i = 0; i < result->count; i++)
-    if (watch->kind == LT_REGISTRY_CONFIG)
-      apply_deployment (c, &result->records[i]);
-    else
-      changed = lt_source_apply_upstream (c, &result->records[i], now_us)
-                || changed;
+    changed = apply_record (c, watch, &result->records[i], now_us) || changed;
   watch->complete = true;
+  if (full_read && watch->kind == LT_REGISTRY_CONFIG)
+    changed = lt_source_end_unlisted_evacuations (c, now_us) || changed;
   if (full_read && watch->kind == LT_REGISTRY_UPSTREAMS)
     changed = lt_source_remove_unlisted (c, now_us) || changed
               || c->install_count == 0;
@@ -465,6 +482,7 @@
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   lt_source_remove_all (c);
   lt_source_forget_departed (c);
+  lt_source_forget_evacuations (c, INT64_MAX);
   lt_relay_destroy (c->relay);
   lt_snapshot_destroy (c->configuration);
   base->node->source_controller = NULL;
--- a/packages/node/src/source_era.c
+++ b/packages/node/src/source_era.c
@@ -5,12 +5,6 @@
 
 enum
 {
-  /* After the registry came back from an older copy, writers repeat within
-     seconds what was lost.  Until then its records may be older than what is
-     known.  */
-  REPEAT_MS = 10 * 1000,
-  /* Longer than the time that such a copy lacks, and REPEAT_MS.  */
-  DEPARTED_MEMORY_MS = 60 * 1000,
   DEPARTED_MAX = 8192,
   /* VMs read the records again within this time, one after the other.  */
   READ_SPREAD_MS = 200
@@ -112,7 +106,7 @@
   departed_upstream_t *departed = NULL;
   HASH_FIND (hh, c->departed, record->name.data, record->name.len, departed);
   if (departed == NULL || departed->era == c->base.node->registry_era
-      || now_us - c->era_since_us >= REPEAT_MS * LT_US_PER_MS)
+      || now_us - c->era_since_us >= SOURCE_REPEAT_MS * LT_US_PER_MS)
     return false;
   if (record->upstream.incarnation != departed->incarnation
       || record->revision > departed->revision)
@@ -129,15 +123,19 @@
   /* In the order in which they went.  */
   HASH_ITER (hh, c->departed, departed, next)
   {
-    if (now_us - departed->at_us < DEPARTED_MEMORY_MS * LT_US_PER_MS)
+    if (now_us - departed->at_us < SOURCE_MEMORY_MS * LT_US_PER_MS)
       break;
     departed_delete (c, departed);
   }
-  if (!c->departed_listed
-      || now_us - c->era_since_us < REPEAT_MS * LT_US_PER_MS)
+  lt_source_forget_evacuations (c, now_us - SOURCE_MEMORY_MS * LT_US_PER_MS);
+  if (now_us - c->era_since_us < SOURCE_REPEAT_MS * LT_US_PER_MS)
     return;
+  if (c->departed_listed)
+    read_all_again (c, &c->watches[LT_REGISTRY_UPSTREAMS], now_us);
+  if (c->evacuations_differ)
+    read_all_again (c, &c->watches[LT_REGISTRY_CONFIG], now_us);
   c->departed_listed = false;
-  read_all_again (c, &c->watches[LT_REGISTRY_UPSTREAMS], now_us);
+  c->evacuations_differ = false;
 }
 
 void
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -23,6 +23,16 @@
 } source_relay_event_t;
 #undef SOURCE_RELAY_ENUM
 
+enum
+{
+  /* After the registry came back from an older copy, writers repeat within
+     seconds what was lost.  Until then its records may be older than what is
+     known.  */
+  SOURCE_REPEAT_MS = 10 * 1000,
+  /* Longer than the time that such a copy lacks, and SOURCE_REPEAT_MS.  */
+  SOURCE_MEMORY_MS = 60 * 1000
+};
+
 /* One kind of registry records, which is read once and then watched.  */
 typedef struct record_watch
 {
@@ -61,6 +71,20 @@
   lt_buf_t strings;
 } upstream_entry_t;
 
+/* A failure domain whose evacuation the registry requests, or requested before
+   it came back from an older copy.  */
+typedef struct evacuation
+{
+  UT_hash_handle hh;
+  char *domain;
+  int64_t version;         /* Of the last record, or its removal. */
+  int64_t request_version; /* Of the record that requests it. */
+  int64_t era;             /* Of both versions. */
+  bool listed;             /* Listed by the read in flight. */
+  bool ended;              /* Kept to recognize an older copy of the record. */
+  int64_t ended_us;
+} evacuation_t;
+
 /* The last known state of an upstream that is gone.  */
 typedef struct departed_upstream
 {
@@ -80,6 +104,8 @@
   upstream_entry_t *entries;
   departed_upstream_t *departed;
   bool departed_listed; /* The copy lists upstreams that are gone. */
+  evacuation_t *evacuations;
+  bool evacuations_differ; /* The copy has others than those kept. */
   int64_t era_since_us; /* When this VM learned of the era; 0: at its start. */
   int64_t install_count;
   int64_t recovered_us; /* End of the last outage, of any kind; 0: none. */
@@ -150,6 +176,25 @@
 bool lt_source_has_missing (const lt_source_controller_t *c);
 void lt_source_remove_all (lt_source_controller_t *c);
 
+/* source_evacuation.c */
+
+/** Applies a record that requests an evacuation, or its removal.  Returns
+    whether the set of evacuated failure domains changed.  */
+bool lt_source_apply_evacuation (lt_source_controller_t *c,
+                                 const lt_registry_record_t *record,
+                                 int64_t now_us);
+/** As lt_source_unlist_all, for evacuations.  */
+void lt_source_unlist_evacuations (lt_source_controller_t *c);
+/** Ends the evacuations that a complete read did not list.  Returns whether
+    there were any.  */
+bool lt_source_end_unlisted_evacuations (lt_source_controller_t *c,
+                                         int64_t now_us);
+bool lt_source_is_evacuated (const lt_source_controller_t *c, str_t domain);
+/** Forgets the evacuations that ended before SINCE_US; INT64_MAX: all
+    evacuations.  */
+void lt_source_forget_evacuations (lt_source_controller_t *c,
+                                   int64_t since_us);
+
 /* source_relay.c */
 
 void lt_source_relay_create (lt_source_controller_t *c);
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -53,6 +53,7 @@
   lt_counter_t *malformed;
   lt_gauge_t *suspected;
   lt_gauge_t *limited;
+  lt_gauge_t *evacuated;
   uint32_t limited_count; /* Upstreams that name a rate, at most. */
   lt_upstream_places_t *places;
   int64_t gauge_updated_us; /* Last update of the gauges. */
@@ -95,7 +96,8 @@
   lt_choice_request_t request = { .service = pick->service,
                                   .tried = pick->tried,
                                   .tried_count = pick->tried_count,
-                                  .repeatable = pick->repeatable };
+                                  .repeatable = pick->repeatable,
+                                  .allowed_regions = pick->allowed_regions };
   return lt_choice_pick (controller_of_pools (pools)->choice, &request,
                          now_us);
 }
@@ -114,10 +116,11 @@
 }
 
 static int64_t
-pools_wait_us (lt_pools_t *pools, uint32_t service, int64_t now_us)
+pools_wait_us (lt_pools_t *pools, uint32_t service, uint64_t allowed_regions,
+               int64_t now_us)
 {
   const lt_choice_t *choice = controller_of_pools (pools)->choice;
-  return lt_choice_next_us (choice, service, now_us) - now_us;
+  return lt_choice_next_us (choice, service, allowed_regions, now_us) - now_us;
 }
 
 static int64_t
@@ -433,8 +436,10 @@
                                     .service = u->service,
                                     .distance = distance_to (node, u),
                                     .slots = u->slots,
-                                    .leaving = u->drained,
-                                    .warm_until_us = u->warm_until_us };
+                                    .leaving = u->drained || u->evacuated,
+                                    .warm_until_us = u->warm_until_us,
+                                    .region_bit = lt_snapshot_region_bit (
+                                        current, u->region) };
     }
   lt_upstream_places_configure (c->places, current, upstreams);
   lt_choice_configure (c->choice, upstreams, count, now_us);
@@ -457,6 +462,7 @@
   const lt_snapshot_t *s = c->config->snapshot;
   uint32_t count = 0;
   uint32_t limited = 0;
+  uint32_t evacuated = 0;
   for (uint32_t i = 0; i < s->upstream_count; i++)
     {
       lt_choice_estimate_t view = { 0 };
@@ -464,10 +470,12 @@
                          &view);
       count += view.gray_probability >= GRAY_THRESHOLD;
       limited += view.rate_milli_per_s > 0;
+      evacuated += s->upstreams[i].evacuated;
     }
   c->suspected->value = count;
   c->limited_count = limited;
   c->limited->value = limited;
+  c->evacuated->value = evacuated;
 }
 
 static json_t *
@@ -485,11 +493,11 @@
       json_array_append_new (
           list,
           json_pack (
-              "{s:s%, s:f, s:f, s:i, s:i, s:I, s:b}", "upstream", u->name.data,
+              "{s:s%, s:f, s:f, s:i, s:i, s:I, s:b, s:b}", "upstream", u->name.data,
               u->name.len, "gray", view.gray_probability, "no_path",
               view.unreachable_probability, "in_flight", view.own_in_flight,
               "peers_in_flight", view.peers_in_flight, "rate_milli_per_s",
-              (json_int_t)view.rate_milli_per_s, "leaving", (int)u->drained));
+              (json_int_t)view.rate_milli_per_s, "leaving", (int)u->drained, "evacuated", (int)u->evacuated));
     }
   return list;
 }
@@ -539,6 +547,9 @@
   c->limited = lt_metrics_gauge (
       node->metrics, "lavendertrack_upstreams_limited",
       "Upstreams that name a rate that they take from all VMs.", "");
+  c->evacuated = lt_metrics_gauge (
+      node->metrics, "lavendertrack_upstreams_evacuated",
+      "Upstreams whose failure domain is evacuated.", "");
   c->malformed
       = lt_metrics_counter (node->metrics, name, help, "event=\"malformed\"");
   return &c->base;
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -177,10 +177,11 @@
       -LT_EUNAVAILABLE when no upstream may get the request.  */
   int64_t lt_choice_pick (lt_choice_t *choice,
                           const lt_choice_request_t *request, int64_t now_us);
-  /** Returns when an upstream of SERVICE that names a rate takes the next
-      request of this VM; NOW_US if one does now or none names a rate.  */
+  /** Returns when an upstream of SERVICE in ALLOWED_REGIONS (0: any) that
+      names a rate takes the next request of this VM; NOW_US if one does now or
+      none names a rate.  */
   int64_t lt_choice_next_us (const lt_choice_t *choice, uint32_t service,
-                             int64_t now_us);
+                             uint64_t allowed_regions, int64_t now_us);
   /** Records that this VM refused a request for SERVICE before an upstream was
       chosen.  */
   void lt_choice_record_refusal (lt_choice_t *choice, uint32_t service,
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -310,12 +310,22 @@
          && !estimate->address_moved;
 }
 
+/* A request without ALLOWED_REGIONS may go anywhere.  */
+static bool
+is_in_region (const upstream_estimate_t *estimate, uint64_t allowed_regions)
+{
+  return allowed_regions == 0
+         || (allowed_regions & 1ULL << estimate->upstream.region_bit) != 0;
+}
+
 static bool
 is_eligible (const lt_choice_t *choice, const lt_choice_request_t *request,
              uint32_t index, int64_t now_us)
 {
   const upstream_estimate_t *estimate = choice->by_index[index];
-  return takes_work (estimate, request->service) && !was_tried (request, index)
+  return takes_work (estimate, request->service)
+         && is_in_region (estimate, request->allowed_regions)
+         && !was_tried (request, index)
          && next_slot_us (choice, estimate, now_us) <= now_us;
 }
 
@@ -428,13 +438,15 @@
 }
 
 int64_t
-lt_choice_next_us (const lt_choice_t *choice, uint32_t service, int64_t now_us)
+lt_choice_next_us (const lt_choice_t *choice, uint32_t service,
+                   uint64_t allowed_regions, int64_t now_us)
 {
   int64_t earliest_us = INT64_MAX;
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const upstream_estimate_t *estimate = choice->by_index[i];
-      if (!takes_work (estimate, service))
+      if (!takes_work (estimate, service)
+          || !is_in_region (estimate, allowed_regions))
         continue;
       int64_t next_us = next_slot_us (choice, estimate, now_us);
       if (next_us < earliest_us)
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -316,7 +316,7 @@
   int sent = 0;
   for (int i = 0; i < 1000; i++, now += 10000)
     {
-      int64_t next_us = lt_choice_next_us (choice, 0, now);
+      int64_t next_us = lt_choice_next_us (choice, 0, 0, now);
       int64_t id = pick (i % 2 == 0);
       if (id != 1)
         {
