Cold upstreams get at most their service's warm-up rate

Cause: an upstream that starts, or becomes cold again, takes 3.7 requests a second from all VMs together and crashes well above that. VMs only preferred other upstreams while its register entry said that it was cold. Change: warmupS and warmupPerS of a service reach the choice of upstreams. While an upstream is cold, the slots in time of named rates pace the requests to it, at the lower of its service's warm-up rate and a rate that it names; a slot can be used for 0.5 s instead of 1.5 s. Cold are upstreams whose entry or response says so, and those that are new in the register, started again or reappear, except when the VM itself starts. Requests that must not be repeated go elsewhere unless that is worse. Places of VMs are kept up to date while a service has a warm-up rate, in one pass over the VMs.

--- a/packages/config/src/deployment.c
+++ b/packages/config/src/deployment.c
@@ -39,6 +39,9 @@
       s->services[i].name = lt_arena_copy (s->arena, d->services[i].name);
       s->services[i].health_path
           = lt_arena_copy (s->arena, d->services[i].health_path);
+      s->services[i].warm_up_ms = d->services[i].warm_up_ms;
+      s->services[i].warm_up_rate_milli_per_s
+          = d->services[i].warm_up_rate_milli_per_s;
     }
   qsort (s->services, s->service_count, sizeof (*s->services), compare_names);
   return has_repeated_name (s->services, s->service_count,
--- a/packages/node/include/lt/node/dialect.h
+++ b/packages/node/include/lt/node/dialect.h
@@ -25,7 +25,9 @@
     /** Set by an upstream: the requests a second, a decimal number, that it
         takes from all VMs together while it says so.  */
     str_t rate_limit;
-    str_t run_state; /**< Set on refusals: whether the request ran. */
+    str_t warm_up_left; /**< Set by an upstream: milliseconds for which it
+                           stays cold. */
+    str_t run_state;    /**< Set on refusals: whether the request ran. */
     /** The upstream echoes the request id; a response with a different id
         belongs to another request.  */
     bool response_echoes_id;
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -112,6 +112,8 @@
     /** Rate that the upstream named in its response; 0: none; -1: there was no
         response of this upstream, or the rate was unreadable.  */
     int64_t rate_milli_per_s;
+    /** When the upstream is warm, by its response; 0: it did not say.  */
+    int64_t warm_until_us;
     lt_digest_t fingerprint; /**< Of the request. */
     uint32_t workspace;
     bool byte_sent;        /**< A byte of the request may have been sent. */
--- a/packages/node/src/dialect.c
+++ b/packages/node/src/dialect.c
@@ -8,6 +8,7 @@
   .not_run = STR_CONST (""),
   .seal = STR_CONST (""),
   .rate_limit = STR_CONST (""),
+  .warm_up_left = STR_CONST (""),
   .run_state = STR_CONST ("X-Request-Ran"),
   .generates_request_id = true,
   .uses_claims = true,
--- a/packages/node/src/dispatch_answer.c
+++ b/packages/node/src/dispatch_answer.c
@@ -5,7 +5,10 @@
 {
   STATUS_OK_FIRST = 200,
   STATUS_OK_LAST = 299,
-  STATUS_MISDIRECTED = 421
+  STATUS_MISDIRECTED = 421,
+  /* A longer warm-up is not believed: it would keep requests away.  */
+  WARM_UP_MAX_MS = 3600 * 1000,
+  MILLI = 1000
 };
 
 /* Returns whether the response names this request, or names none.  */
@@ -85,6 +88,33 @@
   return rate_milli_per_s > 0 ? rate_milli_per_s : 1;
 }
 
+int64_t
+lt_dispatch_read_warm_until (const attempt_t *attempt,
+                             const lt_header_list_t *headers)
+{
+  const lt_request_t *request = attempt->dispatch->request;
+  const lt_snapshot_t *snapshot = attempt->config->snapshot;
+  str_t name = request->node->dialect->warm_up_left;
+  int64_t left_us = 0;
+  if (name.len == 0 || attempt->wrong_response
+      || attempt->status == STATUS_MISDIRECTED)
+    return 0;
+  str_t text = lt_header_list_get (headers, name);
+  if (text.data == NULL)
+    return 0;
+  if (str_to_milli (str_trim (text), &left_us) != 0
+      || left_us > (int64_t)WARM_UP_MAX_MS * MILLI)
+    {
+      lt_log (LT_LOG_WARN, "dispatch",
+              "msg=\"unreadable warm-up of an upstream\" request=%s "
+              "upstream=%.*s",
+              request->request_id,
+              STR_ARG (snapshot->upstreams[attempt->upstream].name));
+      return 0;
+    }
+  return left_us > 0 ? attempt->header_us + left_us : 0;
+}
+
 bool
 lt_dispatch_status_implies_not_run (int status)
 {
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -26,6 +26,7 @@
   int status;
   int64_t retry_after_ms;
   int64_t rate_milli_per_s; /* See lt_observation_event_t. */
+  int64_t warm_until_us;    /* The same. */
   bool byte_sent;
   bool connection_lost; /* See lt_transfer_result_t. */
   bool closing;         /* The upstream closes the connection. */
@@ -66,6 +67,10 @@
     lt_observation_event_t has it.  */
 int64_t lt_dispatch_read_rate (const attempt_t *attempt,
                                const lt_header_list_t *headers);
+/** Returns when the upstream is warm by the response with HEADERS, as
+    lt_observation_event_t has it.  */
+int64_t lt_dispatch_read_warm_until (const attempt_t *attempt,
+                                     const lt_header_list_t *headers);
 /** Returns whether callers may take STATUS to mean that the request did not
     run.  The dispatcher does not forward such a response of an upstream but
     retries or refuses the request.  */
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -60,6 +60,7 @@
     .retry_after_ms = attempt->retry_after_ms,
     .rate_milli_per_s
     = attempt->header_us == 0 ? -1 : attempt->rate_milli_per_s,
+    .warm_until_us = attempt->warm_until_us,
     .fingerprint = request->fingerprint,
     .workspace = request->workspace,
     .byte_sent = attempt->byte_sent,
@@ -147,6 +148,7 @@
                          attempt->header_us - attempt->started_us);
   lt_dispatch_check_response (attempt, headers);
   attempt->rate_milli_per_s = lt_dispatch_read_rate (attempt, headers);
+  attempt->warm_until_us = lt_dispatch_read_warm_until (attempt, headers);
   if (attempt->not_run || attempt->wrong_response)
     return false;
   if (is_failure_status (status))
--- a/packages/node/src/source_entries.c
+++ b/packages/node/src/source_entries.c
@@ -56,17 +56,43 @@
   to->region = str_make (bytes + region, source->region.len);
   to->warm_until_us
       = source->warm_until_us > 0 ? now_us + source->warm_until_us : 0;
+  if (to->warm_until_us < entry->cold_until_us)
+    to->warm_until_us = entry->cold_until_us;
   entry->version = record->version;
   entry->revision = record->revision;
   entry->missing = false;
 }
 
+/* Everything is new to a VM that starts.  */
+static bool
+is_first_read (const lt_source_controller_t *c)
+{
+  return !c->watches[LT_REGISTRY_UPSTREAMS].complete && c->install_count == 0;
+}
+
+void
+lt_source_assume_cold (const lt_source_controller_t *c,
+                       upstream_entry_t *entry, int64_t now_us)
+{
+  lt_deployment_upstream_t *upstream = &entry->upstream;
+  const lt_snapshot_t *configuration = c->configuration;
+  uint32_t service
+      = configuration == NULL
+            ? LT_NO_INDEX
+            : lt_snapshot_find_service (configuration, upstream->service);
+  if (service == LT_NO_INDEX || upstream->warm_until_us > now_us)
+    return;
+  entry->cold_until_us
+      = now_us + configuration->services[service].warm_up_ms * LT_US_PER_MS;
+  upstream->warm_until_us = entry->cold_until_us;
+}
+
 /* The first complete read is logged as a whole, see lt_source_apply.  */
 static void
 log_upstream (const lt_source_controller_t *c, const upstream_entry_t *entry,
               const char *event)
 {
-  if (!c->watches[LT_REGISTRY_UPSTREAMS].complete && c->install_count == 0)
+  if (is_first_read (c))
     return;
   const lt_deployment_upstream_t *u = &entry->upstream;
   lt_log (LT_LOG_INFO, "source",
@@ -125,7 +151,11 @@
     entry = lt_alloc (sizeof (*entry));
   else
     HASH_DEL (c->entries, entry); /* NOLINT(clang-analyzer-*) */
+  if (restarted)
+    entry->cold_until_us = 0;
   entry_set (entry, record, now_us);
+  if ((is_new || restarted) && !is_first_read (c))
+    lt_source_assume_cold (c, entry, now_us);
   entry->era = c->base.node->registry_era;
   entry->listed = true;
   HASH_ADD_KEYPTR (hh, c->entries, entry->upstream.name.data,
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -53,10 +53,11 @@
 {
   UT_hash_handle hh;
   int64_t version;
-  int64_t era;      /* Of the version. */
-  int64_t revision; /* See lt_registry_record_t. */
-  bool missing;     /* Absent from the registry; kept for now. */
-  bool listed;      /* Listed by the read in flight. */
+  int64_t era;           /* Of the version. */
+  int64_t revision;      /* See lt_registry_record_t. */
+  bool missing;          /* Absent from the registry; kept for now. */
+  bool listed;           /* Listed by the read in flight. */
+  int64_t cold_until_us; /* Taken to be cold, whatever its entry says. */
   lt_deployment_upstream_t upstream;
   lt_buf_t strings;
 } upstream_entry_t;
@@ -136,6 +137,10 @@
 bool lt_source_apply_upstream (lt_source_controller_t *c,
                                const lt_registry_record_t *record,
                                int64_t now_us);
+/** Takes the upstream of ENTRY to be cold for the warm-up time of its service,
+    unless its entry says for how long it is.  */
+void lt_source_assume_cold (const lt_source_controller_t *c,
+                            upstream_entry_t *entry, int64_t now_us);
 /** Marks all entries as not listed, before a complete read is applied.  */
 void lt_source_unlist_all (lt_source_controller_t *c);
 /** Removes entries that a complete read did not list.  Returns whether any was
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -53,6 +53,7 @@
   lt_counter_t *malformed;
   lt_gauge_t *suspected;
   lt_gauge_t *limited;
+  lt_gauge_t *cold;
   uint32_t limited_count; /* Upstreams that name a rate, at most. */
   lt_upstream_places_t *places;
   int64_t gauge_updated_us; /* Last update of the gauges. */
@@ -345,6 +346,21 @@
   send_updates (c, &updates, false);
 }
 
+static void
+observe_warm_up (lt_upstream_controller_t *c,
+                 const lt_observation_event_t *event, int64_t now_us)
+{
+  const lt_upstream_t *upstream = &event->snapshot->upstreams[event->upstream];
+  if (event->warm_until_us == 0
+      || !lt_choice_set_cold (c->choice, upstream_id (upstream),
+                              event->warm_until_us, now_us))
+    return;
+  lt_log (LT_LOG_INFO, "upstreams",
+          "msg=\"upstream says that it is cold\" upstream=%.*s left_ms=%lld",
+          STR_ARG (upstream->name),
+          (long long)((event->warm_until_us - now_us) / LT_US_PER_MS));
+}
+
 static void
 on_observation (lt_controller_t *base, const lt_observation_event_t *event,
                 int64_t now_us)
@@ -353,6 +369,7 @@
   const lt_upstream_t *upstream = &event->snapshot->upstreams[event->upstream];
   lt_choice_evidence_t evidence;
   observe_rate (c, event, now_us);
+  observe_warm_up (c, event, now_us);
   if (!classify_outcome (event, &evidence))
     return;
   uint64_t id = upstream_id (upstream);
@@ -411,6 +428,16 @@
   apply_updates (c, message, &updates, now_us);
 }
 
+static void
+set_cold_count (lt_upstream_controller_t *c, uint32_t count)
+{
+  uint32_t before = (uint32_t)c->cold->value;
+  c->cold->value = count;
+  if (count != before)
+    lt_log (LT_LOG_INFO, "upstreams",
+            "msg=\"cold upstreams\" count=%u before=%u", count, before);
+}
+
 static void
 on_config (lt_controller_t *base, const lt_snapshot_t *old,
            const lt_snapshot_t *current, int64_t now_us)
@@ -428,17 +455,20 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const lt_upstream_t *u = &current->upstreams[i];
-      upstreams[i]
-          = (lt_choice_upstream_t){ .id = upstream_id (u),
-                                    .service = u->service,
-                                    .distance = distance_to (node, u),
-                                    .slots = u->slots,
-                                    .leaving = u->drained,
-                                    .warm_until_us = u->warm_until_us };
+      upstreams[i] = (lt_choice_upstream_t){
+        .id = upstream_id (u),
+        .service = u->service,
+        .distance = distance_to (node, u),
+        .slots = u->slots,
+        .leaving = u->drained,
+        .warm_until_us = u->warm_until_us,
+        .warm_rate_milli_per_s
+        = current->services[u->service].warm_up_rate_milli_per_s
+      };
     }
-  lt_upstream_places_configure (c->places, current, upstreams);
+  bool stale = lt_upstream_places_configure (c->places, current, upstreams);
   lt_choice_configure (c->choice, upstreams, count, now_us);
-  if (c->limited_count > 0)
+  if (c->limited_count > 0 || stale)
     lt_upstream_places_update (c->places, c->choice);
   free (upstreams);
   free (c->updates);
@@ -452,11 +482,12 @@
   if (c->config == NULL || now_us - c->gauge_updated_us < GAUGE_INTERVAL_US)
     return;
   c->gauge_updated_us = now_us;
-  if (c->limited_count > 0)
+  if (c->limited_count > 0 || lt_upstream_places_are_needed (c->places))
     lt_upstream_places_update (c->places, c->choice);
   const lt_snapshot_t *s = c->config->snapshot;
   uint32_t count = 0;
   uint32_t limited = 0;
+  uint32_t cold = 0;
   for (uint32_t i = 0; i < s->upstream_count; i++)
     {
       lt_choice_estimate_t view = { 0 };
@@ -464,10 +495,12 @@
                          &view);
       count += view.gray_probability >= GRAY_THRESHOLD;
       limited += view.rate_milli_per_s > 0;
+      cold += view.cold;
     }
   c->suspected->value = count;
   c->limited_count = limited;
   c->limited->value = limited;
+  set_cold_count (c, cold);
 }
 
 static json_t *
@@ -484,12 +517,13 @@
       lt_choice_look_up (c->choice, upstream_id (u), now_us, &view);
       json_array_append_new (
           list,
-          json_pack (
-              "{s:s%, s:f, s:f, s:i, s:i, s:I, s:b}", "upstream", u->name.data,
-              u->name.len, "gray", view.gray_probability, "no_path",
-              view.unreachable_probability, "in_flight", view.own_in_flight,
-              "peers_in_flight", view.peers_in_flight, "rate_milli_per_s",
-              (json_int_t)view.rate_milli_per_s, "leaving", (int)u->drained));
+          json_pack ("{s:s%, s:f, s:f, s:i, s:i, s:I, s:b, s:b}", "upstream",
+                     u->name.data, u->name.len, "gray", view.gray_probability,
+                     "no_path", view.unreachable_probability, "in_flight",
+                     view.own_in_flight, "peers_in_flight",
+                     view.peers_in_flight, "rate_milli_per_s",
+                     (json_int_t)view.rate_milli_per_s, "leaving",
+                     (int)u->drained, "cold", (int)view.cold));
     }
   return list;
 }
@@ -539,6 +573,9 @@
   c->limited = lt_metrics_gauge (
       node->metrics, "lavendertrack_upstreams_limited",
       "Upstreams that name a rate that they take from all VMs.", "");
+  c->cold = lt_metrics_gauge (
+      node->metrics, "lavendertrack_upstreams_cold",
+      "Upstreams that take only the warm-up rate of their service.", "");
   c->malformed
       = lt_metrics_counter (node->metrics, name, help, "event=\"malformed\"");
   return &c->base;
--- a/packages/node/src/upstream_places.c
+++ b/packages/node/src/upstream_places.c
@@ -3,6 +3,10 @@
 #include <stdlib.h>
 
 #include "lt/base/error.h"
+#include "lt/base/hash.h"
+
+/* An odd number, so that the order of the areas changes their hash.  */
+#define AREAS_HASH_FACTOR 0x9e3779b97f4a7c15ULL
 
 /* A failure domain of upstreams.  */
 typedef struct area
@@ -16,8 +20,18 @@
   lt_node_t *node;
   area_t *areas;
   uint32_t count;
+  uint64_t areas_hash; /* Of their failure domains, in this order. */
+  bool needed;         /* A service has a warm-up rate. */
 };
 
+/* VMs around one area.  */
+typedef struct surroundings
+{
+  uint32_t counts[LT_DISTANCES];
+  lt_distance_t own; /* Of this VM. */
+  uint32_t rank;     /* Of this VM, by id, among VMs at the same distance. */
+} surroundings_t;
+
 lt_upstream_places_t *
 lt_upstream_places_create (lt_node_t *node)
 {
@@ -57,7 +71,7 @@
   return i;
 }
 
-void
+bool
 lt_upstream_places_configure (lt_upstream_places_t *places,
                               const lt_snapshot_t *snapshot,
                               lt_choice_upstream_t *upstreams)
@@ -68,33 +82,38 @@
   places->count = 0;
   for (uint32_t i = 0; i < count; i++)
     upstreams[i].place = find_or_add_area (places, &snapshot->upstreams[i]);
+  bool was_needed = places->needed;
+  uint64_t before = places->areas_hash;
+  places->areas_hash = 0;
+  for (uint32_t i = 0; i < places->count; i++)
+    places->areas_hash = places->areas_hash * AREAS_HASH_FACTOR
+                         + lt_hash64 (places->areas[i].failure_domain);
+  places->needed = false;
+  for (uint32_t i = 0; i < snapshot->service_count; i++)
+    places->needed
+        = places->needed || snapshot->services[i].warm_up_rate_milli_per_s > 0;
+  return places->needed && (!was_needed || places->areas_hash != before);
 }
 
-/* Returns the place of this VM for AREA, with COUNT other VMs.  VMs at the
-   same distance are in the order of their ids.  */
-static lt_pace_place_t
-compute_place (lt_node_t *node, const area_t *area, const str_t *ids,
-               size_t count)
+bool
+lt_upstream_places_are_needed (const lt_upstream_places_t *places)
 {
-  const lt_settings_t *settings = node->settings;
-  lt_distance_t own
-      = lt_upstream_distance (area->failure_domain, area->region,
-                              settings->failure_domain, settings->region);
-  uint32_t counts[LT_DISTANCES] = { 0 };
-  uint32_t rank = 0;
-  counts[own] = 1;
-  for (size_t i = 0; i < count; i++)
+  return places->needed;
+}
+
+/* Counts a VM.  BEFORE: its id is before that of this VM.  */
+static void
+add_vm (const lt_upstream_places_t *places, surroundings_t *around,
+        str_t domain, str_t region, bool before)
+{
+  for (uint32_t i = 0; i < places->count; i++)
     {
-      str_t domain;
-      str_t region;
-      if (!node->directory->locate (node, ids[i], &domain, &region))
-        continue;
-      lt_distance_t distance = lt_upstream_distance (
-          area->failure_domain, area->region, domain, region);
-      counts[distance]++;
-      rank += distance == own && str_compare (ids[i], settings->vm_id) < 0;
+      lt_distance_t distance
+          = lt_upstream_distance (places->areas[i].failure_domain,
+                                  places->areas[i].region, domain, region);
+      around[i].counts[distance]++;
+      around[i].rank += before && distance == around[i].own;
     }
-  return lt_pace_place_for (counts, own, rank, node->registry_clock.offset_us);
 }
 
 void
@@ -110,11 +129,31 @@
   str_t *ids = lt_alloc ((count + 1) * sizeof (*ids));
   if (count > 0)
     count = directory->others (node, ids, count);
+  surroundings_t *around = lt_alloc ((places->count + 1) * sizeof (*around));
+  const lt_settings_t *settings = node->settings;
+  for (uint32_t i = 0; i < places->count; i++)
+    {
+      around[i].own = lt_upstream_distance (
+          places->areas[i].failure_domain, places->areas[i].region,
+          settings->failure_domain, settings->region);
+      around[i].counts[around[i].own] = 1;
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      str_t domain;
+      str_t region;
+      if (directory->locate (node, ids[i], &domain, &region))
+        add_vm (places, around, domain, region,
+                str_compare (ids[i], settings->vm_id) < 0);
+    }
   lt_pace_place_t *results
       = lt_alloc ((places->count + 1) * sizeof (*results));
   for (uint32_t i = 0; i < places->count; i++)
-    results[i] = compute_place (node, &places->areas[i], ids, count);
+    results[i]
+        = lt_pace_place_for (around[i].counts, around[i].own, around[i].rank,
+                             node->registry_clock.offset_us);
   lt_choice_set_places (choice, results, places->count);
   free (results);
+  free (around);
   free (ids);
 }
--- a/packages/node/src/upstream_places.h
+++ b/packages/node/src/upstream_places.h
@@ -18,10 +18,15 @@
   lt_upstream_places_t *lt_upstream_places_create (lt_node_t *node);
   void lt_upstream_places_destroy (lt_upstream_places_t *places);
   /** Takes the failure domains of the upstreams of SNAPSHOT, which must stay
-      until the next call, and sets the member place of each of UPSTREAMS.  */
-  void lt_upstream_places_configure (lt_upstream_places_t *places,
+      until the next call, and sets the member place of each of UPSTREAMS.
+      Returns whether places are needed and have to be updated now.  */
+  bool lt_upstream_places_configure (lt_upstream_places_t *places,
                                      const lt_snapshot_t *snapshot,
                                      lt_choice_upstream_t *upstreams);
+  /** Returns whether places are to be kept up to date, as a service has a
+      warm-up rate; also while no upstream is cold, because a VM without a
+      place sends nothing to a cold one.  */
+  bool lt_upstream_places_are_needed (const lt_upstream_places_t *places);
   /** Passes the places that follow from the list of VMs to CHOICE, if the list
       is complete.  */
   void lt_upstream_places_update (const lt_upstream_places_t *places,
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -63,6 +63,10 @@
         slots.  */
     double queue_loss;
     double warm_up_loss; /**< Of an upstream that is still warming up. */
+    /** In addition, of a request that must not be repeated, at an upstream
+        that takes only its warm-up rate: its few slots are for requests that
+        can be repeated if it fails.  */
+    double cold_once_loss;
     /** Of an upstream that shed a request less than shed_us ago.  */
     double shed_loss;
     int64_t shed_us;
@@ -109,6 +113,7 @@
                           .busy_loss = 0.05,                                  \
                           .queue_loss = 0.3,                                  \
                           .warm_up_loss = 0.1,                                \
+                          .cold_once_loss = 0.2,                              \
                           .shed_loss = 0.15,                                  \
                           .shed_us = 300 * 1000,                              \
                           .peer_load_max_age_us = 3 * 1000 * 1000,            \
@@ -157,6 +162,7 @@
                                        reported. */
     int64_t evidence_us; /**< Time of the last success or failure; 0: none. */
     int64_t rate_milli_per_s; /**< That it takes from all VMs; 0: any. */
+    bool cold;                /**< It takes only its warm-up rate. */
   } lt_choice_estimate_t;
 
   typedef struct lt_choice lt_choice_t;
@@ -170,15 +176,16 @@
   void lt_choice_configure (lt_choice_t *choice,
                             const lt_choice_upstream_t *upstreams,
                             uint32_t count, int64_t now_us);
-  /** Sets the places of this VM, for upstreams that name a rate.  */
+  /** Sets the places of this VM, for upstreams that name a rate or are cold.
+   */
   void lt_choice_set_places (lt_choice_t *choice,
                              const lt_pace_place_t *places, uint32_t count);
   /** Chooses the upstream for one attempt.  Returns its index, or
       -LT_EUNAVAILABLE when no upstream may get the request.  */
   int64_t lt_choice_pick (lt_choice_t *choice,
                           const lt_choice_request_t *request, int64_t now_us);
-  /** Returns when an upstream of SERVICE that names a rate takes the next
-      request of this VM; NOW_US if one does now or none names a rate.  */
+  /** Returns when an upstream of SERVICE that names a rate or is cold takes
+      the next request of this VM; NOW_US if one does now or none is paced.  */
   int64_t lt_choice_next_us (const lt_choice_t *choice, uint32_t service,
                              int64_t now_us);
   /** Records that this VM refused a request for SERVICE before an upstream was
@@ -197,6 +204,10 @@
       VM; 0: it named none.  Returns whether its rate changed.  */
   bool lt_choice_set_rate (lt_choice_t *choice, uint64_t id,
                            int64_t rate_milli_per_s, int64_t now_us);
+  /** Records that the upstream said in a response that it is cold until
+      WARM_UNTIL_US.  Returns whether it is cold and was not thought to be. */
+  bool lt_choice_set_cold (lt_choice_t *choice, uint64_t id,
+                           int64_t warm_until_us, int64_t now_us);
   /** Records GOOD successes and BAD failures that another VM reported.  */
   void lt_choice_observe_peer (lt_choice_t *choice, uint64_t id, uint32_t good,
                                uint32_t bad, int64_t now_us);
--- a/packages/policy/include/lt/policy/pace.h
+++ b/packages/policy/include/lt/policy/pace.h
@@ -1,6 +1,7 @@
 /** @file
     Pacing of requests to an upstream that names the rate that it takes from
-    all VMs together.  Time on a clock that the VMs share is divided into slots
+    all VMs together, or that is cold and takes only the warm-up rate of its
+    service.  Time on a clock that the VMs share is divided into slots
     at that rate; a VM sends one request in each of its slots, or a short time
     later.  So the sum over all VMs holds without a message between them, also
     while they do not reach each other.  (Time division multiple access, with
@@ -12,6 +13,7 @@
 #ifndef LT_POLICY_PACE_H
 #define LT_POLICY_PACE_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "lt/policy/distance.h"
@@ -25,6 +27,10 @@
     requests is not lost.  VMs that saved up slots for longer could use them at
     the same moment.  */
 #define LT_PACE_SLOT_VALID_US (1500 * 1000)
+/** The same while an upstream is cold.  With 1.5 s, VMs whose lists of VMs
+    differ by a tenth, so that their slots coincide, sent up to 15 requests in
+    a second at 3.7 a second.  */
+#define LT_PACE_COLD_SLOT_VALID_US (500 * 1000)
 /** Lowest rate that is kept: an upstream that takes nothing is tried this
     often, or its recovery would go unnoticed.  */
 #define LT_PACE_RATE_MIN_MILLI 250
@@ -50,11 +56,18 @@
     uint64_t upstream;        /**< Id, the same on all VMs. */
     int64_t rate_milli_per_s; /**< 0: any number of requests. */
     int64_t used_us;          /**< Latest used slot, on the shared clock. */
+    /** That it takes until warm_until_us, by this VM's clock; 0: any.  */
+    int64_t warm_rate_milli_per_s;
+    int64_t warm_until_us;
   } lt_pace_t;
 
+  /** Returns whether the upstream takes only its warm-up rate.  */
+  bool lt_pace_is_cold (const lt_pace_t *pace, int64_t now_us);
+
   /** Returns when the next slot of this VM begins, on its own clock; at most
       NOW_US: a request may be sent now.  INT64_MAX: never, as its place is not
-      known.  */
+      known.  While the upstream is cold, the lower of both rates is kept; it
+      is warm at the returned time if there is no slot before.  */
   int64_t lt_pace_next_us (const lt_pace_t *pace, const lt_pace_place_t *place,
                            int64_t now_us);
   /** Uses the current slot for a request.  */
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -2,81 +2,16 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <uthash.h>
 
+#include "choice_internal.h"
 #include "lt/base/clock.h"
 #include "lt/base/error.h"
 #include "lt/base/rng.h"
 #include "lt/base/str.h"
 
-enum
-{
-  MAX_PEERS = 64,
-  /* A response without a rate may have been sent before one with a rate that
-     arrived earlier, or be reported late.  */
-  RATE_END_DELAY_MS = 500
-};
-
 /* Above this probability an upstream is more likely gray than healthy.  */
 #define GRAY_THRESHOLD 0.5
 
-/* Load of one upstream that another VM reported.  */
-typedef struct peer_load
-{
-  uint64_t peer;
-  int32_t in_flight;
-  int64_t received_us;
-} peer_load_t;
-
-/* The estimated state of one upstream.  Probabilities are stored as of the
-   time beside them and decay from there when read.  */
-typedef struct upstream_estimate
-{
-  UT_hash_handle hh;
-  uint64_t id;
-  bool current; /* In the latest configuration. */
-  lt_choice_upstream_t upstream;
-  double gray;
-  int64_t gray_us;
-  double unreachable;
-  int64_t unreachable_us;
-  int64_t shed_until_us;
-  int64_t evidence_us;
-  int64_t used_us;       /* Last use by this VM or one that reports. */
-  bool address_moved;    /* Another upstream answers at its address. */
-  int32_t own_in_flight; /* Requests in flight from this VM. */
-  peer_load_t peers[MAX_PEERS];
-  uint32_t peer_count;
-  lt_pace_t pace;
-  int64_t rate_named_us; /* Last response with a rate. */
-} upstream_estimate_t;
-
-/* Recent outcomes of a service's requests, as counts that decay exponentially.
- */
-typedef struct service_state
-{
-  double good; /* Successful attempts of this VM and of VMs that report. */
-  double bad;  /* Failed attempts of these VMs. */
-  int64_t updated_us;
-  double requests; /* Requests to this VM. */
-  double refused;  /* Those that it refused before a choice. */
-  int64_t requests_us;
-  int64_t repeatable_us; /* Last repeatable request. */
-} service_state_t;
-
-struct lt_choice
-{
-  lt_choice_options_t options;
-  lt_rng_t *rng;
-  upstream_estimate_t *estimates;
-  upstream_estimate_t **by_index;
-  uint32_t count;
-  service_state_t *services;
-  uint32_t service_count;
-  lt_pace_place_t *places;
-  uint32_t place_count;
-};
-
 lt_choice_t *
 lt_choice_create (const lt_choice_options_t *options, lt_rng_t *rng)
 {
@@ -110,8 +45,8 @@
   free (choice);
 }
 
-static upstream_estimate_t *
-find (const lt_choice_t *choice, uint64_t id)
+upstream_estimate_t *
+lt_choice_find (const lt_choice_t *choice, uint64_t id)
 {
   upstream_estimate_t *estimate = NULL;
   HASH_FIND (hh, choice->estimates, &id, sizeof (id), estimate);
@@ -207,7 +142,7 @@
   choice->count = count;
   for (uint32_t i = 0; i < count; i++)
     {
-      estimate = find (choice, upstreams[i].id);
+      estimate = lt_choice_find (choice, upstreams[i].id);
       if (estimate == NULL)
         {
           estimate = lt_alloc (sizeof (*estimate));
@@ -220,6 +155,7 @@
                     estimate);
         }
       estimate->upstream = upstreams[i];
+      lt_choice_update_warm_up (estimate);
       estimate->current = true;
       choice->by_index[i] = estimate;
     }
@@ -257,7 +193,8 @@
     loss = o->busy_loss + o->queue_loss * (load - slots + 1) / slots;
   if (now_us < estimate->shed_until_us)
     loss += o->shed_loss;
-  if (now_us < estimate->upstream.warm_until_us)
+  if (now_us < estimate->upstream.warm_until_us
+      || lt_pace_is_cold (&estimate->pace, now_us))
     loss += o->warm_up_loss;
   return loss;
 }
@@ -274,6 +211,8 @@
       = failure_share * (request->repeatable ? o->retryable_loss : 1.0);
   loss += unreachable_now (choice, estimate, now_us) * o->unreachable_loss;
   loss += o->distance_loss[estimate->upstream.distance];
+  if (!request->repeatable && lt_pace_is_cold (&estimate->pace, now_us))
+    loss += o->cold_once_loss;
   return loss + waiting_loss (choice, estimate, now_us);
 }
 
@@ -416,17 +355,6 @@
   return best;
 }
 
-void
-lt_choice_set_places (lt_choice_t *choice, const lt_pace_place_t *places,
-                      uint32_t count)
-{
-  free (choice->places);
-  choice->places = lt_alloc ((count + 1) * sizeof (*choice->places));
-  choice->place_count = count;
-  for (uint32_t i = 0; i < count; i++)
-    choice->places[i] = places[i];
-}
-
 int64_t
 lt_choice_next_us (const lt_choice_t *choice, uint32_t service, int64_t now_us)
 {
@@ -444,26 +372,10 @@
                                                           : earliest_us;
 }
 
-bool
-lt_choice_set_rate (lt_choice_t *choice, uint64_t id, int64_t rate_milli_per_s,
-                    int64_t now_us)
-{
-  upstream_estimate_t *estimate = find (choice, id);
-  if (estimate == NULL)
-    return false;
-  if (rate_milli_per_s > 0)
-    estimate->rate_named_us = now_us;
-  else if (now_us - estimate->rate_named_us < RATE_END_DELAY_MS * LT_US_PER_MS)
-    return false;
-  bool changed = estimate->pace.rate_milli_per_s != rate_milli_per_s;
-  estimate->pace.rate_milli_per_s = rate_milli_per_s;
-  return changed;
-}
-
 void
 lt_choice_begin_attempt (lt_choice_t *choice, uint64_t id, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   estimate->own_in_flight++;
@@ -474,7 +386,7 @@
 void
 lt_choice_end_attempt (lt_choice_t *choice, uint64_t id)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   estimate->own_in_flight--;
@@ -501,7 +413,7 @@
 lt_choice_observe (lt_choice_t *choice, uint64_t id,
                    lt_choice_evidence_t evidence, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   switch (evidence)
@@ -532,7 +444,7 @@
 lt_choice_observe_peer (lt_choice_t *choice, uint64_t id, uint32_t good,
                         uint32_t bad, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   count_outcomes (choice, estimate, good, bad, now_us);
@@ -547,13 +459,13 @@
 lt_choice_set_peer_load (lt_choice_t *choice, uint64_t id, uint64_t peer,
                          int32_t in_flight, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   uint32_t at = 0;
   while (at < estimate->peer_count && estimate->peers[at].peer != peer)
     at++;
-  if (at == MAX_PEERS)
+  if (at == CHOICE_MAX_PEERS)
     return;
   if (at == estimate->peer_count)
     estimate->peer_count++;
@@ -564,7 +476,7 @@
 lt_choice_look_up (const lt_choice_t *choice, uint64_t id, int64_t now_us,
                    lt_choice_estimate_t *view)
 {
-  const upstream_estimate_t *estimate = find (choice, id);
+  const upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return -LT_ENOTFOUND;
   *view = (lt_choice_estimate_t){
@@ -573,7 +485,8 @@
     .own_in_flight = estimate->own_in_flight,
     .peers_in_flight = peers_in_flight (choice, estimate, now_us),
     .evidence_us = estimate->evidence_us,
-    .rate_milli_per_s = estimate->pace.rate_milli_per_s
+    .rate_milli_per_s = estimate->pace.rate_milli_per_s,
+    .cold = lt_pace_is_cold (&estimate->pace, now_us),
   };
   return 0;
 }
--- a/packages/policy/src/pace.c
+++ b/packages/policy/src/pace.c
@@ -96,21 +96,31 @@
   return (uint32_t)((uint64_t)place->rank * stride % place->vms);
 }
 
+bool
+lt_pace_is_cold (const lt_pace_t *pace, int64_t now_us)
+{
+  return pace->warm_rate_milli_per_s > 0 && now_us < pace->warm_until_us;
+}
+
+/* Returns the rate that is in force at NOW_US; 0: none.  */
 static int64_t
-rate_milli (const lt_pace_t *pace)
+rate_milli (const lt_pace_t *pace, int64_t now_us)
 {
-  return pace->rate_milli_per_s < LT_PACE_RATE_MIN_MILLI
-             ? LT_PACE_RATE_MIN_MILLI
-             : pace->rate_milli_per_s;
+  int64_t rate = pace->rate_milli_per_s;
+  if (lt_pace_is_cold (pace, now_us)
+      && (rate == 0 || rate > pace->warm_rate_milli_per_s))
+    rate = pace->warm_rate_milli_per_s;
+  return rate > 0 && rate < LT_PACE_RATE_MIN_MILLI ? LT_PACE_RATE_MIN_MILLI
+                                                   : rate;
 }
 
 /* Returns the first slot of this VM at or after FROM_US, on the shared
    clock.  */
 static int64_t
-first_slot (const lt_pace_t *pace, const lt_pace_place_t *place,
+first_slot (const lt_pace_t *pace, const lt_pace_place_t *place, int64_t rate,
             int64_t from_us)
 {
-  int64_t slot_us = MILLI * LT_US_PER_S / rate_milli (pace);
+  int64_t slot_us = MILLI * LT_US_PER_S / rate;
   if (slot_us == 0)
     return from_us;
   /* Slots of different upstreams begin at different times.  */
@@ -128,37 +138,51 @@
   return slot_us * slot_of_turn (place, turn) - phase_us;
 }
 
-/* Returns the earliest slot that can still be used.  */
+/* Returns the earliest slot that can still be used at NOW_US, by this VM's
+   clock.  RATE: in force then.  */
 static int64_t
-usable_slot (const lt_pace_t *pace, const lt_pace_place_t *place,
-             int64_t shared_us)
+usable_slot (const lt_pace_t *pace, const lt_pace_place_t *place, int64_t rate,
+             int64_t now_us)
 {
-  int64_t from_us = shared_us - LT_PACE_SLOT_VALID_US;
+  int64_t valid_us = lt_pace_is_cold (pace, now_us)
+                         ? LT_PACE_COLD_SLOT_VALID_US
+                         : LT_PACE_SLOT_VALID_US;
+  int64_t from_us = now_us + place->clock_offset_us - valid_us;
   if (from_us <= pace->used_us)
     from_us = pace->used_us + 1;
   if (from_us < 0)
     from_us = 0;
-  return first_slot (pace, place, from_us);
+  return first_slot (pace, place, rate, from_us);
+}
+
+static bool
+has_slots (const lt_pace_place_t *place)
+{
+  return place->vms > 0 && place->turns != 0;
 }
 
 int64_t
 lt_pace_next_us (const lt_pace_t *pace, const lt_pace_place_t *place,
                  int64_t now_us)
 {
-  if (pace->rate_milli_per_s == 0)
+  int64_t rate = rate_milli (pace, now_us);
+  if (rate == 0)
     return now_us;
-  if (place->vms == 0 || place->turns == 0)
-    return INT64_MAX;
-  return usable_slot (pace, place, now_us + place->clock_offset_us)
-         - place->clock_offset_us;
+  int64_t next_us = has_slots (place) ? usable_slot (pace, place, rate, now_us)
+                                            - place->clock_offset_us
+                                      : INT64_MAX;
+  if (!lt_pace_is_cold (pace, now_us) || next_us <= pace->warm_until_us)
+    return next_us;
+  next_us = lt_pace_next_us (pace, place, pace->warm_until_us);
+  return next_us < pace->warm_until_us ? pace->warm_until_us : next_us;
 }
 
 void
 lt_pace_take (lt_pace_t *pace, const lt_pace_place_t *place, int64_t now_us)
 {
-  if (pace->rate_milli_per_s == 0 || place->vms == 0 || place->turns == 0)
-    return;
-  pace->used_us = usable_slot (pace, place, now_us + place->clock_offset_us);
+  int64_t rate = rate_milli (pace, now_us);
+  if (rate > 0 && has_slots (place))
+    pace->used_us = usable_slot (pace, place, rate, now_us);
 }
 
 void
