Caller server: a request sent while another is served keeps its own deadline

Callers saw: 504 deadline-exceeded before the route's timeout, also while an upstream was at work on the request in a planned stop. Cause: libmicrohttpd can read the bytes that waited on the socket in the run that completes the request before. Such a request counted from the arrival of the request before. Ruled out: a head in several reads, mended before. Change: if bytes were seen waiting and the socket has none left, they were read in this run, and the request counts from when they were seen. Tests: Pipelining.DeadlineCountsFromArrival and the others pass as before.

--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -283,15 +283,18 @@
 }
 
 /* Returns when the input of CALLER that libmicrohttpd passes on now arrived.
-   Without a read since the last call or response, that is the time of the read
-   before: the bytes waited in its buffer.  */
+   Bytes that waited on the socket while the request before was served may be
+   read in the run that completes it: they count from when they were seen
+   there.  Otherwise, without a read since the last call or response, that is
+   the time of the read before: the bytes waited in its buffer.  */
 static int64_t
 note_input (lt_caller_server_t *server, caller_connection_t *caller)
 {
   int64_t now_us = lt_node_now_us (server->node);
   if (caller == NULL)
     return now_us;
-  if (caller->input_run == server->http.runs)
+  if (caller->input_run == server->http.runs
+      && (caller->waiting_since_us == 0 || lt_socket_has_input (caller->fd)))
     return caller->input_us;
   int64_t first_us
       = caller->waiting_since_us != 0 ? caller->waiting_since_us : now_us;
