--- a/packages/config/src/deployment.c
+++ b/packages/config/src/deployment.c
@@ -53,6 +53,9 @@
       s->services[i].name = lt_arena_copy (s->arena, d->services[i].name);
       s->services[i].health_path
           = lt_arena_copy (s->arena, d->services[i].health_path);
+      s->services[i].warm_up_ms = d->services[i].warm_up_ms;
+      s->services[i].warm_up_rate_milli_per_s
+          = d->services[i].warm_up_rate_milli_per_s;
     }
   qsort (s->services, s->service_count, sizeof (*s->services), compare_names);
   return has_repeated_name (s->services, s->service_count,
@@ -76,9 +79,9 @@
                               .burst = from->burst,
                               .priority = from->priority,
                               .unlimited = from->rate_milli_per_s == 0,
-                              .allowed_regions = lt_regions_mask (
-                                  s, from->allowed_regions,
-                                  from->allowed_region_count) };
+                              .allowed_regions
+                              = lt_regions_mask (s, from->allowed_regions,
+                                                 from->allowed_region_count) };
       s->key_count += from->key_count;
     }
   qsort (s->workspaces, s->workspace_count, sizeof (*s->workspaces),
@@ -127,8 +130,8 @@
     .attempts_max = from->attempts_max,
     .latency_target_ms = from->latency_target_ms,
     .priority = from->priority,
-    .allowed_regions = lt_regions_mask (s, from->allowed_regions,
-                                        from->allowed_region_count),
+    .allowed_regions
+    = lt_regions_mask (s, from->allowed_regions, from->allowed_region_count),
   };
   route->splits
       = lt_arena_alloc (s->arena, from->split_count * sizeof (*route->splits));
--- a/packages/config/test/test_deployment.cc
+++ b/packages/config/test/test_deployment.cc
@@ -194,4 +194,80 @@
   EXPECT_EQ ("r2", match ("a.example", "/x/y/z"));
 }
 
+// Guards against masks that mean other regions than the lists: after another
+// order of names, in the snapshot with upstreams, and for upstreams that no
+// list names.
+TEST_F (Deployment, AllowedRegionsBecomeMasks)
+{
+  std::vector<str_t> of_r1 = { view ("west"), view ("east"), view ("west") };
+  std::vector<str_t> of_r3 = { view ("east") };
+  std::vector<str_t> of_one = { view ("north"), view ("") };
+  routes[0].allowed_regions = of_r1.data ();
+  routes[0].allowed_region_count = 3;
+  routes[2].allowed_regions = of_r3.data ();
+  routes[2].allowed_region_count = 1;
+  workspaces[0].allowed_regions = of_one.data ();
+  workspaces[0].allowed_region_count = 2;
+  ASSERT_EQ (0, build ());
+  ASSERT_EQ (0, lt_snapshot_with_upstreams (base, 9, nullptr, 0, &derived));
+  for (const lt_snapshot_t *s : { base, derived })
+    {
+      ASSERT_EQ (4u, s->region_count);
+      uint64_t east = 1ULL << lt_snapshot_region_bit (s, view ("east"));
+      uint64_t west = 1ULL << lt_snapshot_region_bit (s, view ("west"));
+      uint64_t north = 1ULL << lt_snapshot_region_bit (s, view ("north"));
+      EXPECT_EQ (east | west, s->routes[0].allowed_regions);
+      EXPECT_EQ (0u, s->routes[1].allowed_regions);
+      EXPECT_EQ (east, s->routes[2].allowed_regions);
+      EXPECT_EQ (0u, s->workspaces[1].allowed_regions);
+      EXPECT_EQ (north,
+                 s->workspaces[0].allowed_regions & (east | west | north));
+      // The empty name is no upstream's region.
+      EXPECT_EQ (LT_REGION_BIT_OTHER, lt_snapshot_region_bit (s, view ("")));
+      EXPECT_EQ (LT_REGION_BIT_OTHER,
+                 lt_snapshot_region_bit (s, view ("south")));
+      EXPECT_EQ (0u, s->workspaces[0].allowed_regions >> LT_REGION_BIT_OTHER);
+    }
+}
+
+// Guards against a mask of one snapshot that is used with the table of
+// another.
+TEST_F (Deployment, MasksAreConvertedByName)
+{
+  std::vector<str_t> before = { view ("east"), view ("west") };
+  std::vector<str_t> after = { view ("central"), view ("west") };
+  routes[0].allowed_regions = before.data ();
+  routes[0].allowed_region_count = 2;
+  ASSERT_EQ (0, build ());
+  lt_snapshot_t *old = base;
+  routes[0].allowed_regions = after.data ();
+  ASSERT_EQ (0, build ());
+  uint64_t east = 1ULL << lt_snapshot_region_bit (old, view ("east"));
+  EXPECT_EQ (
+      1ULL << lt_snapshot_region_bit (base, view ("west")),
+      lt_snapshot_convert_regions (old, old->routes[0].allowed_regions, base));
+  EXPECT_EQ (0u, lt_snapshot_convert_regions (old, east, base));
+  EXPECT_EQ (east, lt_snapshot_convert_regions (old, east, old));
+  lt_snapshot_destroy (old);
+}
+
+TEST_F (Deployment, TooManyRegionsAreRefused)
+{
+  std::vector<std::string> names;
+  for (int i = 0; i <= LT_REGIONS_MAX; i++)
+    names.push_back ("region-" + std::to_string (i));
+  std::vector<str_t> list;
+  for (const std::string &name : names)
+    list.push_back (view (name.c_str ()));
+  routes[0].allowed_regions = list.data ();
+  routes[0].allowed_region_count = LT_REGIONS_MAX;
+  ASSERT_EQ (0, build ());
+  EXPECT_EQ (uint64_t (-1) >> 1, base->routes[0].allowed_regions);
+  lt_snapshot_destroy (base);
+  base = nullptr;
+  workspaces[0].allowed_regions = &list[LT_REGIONS_MAX];
+  workspaces[0].allowed_region_count = 1;
+  EXPECT_EQ (-LT_EINVAL, build ());
+}
+
 } // namespace
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -96,7 +96,7 @@
     bool ended;
     bool restricted; /**< Only some regions may serve it; set with the first
                         choice of an upstream. */
-    bool byte_sent; /**< Some upstream may have run the request. */
+    bool byte_sent;  /**< Some upstream may have run the request. */
     int attempts;
     char upstream[LT_REQUEST_ID_MAX + 1]; /**< Of the last attempt. */
     lt_refusal_t refusal;
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -37,7 +37,8 @@
   bool newer = pools->version > own->version;
   uint32_t index
       = newer ? lt_snapshot_find_route (pools, route->name) : LT_NO_INDEX;
-  if (index != LT_NO_INDEX && str_equal (pools->routes[index].path, route->path)
+  if (index != LT_NO_INDEX
+      && str_equal (pools->routes[index].path, route->path)
       && str_equal_nocase (pools->routes[index].host, route->host))
     restrict_regions (dispatch, pools, pools->routes[index].allowed_regions);
   else
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -214,8 +214,7 @@
   const lt_route_t *route = request->route;
   lt_pools_t *pools = request->node->pools;
   if (route == NULL || request->attempts > 0 || request->restricted
-      || pools == NULL
-      || pools->vtable->on_refused == NULL)
+      || pools == NULL || pools->vtable->on_refused == NULL)
     return;
   int64_t now_us = lt_node_now_us (request->node);
   for (uint32_t i = 0; i < route->split_count; i++)
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -431,15 +431,15 @@
   for (uint32_t i = 0; i < count; i++)
     {
       const lt_upstream_t *u = &current->upstreams[i];
-      upstreams[i]
-          = (lt_choice_upstream_t){ .id = upstream_id (u),
-                                    .service = u->service,
-                                    .distance = distance_to (node, u),
-                                    .slots = u->slots,
-                                    .leaving = u->drained || u->evacuated,
-                                    .warm_until_us = u->warm_until_us,
-                                    .region_bit = lt_snapshot_region_bit (
-                                        current, u->region) };
+      upstreams[i] = (lt_choice_upstream_t){
+        .id = upstream_id (u),
+        .service = u->service,
+        .distance = distance_to (node, u),
+        .slots = u->slots,
+        .leaving = u->drained || u->evacuated,
+        .warm_until_us = u->warm_until_us,
+        .region_bit = lt_snapshot_region_bit (current, u->region)
+      };
     }
   lt_upstream_places_configure (c->places, current, upstreams);
   lt_choice_configure (c->choice, upstreams, count, now_us);
@@ -492,12 +492,13 @@
       lt_choice_look_up (c->choice, upstream_id (u), now_us, &view);
       json_array_append_new (
           list,
-          json_pack (
-              "{s:s%, s:f, s:f, s:i, s:i, s:I, s:b, s:b}", "upstream", u->name.data,
-              u->name.len, "gray", view.gray_probability, "no_path",
-              view.unreachable_probability, "in_flight", view.own_in_flight,
-              "peers_in_flight", view.peers_in_flight, "rate_milli_per_s",
-              (json_int_t)view.rate_milli_per_s, "leaving", (int)u->drained, "evacuated", (int)u->evacuated));
+          json_pack ("{s:s%, s:f, s:f, s:i, s:i, s:I, s:b, s:b}", "upstream",
+                     u->name.data, u->name.len, "gray", view.gray_probability,
+                     "no_path", view.unreachable_probability, "in_flight",
+                     view.own_in_flight, "peers_in_flight",
+                     view.peers_in_flight, "rate_milli_per_s",
+                     (json_int_t)view.rate_milli_per_s, "leaving",
+                     (int)u->drained, "evacuated", (int)u->evacuated));
     }
   return list;
 }
@@ -547,9 +548,9 @@
   c->limited = lt_metrics_gauge (
       node->metrics, "lavendertrack_upstreams_limited",
       "Upstreams that name a rate that they take from all VMs.", "");
-  c->evacuated = lt_metrics_gauge (
-      node->metrics, "lavendertrack_upstreams_evacuated",
-      "Upstreams whose failure domain is evacuated.", "");
+  c->evacuated
+      = lt_metrics_gauge (node->metrics, "lavendertrack_upstreams_evacuated",
+                          "Upstreams whose failure domain is evacuated.", "");
   c->malformed
       = lt_metrics_counter (node->metrics, name, help, "event=\"malformed\"");
   return &c->base;
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -46,8 +46,8 @@
   int64_t
   pick (bool repeatable = false, std::vector<uint32_t> tried = {})
   {
-    lt_choice_request_t request
-        = { 0, tried.data (), (uint32_t)tried.size (), repeatable };
+    lt_choice_request_t request = { 0, tried.data (), (uint32_t)tried.size (),
+                                    repeatable, allowed_regions };
     int64_t index = lt_choice_pick (choice, &request, now);
     return index < 0 ? index : (int64_t)upstreams[(size_t)index].id;
   }
@@ -82,6 +82,7 @@
   lt_choice_options_t options;
   lt_choice_t *choice;
   std::vector<lt_choice_upstream_t> upstreams;
+  uint64_t allowed_regions = 0; // Of requests.
   int64_t now = 100 * S;
 };
 
@@ -348,4 +349,51 @@
   EXPECT_EQ (1, pick ());
 }
 
+// Guards against first attempts, retries and trials in other regions: the
+// upstreams of the allowed one are gray, shed or were tried, and the others
+// are idle, near and healthy.
+TEST_F (Choice, AllowedRegionsAreNeverLeft)
+{
+  for (auto &u : upstreams)
+    u.region_bit = u.id <= 3 ? 0 : u.id <= 5 ? 2 : 63;
+  configure ();
+  allowed_regions = 1ULL << 2 | 1ULL << 5;
+  for (uint64_t id : { 4, 5 })
+    for (int i = 0; i < 20; i++)
+      lt_choice_observe (choice, id, LT_CHOICE_FAILURE, now);
+  lt_choice_observe (choice, 4, LT_CHOICE_SHED, now);
+  for (bool repeatable : { true, false })
+    {
+      now += 10 * S; // All upstreams are due for a trial.
+      EXPECT_EQ ((std::set<int64_t>{ 4, 5 }), picks (300, repeatable));
+      EXPECT_EQ (5, pick (repeatable, { 3 }));
+      EXPECT_EQ (-LT_EUNAVAILABLE, pick (repeatable, { 3, 4 }));
+    }
+  allowed_regions = 1ULL << 5;
+  EXPECT_EQ (-LT_EUNAVAILABLE, pick ());
+  allowed_regions = 0;
+  EXPECT_EQ (1u, picks (300, true).count (1));
+}
+
+// Guards against a time to wait for upstreams that may not get the request.
+TEST_F (Choice, OnlyAllowedRegionsAreWaitedFor)
+{
+  lt_pace_place_t place = {};
+  place.vms = 1;
+  place.turns = 0x3ff;
+  lt_choice_set_places (choice, &place, 1);
+  upstreams.resize (2);
+  upstreams[1].region_bit = 1;
+  configure ();
+  EXPECT_TRUE (lt_choice_set_rate (choice, 2, 2000, now));
+  for (int i = 0; i < 10; i++)
+    {
+      lt_choice_begin_attempt (choice, 2, now);
+      lt_choice_end_attempt (choice, 2);
+    }
+  EXPECT_EQ (now, lt_choice_next_us (choice, 0, 0, now));
+  EXPECT_EQ (now, lt_choice_next_us (choice, 0, 1ULL << 0, now));
+  EXPECT_LT (now, lt_choice_next_us (choice, 0, 1ULL << 1, now));
+}
+
 } // namespace
