--- a/packages/config/include/lt/config/snapshot.h
+++ b/packages/config/include/lt/config/snapshot.h
@@ -158,10 +158,10 @@
     lt_stop_t *stops;
     uint32_t stop_count;
     lt_caller_limits_t limits;
-    str_t *regions; /**< Names that allowed_regions masks refer to. */
-    uint32_t region_count;
     /** Version as the operator knows it; 0: that is VERSION.  */
     int64_t source_version;
+    str_t *regions; /**< Names that allowed_regions masks refer to; sorted. */
+    uint32_t region_count;
     bool by_host; /**< Routes match by host and raw path prefix. */
     struct lt_snapshot_index *index; /**< Lookup tables; built once. */
     struct lt_arena *arena;          /**< Owns every text and array. */
