--- a/packages/config/src/diff_words.c
+++ b/packages/config/src/diff_words.c
@@ -4,6 +4,7 @@
 
 #include "lt/base/clock.h"
 #include "lt/config/diff.h"
+#include "regions.h"
 #include "rows.h"
 
 typedef struct words
@@ -103,6 +104,24 @@
               now->drained ? "yes" : "no");
 }
 
+/* Rows that any region may serve say so only when that changed.  */
+static void
+say_regions (words_t *w, const lt_snapshot_t *before, uint64_t old,
+             const lt_snapshot_t *after, uint64_t now)
+{
+  lt_buf_t old_list = { 0 };
+  lt_buf_t new_list = { 0 };
+  if (old == 0 && now == 0)
+    return;
+  lt_regions_print (before->regions, old, &old_list);
+  lt_regions_print (after->regions, now, &new_list);
+  say_text (w, "allowed_regions",
+            old == 0 ? STR_LIT ("*") : lt_buf_str (&old_list),
+            now == 0 ? STR_LIT ("*") : lt_buf_str (&new_list));
+  lt_buf_destroy (&old_list);
+  lt_buf_destroy (&new_list);
+}
+
 static void
 list_workspaces (const lt_snapshot_t *s, const lt_route_t *route,
                  lt_buf_t *out)
@@ -137,6 +156,7 @@
   say_text (w, "workspaces", lt_buf_str (&old_list), lt_buf_str (&new_list));
   lt_buf_destroy (&old_list);
   lt_buf_destroy (&new_list);
+  say_regions (w, before, old->allowed_regions, after, now->allowed_regions);
 }
 
 void
@@ -158,6 +178,8 @@
                  after->workspaces[k].rate_milli_per_s);
       say_number (&w, "burst", before->workspaces[i].burst,
                   after->workspaces[k].burst);
+      say_regions (&w, before, before->workspaces[i].allowed_regions, after,
+                   after->workspaces[k].allowed_regions);
       return;
     case LT_DIFF_KEY:
       say_key (&w, before, &before->keys[i], after, &after->keys[k]);
--- a/packages/config/src/patch.c
+++ b/packages/config/src/patch.c
@@ -49,6 +49,8 @@
 {
   lt_patch_route_t *row = LT_VEC_PUSH (&patch->routes);
   row->row = *route;
+  row->row.allowed_regions = lt_region_names_merge (
+      &patch->regions, snapshot->regions, route->allowed_regions);
   row->service = snapshot->services[route->service].name;
   row->workspace_count = route->workspace_count;
   row->workspaces
@@ -64,8 +66,13 @@
   switch (kind)
     {
     case LT_ROW_WORKSPACE:
-      *LT_VEC_PUSH (&patch->workspaces) = snapshot->workspaces[index];
-      return;
+      {
+        lt_workspace_t *row = LT_VEC_PUSH (&patch->workspaces);
+        *row = snapshot->workspaces[index];
+        row->allowed_regions = lt_region_names_merge (
+            &patch->regions, snapshot->regions, row->allowed_regions);
+        return;
+      }
     case LT_ROW_KEY:
       {
         const lt_key_t *key = &snapshot->keys[index];
@@ -138,8 +145,15 @@
   lt_snapshot_t *now;
   uint32_t *workspace_map; /* Old index to new index. */
   uint32_t *service_map;
+  lt_region_names_t regions; /* That rows refer to until the last step. */
 } apply_t;
 
+static uint64_t
+take_regions (apply_t *a, const str_t *table, uint64_t mask)
+{
+  return lt_region_names_merge (&a->regions, table, mask);
+}
+
 /* Collects the names of one kind whose old rows do not stay, sorted.  */
 static lt_names_t
 touched_names (const lt_names_t *removed, const void *rows, uint32_t count,
@@ -221,9 +235,19 @@
       now->arena, (old_count + a->patch->workspaces.count) * size);
   for (uint32_t i = 0; i < old_count; i++)
     if (!is_touched (&touched, a->old->workspaces[i].name))
-      now->workspaces[now->workspace_count++] = a->old->workspaces[i];
+      {
+        lt_workspace_t *row = &now->workspaces[now->workspace_count++];
+        *row = a->old->workspaces[i];
+        row->allowed_regions
+            = take_regions (a, a->old->regions, row->allowed_regions);
+      }
   for (uint32_t i = 0; i < a->patch->workspaces.count; i++)
-    now->workspaces[now->workspace_count++] = a->patch->workspaces.items[i];
+    {
+      lt_workspace_t *row = &now->workspaces[now->workspace_count++];
+      *row = a->patch->workspaces.items[i];
+      row->allowed_regions
+          = take_regions (a, a->patch->regions.items, row->allowed_regions);
+    }
   free (touched.items);
   for (uint32_t i = 0; i < now->workspace_count; i++)
     {
@@ -410,6 +434,8 @@
   lt_route_t *row = &a->now->routes[a->now->route_count++];
   *row = *old;
   row->service = a->service_map[old->service];
+  row->allowed_regions
+      = take_regions (a, a->old->regions, old->allowed_regions);
   row->workspaces = lt_arena_alloc (a->now->arena,
                                     old->workspace_count * sizeof (uint32_t));
   for (uint32_t i = 0; i < old->workspace_count; i++)
@@ -422,6 +448,8 @@
   lt_route_t *row = &a->now->routes[a->now->route_count++];
   *row = add->row;
   row->service = lt_snapshot_find_service (a->now, add->service);
+  row->allowed_regions
+      = take_regions (a, a->patch->regions.items, add->row.allowed_regions);
   row->workspace_count = add->workspace_count;
   row->workspaces = lt_arena_alloc (a->now->arena,
                                     add->workspace_count * sizeof (uint32_t));
@@ -459,6 +487,22 @@
              : -LT_EINVAL;
 }
 
+static int
+apply_regions (apply_t *a)
+{
+  lt_snapshot_t *now = a->now;
+  int err = lt_regions_build (now, &a->regions);
+  if (err != 0 || a->patch->regions.overflow)
+    return -LT_EINVAL;
+  for (uint32_t i = 0; i < now->workspace_count; i++)
+    now->workspaces[i].allowed_regions = lt_regions_convert (
+        now, a->regions.items, now->workspaces[i].allowed_regions);
+  for (uint32_t i = 0; i < now->route_count; i++)
+    now->routes[i].allowed_regions = lt_regions_convert (
+        now, a->regions.items, now->routes[i].allowed_regions);
+  return 0;
+}
+
 static bool
 stop_is_removed (const lt_patch_t *patch, const lt_snapshot_t *old,
                  const lt_stop_t *stop)
@@ -524,8 +568,8 @@
   a.now->day = lt_arena_copy (a.now->arena, patch->head.day);
   a.now->author = lt_arena_copy (a.now->arena, patch->head.author);
   int (*const steps[]) (apply_t *)
-      = { apply_workspaces, apply_keys, apply_services, apply_upstreams,
-          apply_routes };
+      = { apply_workspaces, apply_keys,   apply_services,
+          apply_upstreams,  apply_routes, apply_regions };
   int err = 0;
   for (size_t i = 0; i < sizeof (steps) / sizeof (steps[0]) && err == 0; i++)
     err = steps[i](&a);
--- a/packages/config/src/patch.h
+++ b/packages/config/src/patch.h
@@ -7,6 +7,7 @@
 
 #include "arena.h"
 #include "lt/config/snapshot.h"
+#include "regions.h"
 
 typedef enum lt_row_kind
 {
@@ -60,6 +61,7 @@
   LT_VEC (lt_patch_upstream_t) upstreams;
   LT_VEC (lt_patch_route_t) routes;
   LT_VEC (lt_patch_stop_t) stops;
+  lt_region_names_t regions; /**< That allowed_regions of rows refer to. */
   lt_arena_t *arena;
 } lt_patch_t;
 
--- a/packages/config/src/patch_codec.c
+++ b/packages/config/src/patch_codec.c
@@ -43,6 +43,19 @@
     msgpack_pack_false (pk);
 }
 
+/* The last field of a row, which only rows that some regions may serve have.
+ */
+static void
+put_regions (msgpack_packer *pk, const lt_patch_t *patch, uint64_t mask)
+{
+  lt_buf_t list = { 0 };
+  if (mask == 0)
+    return;
+  lt_regions_print (patch->regions.items, mask, &list);
+  put_str (pk, lt_buf_str (&list));
+  lt_buf_destroy (&list);
+}
+
 static void
 put_key (msgpack_packer *pk, const lt_patch_key_t *key)
 {
@@ -69,9 +82,10 @@
 }
 
 static void
-put_route (msgpack_packer *pk, const lt_patch_route_t *route)
+put_route (msgpack_packer *pk, const lt_patch_t *patch,
+           const lt_patch_route_t *route)
 {
-  put_row (pk, LT_ROW_ROUTE, 11);
+  put_row (pk, LT_ROW_ROUTE, route->row.allowed_regions != 0 ? 12 : 11);
   put_str (pk, route->row.name);
   put_str (pk, route->row.path);
   put_str (pk, route->row.methods);
@@ -91,6 +105,7 @@
     }
   put_str (pk, lt_buf_str (&list));
   lt_buf_destroy (&list);
+  put_regions (pk, patch, route->row.allowed_regions);
 }
 
 static void
@@ -142,10 +157,11 @@
   for (uint32_t i = 0; i < patch->workspaces.count; i++)
     {
       const lt_workspace_t *row = &patch->workspaces.items[i];
-      put_row (&pk, LT_ROW_WORKSPACE, 3);
+      put_row (&pk, LT_ROW_WORKSPACE, row->allowed_regions != 0 ? 4 : 3);
       put_str (&pk, row->name);
       msgpack_pack_int64 (&pk, row->rate_milli_per_s);
       msgpack_pack_int64 (&pk, row->burst);
+      put_regions (&pk, patch, row->allowed_regions);
     }
   for (uint32_t i = 0; i < patch->keys.count; i++)
     put_key (&pk, &patch->keys.items[i]);
@@ -158,7 +174,7 @@
   for (uint32_t i = 0; i < patch->upstreams.count; i++)
     put_upstream (&pk, &patch->upstreams.items[i]);
   for (uint32_t i = 0; i < patch->routes.count; i++)
-    put_route (&pk, &patch->routes.items[i]);
+    put_route (&pk, patch, &patch->routes.items[i]);
   for (uint32_t i = 0; i < patch->stops.count; i++)
     put_stop (&pk, &patch->stops.items[i]);
 }
@@ -245,6 +261,20 @@
     route->workspaces[i] = str_split (list, '|', &list);
 }
 
+/* See put_regions.  */
+static uint64_t
+take_regions (fields_t *f, lt_patch_t *patch)
+{
+  uint64_t mask = 0;
+  if (f->failed || f->at == f->count)
+    return 0;
+  str_t list = take_str (f);
+  while (!f->failed && list.data != NULL)
+    mask
+        |= lt_region_names_add (&patch->regions, str_split (list, '|', &list));
+  return mask;
+}
+
 static void
 take_upstream (fields_t *f, lt_patch_upstream_t *upstream)
 {
@@ -272,6 +302,7 @@
   route->row.max_body_bytes = take_int (f, 0, INT64_MAX);
   route->row.all_workspaces = take_bool (f);
   take_workspaces (f, patch, route);
+  route->row.allowed_regions = take_regions (f, patch);
 }
 
 static void
@@ -294,6 +325,7 @@
         row->name = take_str (f);
         row->rate_milli_per_s = take_int (f, 0, INT64_MAX);
         row->burst = take_int (f, 0, INT64_MAX);
+        row->allowed_regions = take_regions (f, patch);
         return;
       }
     case LT_ROW_KEY:
--- a/packages/config/src/regions.c
+++ b/packages/config/src/regions.c
@@ -76,14 +76,54 @@
 }
 
 uint64_t
-lt_snapshot_convert_regions (const lt_snapshot_t *from, uint64_t mask,
-                             const lt_snapshot_t *to)
+lt_region_names_merge (lt_region_names_t *names, const str_t *table,
+                       uint64_t mask)
+{
+  uint64_t merged = 0;
+  for (uint32_t i = 0; mask >> i != 0; i++)
+    if ((mask & 1ULL << i) != 0)
+      merged |= lt_region_names_add (names, table[i]);
+  return merged;
+}
+
+uint64_t
+lt_regions_convert (const lt_snapshot_t *snapshot, const str_t *table,
+                    uint64_t mask)
 {
   uint64_t converted = 0;
-  if (from->regions == to->regions)
-    return mask;
-  for (uint32_t i = 0; i < from->region_count; i++)
+  for (uint32_t i = 0; mask >> i != 0; i++)
     if ((mask & 1ULL << i) != 0)
-      converted |= lt_regions_mask (to, &from->regions[i], 1);
+      converted |= lt_regions_mask (snapshot, &table[i], 1);
   return converted;
 }
+
+uint64_t
+lt_snapshot_convert_regions (const lt_snapshot_t *from, uint64_t mask,
+                             const lt_snapshot_t *to)
+{
+  return from->regions == to->regions
+             ? mask
+             : lt_regions_convert (to, from->regions, mask);
+}
+
+void
+lt_regions_print (const str_t *table, uint64_t mask, lt_buf_t *out)
+{
+  str_t names[LT_REGIONS_MAX];
+  uint32_t count = 0;
+  for (uint32_t i = 0; mask >> i != 0; i++)
+    if ((mask & 1ULL << i) != 0)
+      names[count++] = table[i];
+  if (count > 0)
+    qsort (names, count, sizeof (str_t), compare_names);
+  for (uint32_t i = 0; i < count; i++)
+    lt_buf_printf (out, "%s%.*s", i > 0 ? "|" : "", STR_ARG (names[i]));
+}
+
+bool
+lt_regions_equal (const lt_snapshot_t *a, uint64_t mask,
+                  const lt_snapshot_t *b, uint64_t other)
+{
+  return lt_snapshot_convert_regions (a, mask, b) == other
+         && lt_snapshot_convert_regions (b, other, a) == mask;
+}
--- a/packages/config/src/regions.h
+++ b/packages/config/src/regions.h
@@ -24,4 +24,18 @@
 uint64_t lt_regions_mask (const lt_snapshot_t *snapshot, const str_t *list,
                           uint32_t count);
 
+/** Returns MASK, over the names of TABLE, as a mask over NAMES, to which it
+    adds those that are new.  */
+uint64_t lt_region_names_merge (lt_region_names_t *names, const str_t *table,
+                                uint64_t mask);
+/** Returns MASK, over the names of TABLE, as a mask over the table of
+    SNAPSHOT.  */
+uint64_t lt_regions_convert (const lt_snapshot_t *snapshot, const str_t *table,
+                             uint64_t mask);
+/** Appends the names of MASK over TABLE, sorted and separated by '|'.  */
+void lt_regions_print (const str_t *table, uint64_t mask, lt_buf_t *out);
+/** Returns whether MASK of A and OTHER of B name the same regions.  */
+bool lt_regions_equal (const lt_snapshot_t *a, uint64_t mask,
+                       const lt_snapshot_t *b, uint64_t other);
+
 #endif
--- a/packages/config/src/rows.c
+++ b/packages/config/src/rows.c
@@ -1,5 +1,7 @@
 #include "rows.h"
 
+#include "regions.h"
+
 uint32_t
 lt_rows_count (const lt_snapshot_t *snapshot, lt_row_kind_t kind)
 {
@@ -109,15 +111,16 @@
 routes_equal (const lt_snapshot_t *a, const lt_route_t *x,
               const lt_snapshot_t *b, const lt_route_t *y)
 {
-  bool same = str_equal (x->path, y->path)
-              && str_equal (x->methods, y->methods)
-              && str_equal (a->services[x->service].name,
-                            b->services[y->service].name)
-              && x->access == y->access && x->action == y->action
-              && x->hedge == y->hedge && x->timeout_ms == y->timeout_ms
-              && x->max_body_bytes == y->max_body_bytes
-              && x->all_workspaces == y->all_workspaces
-              && x->workspace_count == y->workspace_count;
+  bool same
+      = str_equal (x->path, y->path) && str_equal (x->methods, y->methods)
+        && str_equal (a->services[x->service].name,
+                      b->services[y->service].name)
+        && x->access == y->access && x->action == y->action
+        && x->hedge == y->hedge && x->timeout_ms == y->timeout_ms
+        && x->max_body_bytes == y->max_body_bytes
+        && x->all_workspaces == y->all_workspaces
+        && x->workspace_count == y->workspace_count
+        && lt_regions_equal (a, x->allowed_regions, b, y->allowed_regions);
   for (uint32_t i = 0; same && i < x->workspace_count; i++)
     same = str_equal (a->workspaces[x->workspaces[i]].name,
                       b->workspaces[y->workspaces[i]].name);
@@ -133,7 +136,9 @@
     case LT_ROW_WORKSPACE:
       return a->workspaces[i].rate_milli_per_s
                  == b->workspaces[j].rate_milli_per_s
-             && a->workspaces[i].burst == b->workspaces[j].burst;
+             && a->workspaces[i].burst == b->workspaces[j].burst
+             && lt_regions_equal (a, a->workspaces[i].allowed_regions, b,
+                                  b->workspaces[j].allowed_regions);
     case LT_ROW_KEY:
       return a->keys[i].state == b->keys[j].state
              && lt_digest_equal (&a->keys[i].hash, &b->keys[j].hash)
