--- a/packages/config/src/sheet.c
+++ b/packages/config/src/sheet.c
@@ -60,12 +60,15 @@
   b->upstreams
       = lt_sheet_names_create (b->sheet, LT_KIND_UPSTREAM, LT_COLUMN_NAME);
   lt_sheet_build_head (b);
+  lt_sheet_build_workspace_regions (b);
   lt_sheet_build_workspaces (b);
   lt_sheet_build_keys (b);
   lt_sheet_build_services (b);
   lt_sheet_build_upstreams (b);
   lt_sheet_build_routes (b);
   lt_sheet_build_stops (b);
+  lt_sheet_check_regions (b);
+  free (b->workspace_regions);
   lt_sheet_names_destroy (&b->workspaces);
   lt_sheet_names_destroy (&b->services);
   lt_sheet_names_destroy (&b->upstreams);
--- a/packages/config/src/sheet_build.c
+++ b/packages/config/src/sheet_build.c
@@ -109,6 +109,11 @@
       workspace->name
           = lt_sheet_reference (sheet, LT_KIND_LIMIT, row, LT_COLUMN_WORKSPACE,
                                 &b->workspaces, LT_KIND_WORKSPACE);
+      const lt_sheet_name_t *entry
+          = lt_sheet_names_find (&b->workspaces, workspace->name);
+      if (entry != NULL)
+        workspace->allowed_regions
+            = b->workspace_regions[entry - b->workspaces.items];
       workspace->rate_milli_per_s
           = lt_sheet_number (sheet, LT_KIND_LIMIT, row, LT_COLUMN_RATE, 3, 1,
                              RATE_MAX_PER_S * MILLI);
--- a/packages/config/src/sheet_build.h
+++ b/packages/config/src/sheet_build.h
@@ -13,6 +13,7 @@
   lt_sheet_names_t workspaces;
   lt_sheet_names_t services;
   lt_sheet_names_t upstreams;
+  uint64_t *workspace_regions; /**< Of the names of WORKSPACES. */
 } lt_sheet_build_t;
 
 void lt_sheet_build_head (lt_sheet_build_t *b);
@@ -22,6 +23,15 @@
 void lt_sheet_build_upstreams (lt_sheet_build_t *b);
 void lt_sheet_build_routes (lt_sheet_build_t *b);
 void lt_sheet_build_stops (lt_sheet_build_t *b);
+/** Reads the allowed regions of the workspace rows.  */
+void lt_sheet_build_workspace_regions (lt_sheet_build_t *b);
+/** Reads the allowed regions of ROW as a mask over those of the patch; 0: no
+    restriction.  */
+uint64_t lt_sheet_read_regions (lt_sheet_build_t *b, lt_sheet_kind_t kind,
+                                const lt_sheet_row_t *row);
+/** Reports routes whose service has no upstream where they, or they and one of
+    the workspaces that they name, are allowed.  */
+void lt_sheet_check_regions (lt_sheet_build_t *b);
 /** Returns a number scaled by 10^DECIMALS from LOW to HIGH; a fault gives
     LOW.  */
 int64_t lt_sheet_number (lt_sheet_t *sheet, lt_sheet_kind_t kind,
--- a/packages/config/src/sheet_routes.c
+++ b/packages/config/src/sheet_routes.c
@@ -145,6 +145,7 @@
       sheet, LT_KIND_ROUTE, row, LT_COLUMN_TIMEOUT, 0, 1, TIMEOUT_MAX_MS);
   r->max_body_bytes = lt_sheet_number (
       sheet, LT_KIND_ROUTE, row, LT_COLUMN_MAX_BODY, 0, 0, BODY_MAX_BYTES);
+  r->allowed_regions = lt_sheet_read_regions (b, LT_KIND_ROUTE, row);
   read_workspaces (b, row, route);
   check_route (sheet, row, r);
 }
--- a/packages/config/src/sheet_rows.c
+++ b/packages/config/src/sheet_rows.c
@@ -28,7 +28,7 @@
 
 static const kind_info_t kinds[LT_KIND_COUNT] = {
   { "sheet", BIT (NAME) | BIT (DAY) | BIT (ROWS) },
-  { "workspace", BIT (NAME) },
+  { "workspace", BIT (NAME) | BIT (REGIONS) },
   { "limit", BIT (WORKSPACE) | BIT (RATE) | BIT (BURST) },
   { "key", BIT (NAME) | BIT (WORKSPACE) | BIT (KEY_HASH) | BIT (KEY) },
   { "service", BIT (NAME) | BIT (FLOOR) },
@@ -36,7 +36,7 @@
                     | BIT (ADDRESS) | BIT (SLOTS) | BIT (CONNECTIONS) },
   { "route", BIT (NAME) | BIT (PATH) | BIT (METHODS) | BIT (SERVICE)
                  | BIT (ACCESS) | BIT (ACTION) | BIT (HEDGE) | BIT (TIMEOUT)
-                 | BIT (MAX_BODY) | BIT (WORKSPACES) },
+                 | BIT (MAX_BODY) | BIT (WORKSPACES) | BIT (REGIONS) },
   { "stop", BIT (TARGET) | BIT (STARTS) | BIT (ENDS) },
 };
 
@@ -226,7 +226,7 @@
 static void
 check_columns (reader_t *r, int kind)
 {
-  uint32_t used = kinds[kind].columns;
+  uint32_t used = kinds[kind].columns & ~BIT (REGIONS); /* Optional.  */
   uint32_t keys = BIT (KEY) | BIT (KEY_HASH);
   if ((r->present & keys) != 0)
     used &= ~(keys & ~r->present);
--- a/packages/config/src/sheet_rows.h
+++ b/packages/config/src/sheet_rows.h
@@ -34,6 +34,7 @@
   X (TARGET, "target")                                                        \
   X (STARTS, "starts")                                                        \
   X (ENDS, "ends")                                                            \
+  X (REGIONS, "allowed_regions")                                              \
   X (COMMENT, "comment")
 
 #define LT_SHEET_COLUMN_ENUM(id, text) LT_COLUMN_##id,
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -88,6 +88,22 @@
   return from_pools (pools)->config;
 }
 
+/* Returns, for each of the COUNT upstreams from FIRST on, whether it is in
+   ALLOWED_REGIONS.  The caller frees the result.  */
+static bool *
+list_allowed (const lt_snapshot_t *s, uint32_t first, uint32_t count,
+              uint64_t allowed_regions)
+{
+  bool *allowed = lt_alloc ((count + 1) * sizeof (*allowed));
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t bit
+          = lt_snapshot_region_bit (s, s->upstreams[first + i].region);
+      allowed[i] = (allowed_regions & 1ULL << bit) != 0;
+    }
+  return allowed;
+}
+
 static int64_t
 pools_pick (lt_pools_t *pools, const lt_pick_t *pick, int64_t now_us)
 {
@@ -100,9 +116,15 @@
   for (uint32_t i = 0; i < pick->tried_count && count < 16; i++)
     if (pick->tried[i] >= first && pick->tried[i] - first < s->pool.count)
       local[count++] = pick->tried[i] - first;
-  lt_balance_request_t request = { local, count };
+  bool *allowed = pick->allowed_regions == 0
+                      ? NULL
+                      : list_allowed (self->config->snapshot, first,
+                                      s->pool.count, pick->allowed_regions);
+  lt_balance_request_t request
+      = { .tried = local, .tried_count = count, .allowed = allowed };
   int picked
       = lt_balance_pick (s->balance, &request, &self->node->rng, now_us);
+  free (allowed);
   return picked < 0 ? picked : (int64_t)first + picked;
 }
 
--- a/packages/policy/include/lt/policy/balance.h
+++ b/packages/policy/include/lt/policy/balance.h
@@ -67,6 +67,9 @@
         their failure domains are chosen last.  */
     const uint32_t *tried;
     uint32_t tried_count;
+    /** Per upstream, whether it may get the request; NULL: all may.  If this
+        VM's subset has none of them, the other usable ones are used.  */
+    const bool *allowed;
   } lt_balance_request_t;
 
   /** Creates the pool of one service.  Indexes are positions in UPSTREAMS, and
--- a/packages/policy/src/balance.c
+++ b/packages/policy/src/balance.c
@@ -257,6 +257,7 @@
   tier_t last;
   bool spread;     /**< Leaves out failure domains that were tried. */
   bool slow_start; /**< Upstreams in slow start may be passed over. */
+  bool outside;    /**< Usable upstreams outside of this VM's subset. */
 } scope_t;
 
 static bool
@@ -265,8 +266,13 @@
              int64_t now_us)
 {
   const upstream_state_t *entry = &pool->by_upstream[u];
-  if (!entry->member || entry->tier < scope.first || entry->tier > scope.last
-      || now_us < entry->shed_until_us || was_tried (request, u))
+  if (request->allowed != NULL && !request->allowed[u])
+    return false;
+  if (scope.outside && (entry->member || !entry->usable))
+    return false;
+  if ((!entry->member && !scope.outside) || entry->tier < scope.first
+      || entry->tier > scope.last || now_us < entry->shed_until_us
+      || was_tried (request, u))
     return false;
   if (scope.slow_start && entry->passed == pool->choice)
     return false;
@@ -403,7 +409,7 @@
 lt_balance_pick (lt_balance_pool_t *pool, const lt_balance_request_t *request,
                  lt_rng_t *rng, int64_t now_us)
 {
-  static const lt_balance_request_t none = { NULL, 0 };
+  static const lt_balance_request_t none = { .tried = NULL };
   if (!request)
     request = &none;
   bool spill = lt_rng_unit (rng) < spill_share (pool, now_us);
@@ -415,9 +421,9 @@
       {
         scope_t scopes[]
             = { { explore ? TIER_REGION : TIER_DOMAIN, TIER_REGION, spread,
-                  slow_start },
-                { TIER_DOMAIN, TIER_REGION, spread, slow_start },
-                { TIER_REMOTE, TIER_REMOTE, spread, slow_start } };
+                  slow_start, false },
+                { TIER_DOMAIN, TIER_REGION, spread, slow_start, false },
+                { TIER_REMOTE, TIER_REMOTE, spread, slow_start, false } };
         for (int i = 0; i < 3; i++)
           {
             scope_t scope = scopes[spill ? 2 - i : i];
@@ -426,7 +432,10 @@
               return found;
           }
       }
-  return -LT_EUNAVAILABLE;
+  scope_t outside = { TIER_DOMAIN, TIER_REMOTE, false, false, true };
+  return request->allowed == NULL
+             ? -LT_EUNAVAILABLE
+             : pick_in (pool, request, outside, rng, now_us);
 }
 
 void
--- a/packages/policy/test/test_balance.cc
+++ b/packages/policy/test/test_balance.cc
@@ -228,3 +228,36 @@
       EXPECT_LE (sum * 6 / 24, 400);
     }
 }
+
+/* Guards against requests to upstreams that may not get them, also when this
+   VM's subset has no other, and those that may shed or were tried.  */
+TEST (Balance, AllowedUpstreamsAreNeverLeft)
+{
+  Balance b (600, 600);
+  bool allowed[600] = {};
+  auto pick = [&] (std::vector<uint32_t> tried) {
+    lt_balance_request_t request
+        = { tried.data (), (uint32_t)tried.size (), allowed };
+    return lt_balance_pick (b.pool, &request, &b.rng, kNow);
+  };
+  EXPECT_EQ (-LT_EUNAVAILABLE, pick ({}));
+  for (uint32_t u = 4; u < 600; u += 6)
+    {
+      allowed[u] = true;
+      EXPECT_EQ ((int)u, pick ({}));
+      allowed[u] = false;
+    }
+  for (uint32_t u : { 4, 5, 10 })
+    allowed[u] = true;
+  for (int i = 0; i < 1000; i++)
+    {
+      int u = pick ({});
+      ASSERT_TRUE (u == 4 || u == 5 || u == 10) << u;
+      lt_balance_begin (b.pool, (uint32_t)u);
+    }
+  EXPECT_EQ (10, pick ({ 4, 5 }));
+  lt_balance_record_shed (b.pool, 10, kSecond, &b.rng, kNow);
+  EXPECT_EQ (-LT_EUNAVAILABLE, pick ({ 4, 5 }));
+  lt_balance_set_usable (b.pool, 4, false, kNow);
+  EXPECT_EQ (5, pick ({}));
+}
