lavenderctl evacuate: failure domains of stand-alone fleets

An edit marks the upstreams of a failure domain; sheets that are applied later keep the mark, for new upstreams of the domain too. Marked upstreams are out of service for the balancer and do not count for the floor.

--- a/packages/config/include/lt/config/edit.h
+++ b/packages/config/include/lt/config/edit.h
@@ -35,10 +35,17 @@
   int lt_edit_set_drained (const lt_snapshot_t *old, const lt_edit_t *edit,
                            str_t upstream, bool drained, bool below_floor,
                            lt_snapshot_t **now);
+  /** Evacuates a failure domain, or ends that.  The floor of services is not
+      checked.  Returns 0, -LT_ENOTFOUND (no upstream is in DOMAIN) or
+      -LT_EEXISTS (in that state already).  */
+  int lt_edit_set_evacuated (const lt_snapshot_t *old, const lt_edit_t *edit,
+                             str_t domain, bool evacuated,
+                             lt_snapshot_t **now);
   /** Makes the snapshot that follows OLD (NULL: none) from the one parsed from
       a sheet.  What operators changed outside the sheet is kept: drained
-      upstreams, issued keys and withdrawn keys.  Returns 0, or -LT_EFINDINGS
-      when the sheet lists a withdrawn key.  */
+      upstreams, evacuated failure domains with upstreams, issued keys and
+     withdrawn keys.  Returns 0, or -LT_EFINDINGS when the sheet lists a
+     withdrawn key.  */
   int lt_edit_adopt_sheet (const lt_snapshot_t *old,
                            const lt_snapshot_t *sheet, const lt_edit_t *edit,
                            lt_findings_t *findings, lt_snapshot_t **now);
--- a/packages/config/src/diff_words.c
+++ b/packages/config/src/diff_words.c
@@ -102,6 +102,9 @@
   if (old->drained != now->drained || now->drained)
     say_word (w, "drained", old->drained ? "yes" : "no",
               now->drained ? "yes" : "no");
+  if (old->evacuated != now->evacuated || now->evacuated)
+    say_word (w, "evacuated", old->evacuated ? "yes" : "no",
+              now->evacuated ? "yes" : "no");
 }
 
 /* Rows that any region may serve say so only when that changed.  */
--- a/packages/config/src/edit.c
+++ b/packages/config/src/edit.c
@@ -1,5 +1,7 @@
 #include "lt/config/edit.h"
 
+#include <stdlib.h>
+
 #include "lt/base/error.h"
 #include "patch.h"
 #include "rows.h"
@@ -83,7 +85,8 @@
     {
       uint32_t at = service->first_upstream + i;
       all += s->upstreams[at].slots;
-      if (at != upstream && !s->upstreams[at].drained)
+      if (at != upstream && !s->upstreams[at].drained
+          && !s->upstreams[at].evacuated)
         left += s->upstreams[at].slots;
     }
   return left * 100 >= all * service->floor_percent;
@@ -107,6 +110,30 @@
   return finish (old, patch, now);
 }
 
+int
+lt_edit_set_evacuated (const lt_snapshot_t *old, const lt_edit_t *edit,
+                       str_t domain, bool evacuated, lt_snapshot_t **now)
+{
+  lt_patch_t *patch = edit_patch (old, edit);
+  bool found = false;
+  for (uint32_t i = 0; i < old->upstream_count; i++)
+    {
+      const lt_upstream_t *upstream = &old->upstreams[i];
+      if (!str_equal (upstream->failure_domain, domain))
+        continue;
+      found = true;
+      if (upstream->evacuated == evacuated)
+        continue;
+      lt_patch_add_row (patch, old, LT_ROW_UPSTREAM, i);
+      patch->upstreams.items[patch->upstreams.count - 1].row.evacuated
+          = evacuated;
+    }
+  if (patch->upstreams.count > 0)
+    return finish (old, patch, now);
+  lt_patch_destroy (patch);
+  return found ? -LT_EEXISTS : -LT_ENOTFOUND;
+}
+
 static void
 report_withdrawn (const lt_key_t *old, const lt_key_t *listed,
                   lt_findings_t *findings)
@@ -142,21 +169,53 @@
   return 0;
 }
 
+static bool
+is_drained (const lt_snapshot_t *s, str_t upstream)
+{
+  uint32_t index = lt_snapshot_find_upstream (s, upstream);
+  return index != LT_NO_INDEX && s->upstreams[index].drained;
+}
+
+static bool
+contains (const lt_names_t *names, str_t name)
+{
+  for (uint32_t i = 0; i < names->count; i++)
+    if (str_equal (names->items[i], name))
+      return true;
+  return false;
+}
+
+static lt_names_t
+evacuated_domains (const lt_snapshot_t *s)
+{
+  lt_names_t domains = { 0 };
+  for (uint32_t i = 0; i < s->upstream_count; i++)
+    if (s->upstreams[i].evacuated
+        && !contains (&domains, s->upstreams[i].failure_domain))
+      *LT_VEC_PUSH (&domains) = s->upstreams[i].failure_domain;
+  return domains;
+}
+
+/* New upstreams of an evacuated failure domain are evacuated as well.  */
 static void
-adopt_drained (const lt_snapshot_t *old, const lt_snapshot_t *sheet,
-               lt_patch_t *patch)
+adopt_upstreams (const lt_snapshot_t *old, const lt_snapshot_t *sheet,
+                 lt_patch_t *patch)
 {
-  for (uint32_t i = 0; i < old->upstream_count; i++)
+  lt_names_t domains = evacuated_domains (old);
+  for (uint32_t i = 0; i < sheet->upstream_count; i++)
     {
-      if (!old->upstreams[i].drained)
-        continue;
-      uint32_t index
-          = lt_snapshot_find_upstream (sheet, old->upstreams[i].name);
-      if (index == LT_NO_INDEX)
+      const lt_upstream_t *upstream = &sheet->upstreams[i];
+      bool drained = is_drained (old, upstream->name);
+      bool evacuated = contains (&domains, upstream->failure_domain);
+      if (!drained && !evacuated)
         continue;
-      lt_patch_add_row (patch, sheet, LT_ROW_UPSTREAM, index);
-      patch->upstreams.items[patch->upstreams.count - 1].row.drained = true;
+      lt_patch_add_row (patch, sheet, LT_ROW_UPSTREAM, i);
+      lt_upstream_t *row
+          = &patch->upstreams.items[patch->upstreams.count - 1].row;
+      row->drained = drained;
+      row->evacuated = evacuated;
     }
+  free (domains.items);
 }
 
 int
@@ -177,6 +236,6 @@
       return err;
     }
   if (old != NULL)
-    adopt_drained (old, sheet, patch);
+    adopt_upstreams (old, sheet, patch);
   return finish (sheet, patch, now);
 }
--- a/packages/config/src/patch_codec.c
+++ b/packages/config/src/patch_codec.c
@@ -70,7 +70,7 @@
 static void
 put_upstream (msgpack_packer *pk, const lt_patch_upstream_t *upstream)
 {
-  put_row (pk, LT_ROW_UPSTREAM, 8);
+  put_row (pk, LT_ROW_UPSTREAM, upstream->row.evacuated ? 9 : 8);
   put_str (pk, upstream->row.name);
   put_str (pk, upstream->service);
   put_str (pk, upstream->row.region);
@@ -79,6 +79,8 @@
   msgpack_pack_int32 (pk, upstream->row.slots);
   msgpack_pack_int32 (pk, upstream->row.connections);
   put_bool (pk, upstream->row.drained);
+  if (upstream->row.evacuated)
+    put_bool (pk, true);
 }
 
 static void
@@ -286,6 +288,7 @@
   upstream->row.slots = (int32_t)take_int (f, 0, INT32_MAX);
   upstream->row.connections = (int32_t)take_int (f, 0, INT32_MAX);
   upstream->row.drained = take_bool (f);
+  upstream->row.evacuated = !f->failed && f->at < f->count && take_bool (f);
 }
 
 static void
--- a/packages/config/src/rows.c
+++ b/packages/config/src/rows.c
@@ -104,7 +104,8 @@
          && str_equal (x->region, y->region)
          && str_equal (x->failure_domain, y->failure_domain)
          && str_equal (x->address, y->address) && x->slots == y->slots
-         && x->connections == y->connections && x->drained == y->drained;
+         && x->connections == y->connections && x->drained == y->drained
+         && x->evacuated == y->evacuated;
 }
 
 static bool
--- a/packages/config/test/test_sheet_regions.cc
+++ b/packages/config/test/test_sheet_regions.cc
@@ -213,3 +213,64 @@
   lt_snapshot_destroy (a);
   lt_snapshot_destroy (b);
 }
+
+// Guards against an evacuation that ends with the next sheet, leaves out new
+// upstreams of its failure domain, or is lost on the way to another VM.
+TEST (Evacuations, EditsAndSheetsKeepThem)
+{
+  lt_snapshot_t *first = nullptr;
+  lt_snapshot_t *evacuated = nullptr;
+  lt_snapshot_t *next = nullptr;
+  lt_snapshot_t *got = nullptr;
+  const std::string text = sheet ("", "", "", "");
+  ASSERT_EQ ("", parse (text, &first));
+  lt_edit_t edit = {};
+  edit.version = 2;
+  edit.author = str_from ("someone");
+  EXPECT_EQ (-LT_ENOTFOUND,
+             lt_edit_set_evacuated (first, &edit, str_from ("e-a"), true,
+                                    &evacuated));
+  EXPECT_EQ (-LT_EEXISTS,
+             lt_edit_set_evacuated (first, &edit, str_from ("s-a"), false,
+                                    &evacuated));
+  ASSERT_EQ (0, lt_edit_set_evacuated (first, &edit, str_from ("s-a"), true,
+                                       &evacuated));
+  EXPECT_EQ (
+      -LT_EEXISTS,
+      lt_edit_set_evacuated (evacuated, &edit, str_from ("s-a"), true, &next));
+  std::string bytes = encode (evacuated);
+  ASSERT_EQ (
+      0, lt_snapshot_decode (str_make (bytes.data (), bytes.size ()), &got));
+  EXPECT_EQ (bytes, encode (got));
+  lt_buf_t buf = {};
+  lt_delta_encode (first, evacuated, &buf);
+  std::string delta = take (&buf);
+  lt_snapshot_destroy (got);
+  ASSERT_EQ (0, lt_delta_apply (first, str_make (delta.data (), delta.size ()),
+                                &got));
+  EXPECT_EQ (bytes, encode (got));
+
+  std::string more = text;
+  more.replace (more.find (",11,"), 4, ",12,");
+  more.insert (
+      more.find ("route,quotes"),
+      "upstream,q-3,,,,,,quotes,,south,s-a,10.0.0.9:1,3,9,,,,,,,,,\n");
+  lt_snapshot_t *parsed = nullptr;
+  ASSERT_EQ ("", parse (more, &parsed));
+  lt_findings_t findings = {};
+  ASSERT_EQ (0,
+             lt_edit_adopt_sheet (evacuated, parsed, &edit, &findings, &next));
+  for (const char *name : { "q-1", "q-2", "q-3", "o-1" })
+    EXPECT_EQ (
+        std::string (name) != "q-1",
+        next->upstreams[lt_snapshot_find_upstream (next, str_from (name))]
+            .evacuated)
+        << name;
+  lt_snapshot_t *ended = nullptr;
+  ASSERT_EQ (
+      0, lt_edit_set_evacuated (next, &edit, str_from ("s-a"), false, &ended));
+  for (uint32_t i = 0; i < ended->upstream_count; i++)
+    EXPECT_FALSE (ended->upstreams[i].evacuated);
+  for (lt_snapshot_t *s : { first, evacuated, next, got, parsed, ended })
+    lt_snapshot_destroy (s);
+}
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -10,6 +10,7 @@
 int lt_ctl_apply (lt_ctl_t *ctl, int argc, char **argv);
 int lt_ctl_check (lt_ctl_t *ctl, int argc, char **argv);
 int lt_ctl_diff (lt_ctl_t *ctl, int argc, char **argv);
+int lt_ctl_evacuate (lt_ctl_t *ctl, int argc, char **argv);
 int lt_ctl_explain (lt_ctl_t *ctl, int argc, char **argv);
 int lt_ctl_history (lt_ctl_t *ctl, int argc, char **argv);
 int lt_ctl_key (lt_ctl_t *ctl, int argc, char **argv);
@@ -39,6 +40,7 @@
   bool allow_removal;
   bool allow_below_floor;
   bool no_wait;
+  bool undo;
 } lt_ctl_arguments_t;
 
 /** Options that commands take besides the shared ones.  */
@@ -49,7 +51,8 @@
   LT_CTL_OPTION_REMOVAL = 1 << 2,
   LT_CTL_OPTION_FLOOR = 1 << 3,
   LT_CTL_OPTION_NO_WAIT = 1 << 4,
-  LT_CTL_OPTION_RANGE = 1 << 5
+  LT_CTL_OPTION_RANGE = 1 << 5,
+  LT_CTL_OPTION_UNDO = 1 << 6
 } lt_ctl_option_t;
 
 typedef struct lt_ctl_usage
--- a/packages/ctl/src/ctl.c
+++ b/packages/ctl/src/ctl.c
@@ -11,6 +11,7 @@
   { "apply", "make a sheet the configuration in force", lt_ctl_apply },
   { "check", "find mistakes in a sheet; needs no VM", lt_ctl_check },
   { "diff", "say what a sheet would change", lt_ctl_diff },
+  { "evacuate", "evacuate a failure domain, undo or list", lt_ctl_evacuate },
   { "explain", "say what happened to a request", lt_ctl_explain },
   { "history", "list accepted changes", lt_ctl_history },
   { "key", "add, withdraw or list callers' keys", lt_ctl_key },
--- a/packages/ctl/src/options.c
+++ b/packages/ctl/src/options.c
@@ -16,6 +16,7 @@
   KEY_REMOVAL,
   KEY_FLOOR,
   KEY_NO_WAIT,
+  KEY_UNDO,
   OPTIONS_MAX = 16,
   TIMEOUT_MAX_S = 600,
   DEFAULT_TIMEOUT_S = 30
@@ -57,6 +58,8 @@
   { LT_CTL_OPTION_NO_WAIT,
     { "no-wait", KEY_NO_WAIT, NULL, 0,
       "Do not wait until the change is in force on all VMs", 1 } },
+  { LT_CTL_OPTION_UNDO,
+    { "undo", KEY_UNDO, NULL, 0, "Use the failure domain again", 1 } },
   { LT_CTL_OPTION_RANGE,
     { "count", KEY_COUNT, "COUNT", 0, "Entries to list (20)", 1 } },
   { LT_CTL_OPTION_RANGE,
@@ -139,6 +142,9 @@
     case KEY_FLOOR:
       a->allow_below_floor = true;
       return 0;
+    case KEY_UNDO:
+      a->undo = true;
+      return 0;
     case KEY_NO_WAIT:
       a->no_wait = true;
       return 0;
--- a/packages/ctl/test/test_ctl.cc
+++ b/packages/ctl/test/test_ctl.cc
@@ -308,6 +308,15 @@
     { "apply --day any --base 4 small.csv",
       { { 200, "cut" }, { 200, SAME } } },
     { "upstream eject quotes-1", {} },
+    { "evacuate Maribor-a --no-wait", { { 200, ACCEPTED } } },
+    { "evacuate --undo Maribor-a", { { 200, ACCEPTED }, { 200, IN_FORCE } } },
+    { "evacuate 'a/b c'", { { 404, R"({"reason":"not-found"})" } } },
+    { "evacuate Maribor-a", { { 504, UNKNOWN } } },
+    { "evacuate Maribor-a", { { 0, "" } } },
+    { "evacuate --undo", {} },
+    { "evacuate",
+      { { 200, R"({"version":5,"evacuations":[{"failure_domain":"Maribor-a",)"
+               R"("upstreams":7}]})" } } },
     { "route orders",
       { { 200, R"({"routes":[{"name":"orders","path":"/orders",)"
                R"("methods":"POST","service":"orders","access":"keyed",)"
@@ -350,7 +359,8 @@
   for (const char *arguments :
        { "status", "diff --day any small.csv",
          "apply --day any --base 4 small.csv", "key add demo",
-         "key withdraw demo-1", "upstream drain quotes-1" })
+         "key withdraw demo-1", "upstream drain quotes-1",
+         "evacuate Maribor-a" })
     EXPECT_EQ (6, run (arguments, 1).status) << arguments;
 }
 
@@ -359,8 +369,8 @@
 {
   std::string help = run ("--help", 1).output;
   for (const char *command :
-       { "apply", "check", "diff", "explain", "history", "key", "route",
-         "status", "upstream", "workspace" })
+       { "apply", "check", "diff", "evacuate", "explain", "history", "key",
+         "route", "status", "upstream", "workspace" })
     {
       EXPECT_NE (std::string::npos,
                  help.find (std::string ("\n  ") + command + " "))
--- a/packages/node/src/admin_api.c
+++ b/packages/node/src/admin_api.c
@@ -5,6 +5,9 @@
 static const lt_admin_handler_t handlers[] = {
   { "POST", "/v1/config/apply", true, lt_admin_handle_apply },
   { "POST", "/v1/config/diff", true, lt_admin_handle_diff },
+  { "GET", "/v1/evacuations", true, lt_admin_handle_evacuation_list },
+  { "POST", "/v1/evacuations/", true, lt_admin_handle_evacuate },
+  { "DELETE", "/v1/evacuations/", true, lt_admin_handle_evacuation_end },
   { "GET", "/v1/history", true, lt_admin_handle_history },
   { "GET", "/v1/keys", true, lt_admin_handle_key_list },
   { "POST", "/v1/keys", true, lt_admin_handle_key_add },
--- a/packages/node/src/admin_common.h
+++ b/packages/node/src/admin_common.h
@@ -50,6 +50,9 @@
   void lt_admin_handle_key_list (lt_admin_request_t *request);
   void lt_admin_handle_key_add (lt_admin_request_t *request);
   void lt_admin_handle_key_withdraw (lt_admin_request_t *request);
+  void lt_admin_handle_evacuation_list (lt_admin_request_t *request);
+  void lt_admin_handle_evacuate (lt_admin_request_t *request);
+  void lt_admin_handle_evacuation_end (lt_admin_request_t *request);
   void lt_admin_handle_upstream (lt_admin_request_t *request);
   void lt_admin_handle_upstream_edit (lt_admin_request_t *request);
   void lt_admin_handle_status (lt_admin_request_t *request);
--- a/packages/node/src/admin_rows.c
+++ b/packages/node/src/admin_rows.c
@@ -18,13 +18,30 @@
   return value;
 }
 
+/* Adds the regions of MASK to ROW, which has no such member when any region
+   may serve.  */
+static void
+add_regions (json_t *row, const lt_snapshot_t *s, uint64_t mask)
+{
+  lt_buf_t text = { 0 };
+  if (mask == 0)
+    return;
+  for (uint32_t i = 0; i < s->region_count; i++)
+    if ((mask & 1ULL << i) != 0)
+      lt_buf_printf (&text, "%s%.*s", text.len > 0 ? "|" : "",
+                     STR_ARG (s->regions[i]));
+  json_object_set_new (row, "allowed_regions",
+                       lt_admin_str (lt_buf_str (&text)));
+  lt_buf_destroy (&text);
+}
+
 static json_t *
 route_json (const lt_snapshot_t *s, const lt_route_t *route)
 {
   static const char *const access_names[] = { "keyed", "open" };
   static const char *const action_names[]
       = { "idempotent", "repeatable", "never-repeat" };
-  return json_pack (
+  json_t *row = json_pack (
       "{s:o, s:o, s:o, s:o, s:s, s:s, s:b, s:i, s:I, s:o}", "name",
       lt_admin_str (route->name), "path", lt_admin_str (route->path),
       "methods", lt_admin_str (route->methods), "service",
@@ -33,6 +50,8 @@
       "hedge", route->hedge, "timeout_ms", route->timeout_ms, "max_body_bytes",
       (json_int_t)route->max_body_bytes, "workspaces",
       route_workspaces_json (s, route));
+  add_regions (row, s, route->allowed_regions);
+  return row;
 }
 
 static json_t *
@@ -43,10 +62,12 @@
   snprintf (rate, sizeof (rate), "%lld.%03lld",
             (long long)(workspace->rate_milli_per_s / 1000),
             (long long)(workspace->rate_milli_per_s % 1000));
-  return json_pack ("{s:o, s:s, s:I, s:I}", "name",
-                    lt_admin_str (workspace->name), "rate_per_s", rate,
-                    "burst", (json_int_t)workspace->burst, "keys",
-                    (json_int_t)keys);
+  json_t *row
+      = json_pack ("{s:o, s:s, s:I, s:I}", "name",
+                   lt_admin_str (workspace->name), "rate_per_s", rate, "burst",
+                   (json_int_t)workspace->burst, "keys", (json_int_t)keys);
+  add_regions (row, s, workspace->allowed_regions);
+  return row;
 }
 
 /* Returns the number of keys of each workspace, without withdrawn ones.  The
--- a/packages/node/src/admin_upstreams.c
+++ b/packages/node/src/admin_upstreams.c
@@ -32,13 +32,14 @@
   const lt_upstream_t *u = &s->upstreams[index];
   lt_admin_respond_json (
       request, 200,
-      json_pack ("{s:I, s:o, s:o, s:o, s:o, s:o, s:i, s:i, s:b}", "version",
-                 (json_int_t)s->version, "name", lt_admin_str (u->name),
-                 "address", lt_admin_str (u->address), "service",
-                 lt_admin_str (s->services[u->service].name), "region",
-                 lt_admin_str (u->region), "failure_domain",
+      json_pack ("{s:I, s:o, s:o, s:o, s:o, s:o, s:i, s:i, s:b, s:b}",
+                 "version", (json_int_t)s->version, "name",
+                 lt_admin_str (u->name), "address", lt_admin_str (u->address),
+                 "service", lt_admin_str (s->services[u->service].name),
+                 "region", lt_admin_str (u->region), "failure_domain",
                  lt_admin_str (u->failure_domain), "slots", u->slots,
-                 "connections", u->connections, "drained", u->drained));
+                 "connections", u->connections, "drained", u->drained,
+                 "evacuated", u->evacuated));
 }
 
 void
--- a/packages/node/src/drain_controller.c
+++ b/packages/node/src/drain_controller.c
@@ -56,7 +56,8 @@
         = (lt_drain_upstream_t){ .name_hash = lt_hash64 (s->upstreams[i].name),
                                  .service = s->upstreams[i].service,
                                  .slots = s->upstreams[i].slots,
-                                 .drained = s->upstreams[i].drained };
+                                 .drained = s->upstreams[i].drained
+                                            || s->upstreams[i].evacuated };
   return upstreams;
 }
 
--- a/packages/node/src/filter_admission.c
+++ b/packages/node/src/filter_admission.c
@@ -99,7 +99,7 @@
     {
       const lt_upstream_t *u
           = &snapshot->upstreams[config->first_upstream + i];
-      slots += u->drained ? 0 : u->slots;
+      slots += u->drained || u->evacuated ? 0 : u->slots;
     }
   size_t vms = node->membership == NULL
                    ? 1
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -7,6 +7,7 @@
 #include "health_internal.h"
 #include "upstream_probe.h"
 #include "lt/base/error.h"
+#include "lt/base/log.h"
 
 /* Services without new results are updated once in this many ticks.  Updating
    all of them at every tick would take several percent of a core at 1,300
@@ -207,11 +208,57 @@
   lt_health_observe (service->local, &observation, now_us);
 }
 
+static uint32_t
+count_evacuated (const lt_snapshot_t *s, str_t domain)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; s != NULL && i < s->upstream_count; i++)
+    count += s->upstreams[i].evacuated
+             && (domain.len == 0
+                 || str_equal (s->upstreams[i].failure_domain, domain));
+  return count;
+}
+
+static bool
+is_evacuated (const lt_snapshot_t *s, str_t domain)
+{
+  for (uint32_t i = 0; s != NULL && i < s->upstream_count; i++)
+    if (s->upstreams[i].evacuated
+        && str_equal (s->upstreams[i].failure_domain, domain))
+      return true;
+  return false;
+}
+
+/* Logs failure domains of AFTER that are evacuated there but not in BEFORE. */
+static void
+log_evacuated (const lt_snapshot_t *before, const lt_snapshot_t *after,
+               const char *event)
+{
+  str_t last = str_make (NULL, 0);
+  for (uint32_t i = 0; after != NULL && i < after->upstream_count; i++)
+    {
+      const lt_upstream_t *u = &after->upstreams[i];
+      if (!u->evacuated || str_equal (u->failure_domain, last)
+          || is_evacuated (before, u->failure_domain))
+        continue;
+      last = u->failure_domain;
+      lt_log (LT_LOG_WARN, "health",
+              "msg=\"%s\" failure_domain=%.*s upstreams=%u version=%lld",
+              event, STR_ARG (last), count_evacuated (after, last),
+              (long long)after->version);
+    }
+}
+
 static void
 on_config (lt_controller_t *controller, const lt_snapshot_t *old,
            const lt_snapshot_t *current, int64_t now_us)
 {
-  (void)old;
+  if (count_evacuated (old, str_make ("", 0)) > 0
+      || count_evacuated (current, str_make ("", 0)) > 0)
+    {
+      log_evacuated (old, current, "failure domain evacuated");
+      log_evacuated (current, old, "evacuation ended");
+    }
   lt_health_controller_t *self = (lt_health_controller_t *)controller;
   lt_snapshot_ref_t *config = self->node->config;
   /* A newer configuration is already in force; its own call follows.  */
@@ -236,6 +283,7 @@
   self->service_count = current->service_count;
   lt_snapshot_ref_release (self->config);
   self->config = lt_snapshot_ref_acquire (config);
+  self->evacuated->value = count_evacuated (current, str_make ("", 0));
 }
 
 /* Counting iterates over all VMs, so it is done once a second for all
@@ -352,6 +400,9 @@
                             "result=\"returned\"");
   self->refused = lt_metrics_counter (
       node->metrics, "lavendertrack_ejections_total", "", "result=\"floor\"");
+  self->evacuated
+      = lt_metrics_gauge (node->metrics, "lavendertrack_upstreams_evacuated",
+                          "Upstreams whose failure domain is evacuated.", "");
   node->health_controller = self;
   return &self->base;
 }
--- a/packages/node/src/health_internal.h
+++ b/packages/node/src/health_internal.h
@@ -53,6 +53,7 @@
     int64_t tokens_us; /**< Last refill of TOKENS. */
     lt_counter_t *ejected;
     lt_counter_t *returned;
+    lt_gauge_t *evacuated;
     lt_counter_t *refused; /**< Ejections prevented by the floor. */
   };
 
--- a/packages/node/src/health_service.c
+++ b/packages/node/src/health_service.c
@@ -229,7 +229,8 @@
 {
   for (uint32_t i = 0; i < service->pool.count; i++)
     service->pool.upstreams[i].out_of_service
-        = service->leaving[i] || upstream_of (service, i)->drained;
+        = service->leaving[i] || upstream_of (service, i)->drained
+          || upstream_of (service, i)->evacuated;
   service->dirty = true;
 }
 
--- a/packages/node/src/health_service.h
+++ b/packages/node/src/health_service.h
@@ -69,8 +69,8 @@
   /** Returns the upstream's index within the service, or UINT32_MAX.  */
   uint32_t lt_health_service_find (const lt_health_service_t *service,
                                    str_t name);
-  /** Sets which upstreams are out of service: those drained in the
-      configuration or through lt_health_controller_set_leaving.  */
+  /** Sets which upstreams are out of service: those drained or evacuated in
+     the configuration or through lt_health_controller_set_leaving.  */
   void lt_health_service_update_out_of_service (lt_health_service_t *service);
   /** Updates the upstreams' states from local results and the record, and
       passes them to the balancer.  */
