--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -135,6 +135,17 @@
     int64_t warm_rate_milli_per_s;
   } lt_choice_upstream_t;
 
+/** A limit that no upstream is below.  */
+#define LT_CHOICE_CLOSED INT32_MIN
+
+  /** Up to which load upstreams may get a request.  */
+  typedef struct lt_choice_limits
+  {
+    /** An upstream at this distance is full when its load has reached its
+        slots plus this number.  */
+    int32_t above_slots[LT_DISTANCES];
+  } lt_choice_limits_t;
+
   typedef struct lt_choice_request
   {
     uint32_t service;
@@ -144,6 +155,7 @@
     bool repeatable; /**< The request may be retried after a failure. */
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
+    const lt_choice_limits_t *limits; /**< NULL: none. */
   } lt_choice_request_t;
 
   /** The estimate of an upstream's state.  */
@@ -173,8 +185,9 @@
   /** Sets the places of this VM, for upstreams that name a rate.  */
   void lt_choice_set_places (lt_choice_t *choice,
                              const lt_pace_place_t *places, uint32_t count);
-  /** Chooses the upstream for one attempt.  Returns its index, or
-      -LT_EUNAVAILABLE when no upstream may get the request.  */
+  /** Chooses the upstream for one attempt.  Returns its index,
+      -LT_EUNAVAILABLE when no upstream may get the request, or -LT_EFULL when
+      all that may get it are full by its limits.  */
   int64_t lt_choice_pick (lt_choice_t *choice,
                           const lt_choice_request_t *request, int64_t now_us);
   /** Returns when an upstream of SERVICE that names a rate takes the next
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -392,11 +392,25 @@
   return found;
 }
 
+static bool
+is_full (const lt_choice_t *choice, const lt_choice_limits_t *limits,
+         const upstream_estimate_t *estimate, int64_t now_us)
+{
+  if (limits == NULL)
+    return false;
+  int32_t above = limits->above_slots[estimate->upstream.distance];
+  return above == LT_CHOICE_CLOSED
+         || estimate->own_in_flight
+                    + peers_in_flight (choice, estimate, now_us)
+                >= estimate->upstream.slots + above;
+}
+
 int64_t
 lt_choice_pick (lt_choice_t *choice, const lt_choice_request_t *request,
                 int64_t now_us)
 {
   int64_t best = -LT_EUNAVAILABLE;
+  bool full = false;
   double least = INFINITY;
   int64_t trial = pick_trial (choice, request, now_us);
   if (trial >= 0)
@@ -406,6 +420,11 @@
       const upstream_estimate_t *estimate = choice->by_index[i];
       if (!is_eligible (choice, request, i, now_us))
         continue;
+      if (is_full (choice, request->limits, estimate, now_us))
+        {
+          full = true;
+          continue;
+        }
       double loss = expected_loss (choice, estimate, request, now_us)
                     + choice->options.jitter * lt_rng_unit (choice->rng);
       if (loss >= least)
@@ -413,7 +432,7 @@
       least = loss;
       best = i;
     }
-  return best;
+  return best < 0 && full ? -LT_EFULL : best;
 }
 
 void
