Hosted fleet: requests wait in the VM when upstreams are full

The priorities of routes and workspaces had no effect: everything was sent and waited in the queues of upstreams.

The room controller asks lt/policy/room.h before the dispatcher sends an attempt, retries included. Levels are the different pairs of priorities of a service's workspaces and routes; with fewer than two the part is off.

--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -181,6 +181,7 @@
     struct lt_quarantine_controller *quarantine_controller;
     struct lt_source_controller *source_controller;
     struct lt_quota_controller *quota_controller;
+    struct lt_room_controller *room_controller;
   };
 
   /** Returns the monotonic time of the node's clock in microseconds.  */
--- a/packages/node/include/lt/node/settings.h
+++ b/packages/node/include/lt/node/settings.h
@@ -58,6 +58,7 @@
     int64_t leave_ms;           /**< Until a leaving upstream gets no new
                                      requests. */
     bool fail_closed;           /**< Refuse keys without the registry. */
+    int64_t priority_admission; /**< 1: admit requests by priority. */
     const struct lt_hosting *hosting; /**< The adapter; NULL: none. */
   } lt_settings_t;
 
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -28,6 +28,7 @@
 #include "mesh_controller.h"
 #include "node_counters.h"
 #include "readiness.h"
+#include "room_controller.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -200,6 +201,8 @@
   lt_controller_t *upstreams = lt_upstream_controller_create (node);
   lt_node_add_controller (node, upstreams);
   node->pools = lt_upstream_controller_pools (upstreams);
+  if (node->settings->priority_admission != 0)
+    lt_node_add_controller (node, lt_room_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
   lt_node_add_controller (node, lt_quota_controller_create (node));
   lt_node_add_controller (node, lt_source_controller_create (node));
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -8,6 +8,7 @@
 #include "dispatch.h"
 #include "lt/node/node.h"
 #include "lt/policy/retry.h"
+#include "lt/policy/room.h"
 #include "upstream_client.h"
 
 enum
@@ -52,13 +53,36 @@
   bool timed_out;       /* The last attempt timed out. */
   bool last_reset;      /* The last attempt's connection was reset. */
   bool refusal_pending; /* The retry timer only delays the refusal. */
+  /* Admission by priority; the room controller's.  */
+  bool waiting;
+  struct lt_dispatch *previous_waiting;
+  struct lt_dispatch *next_waiting;
+  lt_room_request_t room_request;
+  int64_t waiting_since_us;
+  lt_refusal_t room_refusal;
+  int64_t room_retry_after_ms; /* 0: it has not refused the request. */
   ev_timer retry_timer;
   ev_timer hedge_timer;
 };
 
+/** Returns the service that handles the request: the route's, or one drawn by
+    weight from its traffic splits.  */
+str_t lt_dispatch_choose_service (const lt_request_t *request);
+/** Switches DISPATCH to the pools' configuration.  Returns it, or NULL when
+    there is none.  */
+lt_snapshot_ref_t *lt_dispatch_use_pools_config (lt_dispatch_t *dispatch);
 /** Switches DISPATCH to the pools' configuration and picks an upstream that
-    was not tried yet.  Returns its index or -LT_EUNAVAILABLE.  */
-int64_t lt_dispatch_pick (lt_dispatch_t *dispatch);
+    was not tried yet, within LIMITS unless NULL.  Returns its index,
+    -LT_EUNAVAILABLE or -LT_EFULL.  */
+int64_t lt_dispatch_pick (lt_dispatch_t *dispatch,
+                          const lt_choice_limits_t *limits);
+/** Sends the request to another upstream within LIMITS.  Returns 0,
+    -LT_EUNAVAILABLE when none can take it, or -LT_EFULL.  */
+int lt_dispatch_try (lt_dispatch_t *dispatch,
+                     const lt_choice_limits_t *limits);
+/** Refuses a request for which no response is in use and no attempt is in
+    progress.  */
+void lt_dispatch_refuse (lt_dispatch_t *dispatch);
 /** Sets NOT_RUN and WRONG_RESPONSE of ATTEMPT from a response header.  */
 void lt_dispatch_check_response (attempt_t *attempt,
                                  const lt_header_list_t *headers);
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -1,5 +1,6 @@
 #include "dispatch_internal.h"
 #include "lt/base/error.h"
+#include "lt/base/rng.h"
 #include "pools.h"
 
 bool
@@ -8,17 +9,37 @@
   return dispatch->request->route->action == LT_ACTION_IDEMPOTENT;
 }
 
-/* Switches to the pools' snapshot, which may be newer than that of earlier
-   attempts; the service is then looked up by name.  */
-static void
-use_pools_config (lt_dispatch_t *dispatch, lt_snapshot_ref_t *config)
+str_t
+lt_dispatch_choose_service (const lt_request_t *request)
 {
-  if (dispatch->config == config)
-    return;
+  const lt_route_t *route = request->route;
+  const lt_service_t *services = request->snapshot->services;
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < route->split_count; i++)
+    sum += (uint64_t)route->splits[i].weight;
+  if (sum == 0)
+    return services[route->service].name;
+  uint64_t drawn = lt_rng_below (&request->node->rng, sum);
+  uint32_t part = 0;
+  for (; drawn >= (uint64_t)route->splits[part].weight; part++)
+    drawn -= (uint64_t)route->splits[part].weight;
+  return services[route->splits[part].service].name;
+}
+
+/* The pools' snapshot may be newer than that of earlier attempts; the service
+   is then looked up by name.  */
+lt_snapshot_ref_t *
+lt_dispatch_use_pools_config (lt_dispatch_t *dispatch)
+{
+  lt_pools_t *pools = dispatch->request->node->pools;
+  lt_snapshot_ref_t *config = pools->vtable->config (pools);
+  if (dispatch->config == config || config == NULL)
+    return config;
   lt_snapshot_ref_release (dispatch->config);
   dispatch->config = lt_snapshot_ref_acquire (config);
   dispatch->service
       = lt_snapshot_find_service (config->snapshot, dispatch->service_name);
+  return config;
 }
 
 /* Counts the attempts that were or may yet be sent: a connection that failed
@@ -50,16 +71,15 @@
 }
 
 int64_t
-lt_dispatch_pick (lt_dispatch_t *dispatch)
+lt_dispatch_pick (lt_dispatch_t *dispatch, const lt_choice_limits_t *limits)
 {
   lt_request_t *request = dispatch->request;
   lt_pools_t *pools = request->node->pools;
-  lt_snapshot_ref_t *config = pools->vtable->config (pools);
+  lt_snapshot_ref_t *config = lt_dispatch_use_pools_config (dispatch);
   uint32_t tried[ATTEMPTS_MAX];
   uint32_t count = 0;
   if (config == NULL || dispatch->attempt_count == ATTEMPTS_MAX)
     return -LT_EUNAVAILABLE;
-  use_pools_config (dispatch, config);
   if (dispatch->service == LT_NO_INDEX)
     return -LT_EUNAVAILABLE;
   for (uint32_t i = 0; i < dispatch->attempt_count; i++)
@@ -78,6 +98,7 @@
     .tried = tried,
     .tried_count = count,
     .repeatable = can_retry_next (dispatch),
+    .limits = limits,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
@@ -93,7 +114,7 @@
     .idempotent = lt_dispatch_is_idempotent (dispatch),
     .byte_sent = attempt->byte_sent && !attempt->not_run,
     .response_started = dispatch->winner != NULL,
-    .other_upstream = lt_dispatch_pick (dispatch) >= 0,
+    .other_upstream = lt_dispatch_pick (dispatch, NULL) >= 0,
     .attempts = (int)count_sent (dispatch),
     .attempts_max = dispatch->request->route->attempts_max,
     .deadline_us = dispatch->request->deadline_us,
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -5,11 +5,11 @@
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/base/hash.h"
-#include "lt/base/rng.h"
 #include "lt/node/claim_controller.h"
 #include "lt/node/quarantine_controller.h"
 #include "outgoing.h"
 #include "pools.h"
+#include "room_controller.h"
 #include "upstream_probe.h"
 
 enum
@@ -29,12 +29,12 @@
 }
 
 static bool
-has_open_attempt (const lt_dispatch_t *dispatch)
+is_in_progress (const lt_dispatch_t *dispatch)
 {
   for (uint32_t i = 0; i < dispatch->attempt_count; i++)
     if (dispatch->attempts[i].transfer != NULL)
       return true;
-  return false;
+  return dispatch->waiting;
 }
 
 static void
@@ -50,6 +50,9 @@
     dispatch->may_have_run--;
   request->byte_sent = dispatch->may_have_run > 0;
   pools->vtable->end (pools, attempt->config->snapshot, attempt->upstream);
+  if (request->node->room_controller != NULL)
+    lt_room_controller_attempt_ended (request->node->room_controller, attempt,
+                                      outcome, end_us - attempt->started_us);
   lt_dispatch_log_attempt (attempt, outcome);
   lt_observation_event_t event = {
     .upstream = attempt->upstream,
@@ -284,16 +287,17 @@
       = pools->vtable->wait_us == NULL || dispatch->service == LT_NO_INDEX
             ? 0
             : pools->vtable->wait_us (pools, dispatch->service, now_us);
+  if (dispatch->room_retry_after_ms > 0)
+    return refuse_after (request, dispatch->room_refusal,
+                         dispatch->room_retry_after_ms);
   if (wait_us == 0)
     return refuse (request, LT_REFUSE_NO_UPSTREAM);
   return refuse_after (request, LT_REFUSE_NO_UPSTREAM,
                        wait_us / LT_US_PER_MS + 1);
 }
 
-/* Refuses a request for which no response is in use and no attempt is in
-   progress.  */
-static void
-refuse_after_attempts (lt_dispatch_t *dispatch)
+void
+lt_dispatch_refuse (lt_dispatch_t *dispatch)
 {
   lt_request_t *request = dispatch->request;
   if (dispatch->timed_out
@@ -337,9 +341,9 @@
       lt_request_refuse (request, LT_REFUSE_QUARANTINED);
       return;
     }
-  if (retries && (start_attempt (dispatch) || has_open_attempt (dispatch)))
+  if (retries && (start_attempt (dispatch) || is_in_progress (dispatch)))
     return;
-  refuse_after_attempts (dispatch);
+  lt_dispatch_refuse (dispatch);
 }
 
 static void
@@ -352,7 +356,7 @@
       || dispatch->attempts[0].transfer == NULL)
     return;
   if (lt_dispatch_decide_hedge (dispatch).retry)
-    start_attempt (dispatch);
+    lt_dispatch_try (dispatch, NULL);
 }
 
 /* Discards a damaged response of which the caller has received nothing, so
@@ -408,13 +412,13 @@
                                        : delay_us);
       return;
     }
-  if (has_open_attempt (dispatch) || ev_is_active (&dispatch->retry_timer))
+  if (is_in_progress (dispatch) || ev_is_active (&dispatch->retry_timer))
     return;
   dispatch->refusal_pending = true;
   if (delay_us > 0)
     start_retry_timer (dispatch, delay_us);
   else
-    refuse_after_attempts (dispatch);
+    lt_dispatch_refuse (dispatch);
 }
 
 static const lt_transfer_vtable_t transfer_vtable = { .on_header = on_header,
@@ -464,20 +468,18 @@
             STR_ARG (snapshot->upstreams[attempt->upstream].name));
 }
 
-/* Sends the request to another upstream.  Returns false when none can take
-   it.  */
-static bool
-start_attempt (lt_dispatch_t *dispatch)
+int
+lt_dispatch_try (lt_dispatch_t *dispatch, const lt_choice_limits_t *limits)
 {
   lt_pools_t *pools = dispatch_pools (dispatch);
   int64_t now_us = lt_node_now_us (dispatch->request->node);
   if (dispatch->request->caller_disconnected
       || lt_node_may_cut (dispatch->request->node,
                           dispatch->request->deadline_us))
-    return false;
-  int64_t picked = lt_dispatch_pick (dispatch);
+    return -LT_EUNAVAILABLE;
+  int64_t picked = lt_dispatch_pick (dispatch, limits);
   if (picked < 0)
-    return false;
+    return (int)picked;
   attempt_t *attempt = &dispatch->attempts[dispatch->attempt_count];
   *attempt = (attempt_t){ .dispatch = dispatch,
                           .config = dispatch->config,
@@ -485,31 +487,22 @@
                           .started_us = now_us };
   attempt->transfer = send_attempt (dispatch, attempt);
   if (attempt->transfer == NULL)
-    return false;
+    return -LT_EUNAVAILABLE;
   lt_snapshot_ref_acquire (attempt->config);
   dispatch->attempt_count++;
   record_attempt (dispatch->request, attempt);
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
-  return true;
+  return 0;
 }
 
-/* Returns the service that handles the request: the route's, or one drawn by
-   weight from its traffic splits.  */
-static str_t
-choose_service (const lt_request_t *request)
+/* Sends the request to another upstream, or lets it wait for one.  Returns
+   false when it neither was sent nor waits.  */
+static bool
+start_attempt (lt_dispatch_t *dispatch)
 {
-  const lt_route_t *route = request->route;
-  const lt_service_t *services = request->snapshot->services;
-  uint64_t sum = 0;
-  for (uint32_t i = 0; i < route->split_count; i++)
-    sum += (uint64_t)route->splits[i].weight;
-  if (sum == 0)
-    return services[route->service].name;
-  uint64_t drawn = lt_rng_below (&request->node->rng, sum);
-  uint32_t part = 0;
-  for (; drawn >= (uint64_t)route->splits[part].weight; part++)
-    drawn -= (uint64_t)route->splits[part].weight;
-  return services[route->splits[part].service].name;
+  lt_room_controller_t *room = dispatch->request->node->room_controller;
+  return room != NULL ? lt_room_controller_start (room, dispatch)
+                      : lt_dispatch_try (dispatch, NULL) == 0;
 }
 
 static void
@@ -518,7 +511,7 @@
   const lt_request_t *request = dispatch->request;
   const lt_snapshot_t *snapshot = request->snapshot;
   lt_node_t *node = request->node;
-  dispatch->service_name = choose_service (request);
+  dispatch->service_name = lt_dispatch_choose_service (request);
   dispatch->service_hash = lt_hash64 (dispatch->service_name);
   if (request->workspace != LT_NO_INDEX)
     dispatch->workspace_hash
@@ -576,6 +569,8 @@
     return;
   ev_timer_stop (request->node->loop, &dispatch->retry_timer);
   ev_timer_stop (request->node->loop, &dispatch->hedge_timer);
+  if (request->node->room_controller != NULL)
+    lt_room_controller_leave (request->node->room_controller, dispatch);
   cancel_others (dispatch, NULL);
   request->dispatch = NULL;
   lt_snapshot_ref_release (dispatch->config);
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -14,6 +14,9 @@
 
   typedef struct lt_pools lt_pools_t;
 
+  struct lt_choice_limits;
+  struct lt_choice_load;
+
   /** Criteria for picking an upstream.  */
   typedef struct lt_pick
   {
@@ -23,6 +26,7 @@
     bool repeatable;          /**< A failure would be retried elsewhere. */
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
+    const struct lt_choice_limits *limits; /**< NULL: none. */
   } lt_pick_t;
 
   typedef struct lt_pools_vtable
@@ -30,7 +34,8 @@
     /** Returns the snapshot that upstream indexes refer to, or NULL before
         the first.  The pools own the reference.  */
     lt_snapshot_ref_t *(*config) (lt_pools_t *pools);
-    /** Returns the index of an upstream, or -LT_EUNAVAILABLE.  */
+    /** Returns the index of an upstream, -LT_EUNAVAILABLE, or -LT_EFULL when
+        all are full by the pick's limits.  */
     int64_t (*pick) (lt_pools_t *pools, const lt_pick_t *pick, int64_t now_us);
     /** Returns the connect timeout of UPSTREAM in milliseconds; 0: the
         default.  May be NULL.  */
@@ -39,6 +44,10 @@
         upstreams take requests at a rate, takes another one; 0: rates are not
         the reason.  May be NULL.  */
     int64_t (*wait_us) (lt_pools_t *pools, uint32_t service, int64_t now_us);
+    /** Writes the load of SERVICE to LOADS, which has an element for each
+        lt_distance_t.  May be NULL.  */
+    void (*load) (lt_pools_t *pools, uint32_t service, int64_t now_us,
+                  struct lt_choice_load *loads);
     /** Called when a request for SERVICE of SNAPSHOT was refused before any
         attempt.  May be NULL.  */
     void (*on_refused) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
--- a/packages/node/src/settings.c
+++ b/packages/node/src/settings.c
@@ -101,6 +101,8 @@
     "Hosted: time in which new work for a leaving upstream ends" },
   { "revoke-ms", SETTING_NUMBER, OFFSET (revoke_ms), 0, DRAIN_GRACE_MAX_MS,
     "MS", "Hosted: time in which a withdrawn key is dead" },
+  { "priority-admission", SETTING_NUMBER, OFFSET (priority_admission), 0, 1,
+    "0|1", "Hosted: 1 admits requests by priority when upstreams are full" },
   { "seed", SETTING_NUMBER, OFFSET (seed), 0, INT64_MAX, "N",
     "Seed of the random numbers; 0: from the system" },
   { "peer-secret", SETTING_SECRET, OFFSET (peer_secret), 0, 0, NULL,
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -9,10 +9,11 @@
 #include "lt/base/hash.h"
 #include "lt/base/log.h"
 #include "lt/node/node.h"
-#include "lt/policy/choice.h"
+#include "lt/policy/choice_load.h"
 #include "lt/wire/frame.h"
 #include "lt/wire/message.h"
 #include "pools.h"
+#include "room_controller.h"
 #include "upstream_places.h"
 
 enum
@@ -46,7 +47,8 @@
   lt_pools_t pools;
   lt_choice_t *choice;
   lt_snapshot_ref_t *config;
-  pending_update_t *updates; /* Indexed by upstream of CONFIG. */
+  lt_choice_upstream_t *upstreams; /* Indexed by upstream of CONFIG. */
+  pending_update_t *updates;       /* Indexed by upstream of CONFIG. */
   ev_timer flush;
   lt_counter_t *sent;
   lt_counter_t *received;
@@ -95,7 +97,8 @@
   lt_choice_request_t request = { .service = pick->service,
                                   .tried = pick->tried,
                                   .tried_count = pick->tried_count,
-                                  .repeatable = pick->repeatable };
+                                  .repeatable = pick->repeatable,
+                                  .limits = pick->limits };
   return lt_choice_pick (controller_of_pools (pools)->choice, &request,
                          now_us);
 }
@@ -120,6 +123,19 @@
   return lt_choice_next_us (choice, service, now_us) - now_us;
 }
 
+static void
+pools_load (lt_pools_t *pools, uint32_t service, int64_t now_us,
+            lt_choice_load_t *loads)
+{
+  lt_upstream_controller_t *c = controller_of_pools (pools);
+  const lt_service_t *s = &c->config->snapshot->services[service];
+  for (int i = 0; i < LT_DISTANCES; i++)
+    loads[i] = (lt_choice_load_t){ 0 };
+  for (uint32_t i = 0; i < s->upstream_count; i++)
+    lt_choice_load_add (loads, c->choice, &c->upstreams[s->first_upstream + i],
+                        now_us);
+}
+
 static int64_t
 pools_connect_ms (lt_pools_t *pools, uint32_t upstream)
 {
@@ -175,6 +191,7 @@
                                                 .pick = pools_pick,
                                                 .on_refused = pools_refuse,
                                                 .wait_us = pools_wait_us,
+                                                .load = pools_load,
                                                 .connect_ms = pools_connect_ms,
                                                 .begin = pools_begin,
                                                 .end = pools_end };
@@ -384,6 +401,9 @@
                const lt_wire_upstream_updates_t *updates, int64_t now_us)
 {
   uint64_t peer = lt_hash64 (message->sender);
+  if (c->base.node->room_controller != NULL)
+    lt_room_controller_hear (c->base.node->room_controller, message->sender,
+                             now_us);
   for (uint32_t i = 0; i < updates->count; i++)
     {
       const lt_wire_upstream_update_t *item = &updates->items[i];
@@ -440,7 +460,8 @@
   lt_choice_configure (c->choice, upstreams, count, now_us);
   if (c->limited_count > 0)
     lt_upstream_places_update (c->places, c->choice);
-  free (upstreams);
+  free (c->upstreams);
+  c->upstreams = upstreams;
   free (c->updates);
   c->updates = lt_alloc ((count + 1) * sizeof (*c->updates));
 }
@@ -502,6 +523,7 @@
   lt_snapshot_ref_release (c->config);
   lt_choice_destroy (c->choice);
   lt_upstream_places_destroy (c->places);
+  free (c->upstreams);
   free (c->updates);
   free (c);
 }
--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -80,6 +80,12 @@
   return service;
 }
 
+static uint32_t
+clamp_level (const lt_room_service_t *service, uint32_t level)
+{
+  return level < service->levels ? level : service->levels - 1;
+}
+
 void
 lt_room_set_levels (lt_room_t *room, uint64_t key, uint32_t levels)
 {
@@ -92,6 +98,14 @@
       HASH_ADD (hh, room->services, key, sizeof (key), service);
     }
   service->levels = levels < LT_ROOM_LEVELS_MAX ? levels : LT_ROOM_LEVELS_MAX;
+  if (service->levels == 0)
+    service->levels = 1;
+  for (uint32_t i = 0; i < room->queue.count; i++)
+    {
+      lt_room_request_t *request = &room->queue.entries[i].request;
+      if (request->service == key)
+        request->level = clamp_level (service, request->level);
+    }
 }
 
 bool
@@ -101,12 +115,6 @@
   return service != NULL && service->levels > 1;
 }
 
-static uint32_t
-clamp_level (const lt_room_service_t *service, uint32_t level)
-{
-  return level < service->levels ? level : service->levels - 1;
-}
-
 static double
 service_time_us (const lt_room_t *room, uint64_t route)
 {
