Choice: rejections are a state of an upstream, shared between VMs

A rejection counted for 0.3 s; then the upstream looked empty and was preferred, although it rejected half of what arrived for seconds.

With admission by priority on, the expected loss has the decayed share of rejected attempts (lt/policy/rejection.h, 3 s) in place of the fixed loss. VMs of a failure domain report rejections in upstream_updates, as a trailing array that is there only if an item has any. With load reports 0.1 s old, all VMs chose the same emptiest upstreams, so the jitter is 0.06 when the part is on.

--- a/packages/node/src/room_controller.c
+++ b/packages/node/src/room_controller.c
@@ -209,9 +209,8 @@
   service_t *service = find_service (c, dispatch->room_request.service);
   dispatch->waiting = false;
   service->waiting--;
-  /* NOLINTNEXTLINE(clang-analyzer-core.NullDereference): DISPATCH is listed.
-   */
-  DL_DELETE2 (c->waiting, dispatch, previous_waiting, next_waiting);
+  DL_DELETE2 (c->waiting, dispatch, previous_waiting, /* NOLINT */
+              next_waiting);
   lt_room_cancel (c->room, dispatch->room_request.id);
   update_gauges (c);
 }
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -30,6 +30,15 @@
 #define UPDATE_DELAY_S 0.1
 /* From this probability on, an upstream counts as gray in logs and gauges.  */
 #define GRAY_THRESHOLD 0.5
+/* Expected loss of an upstream that rejects everything: a rejected request is
+   usually retried, but retries are bounded.  At a share of one half it equals
+   three waiting requests at an upstream with 4 slots.  */
+#define REJECTION_LOSS 0.6
+/* Near full load the VMs of a failure domain all see the same few upstreams
+   with free slots, 0.1 s late.  This jitter spreads them: with 0.01 some
+   upstreams' queues overflowed while others were idle.  It stays below the
+   loss of another failure domain.  */
+#define SPREAD_JITTER 0.06
 /* Interval at which the gauges and the places in the fleet are updated.  */
 #define GAUGE_INTERVAL_US LT_US_PER_S
 
@@ -37,6 +46,7 @@
 {
   uint32_t successes;
   uint32_t failures;
+  uint32_t rejections;      /* Counted only with admission by priority. */
   int64_t rate_milli_per_s; /* Named in the last response. */
   bool changed;
 } pending_update_t;
@@ -240,6 +250,7 @@
         .in_flight = view.own_in_flight > 0 ? (uint32_t)view.own_in_flight : 0,
         .successes = pending->successes,
         .failures = pending->failures,
+        .rejections = pending->rejections,
         .rate_milli_per_s = pending->rate_milli_per_s,
       };
       *pending = (pending_update_t){ 0 };
@@ -385,6 +396,8 @@
     return;
   if (evidence == LT_CHOICE_SUCCESS)
     pending->successes++;
+  if (evidence == LT_CHOICE_SHED && base->node->room_controller != NULL)
+    pending->rejections++;
   if (evidence != LT_CHOICE_FAILURE)
     return;
   /* A failure is sent at once, and to the whole region.  */
@@ -409,6 +422,9 @@
       const lt_wire_upstream_update_t *item = &updates->items[i];
       lt_choice_observe_peer (c->choice, item->upstream, item->successes,
                               item->failures, now_us);
+      if (item->rejections > 0)
+        lt_choice_observe_peer_rejections (c->choice, item->upstream,
+                                           item->rejections, now_us);
       lt_choice_set_peer_load (c->choice, item->upstream, peer,
                                (int32_t)item->in_flight, now_us);
       if (item->rate_milli_per_s > 0 || item->successes > 0)
@@ -505,12 +521,13 @@
       lt_choice_look_up (c->choice, upstream_id (u), now_us, &view);
       json_array_append_new (
           list,
-          json_pack (
-              "{s:s%, s:f, s:f, s:i, s:i, s:I, s:b}", "upstream", u->name.data,
-              u->name.len, "gray", view.gray_probability, "no_path",
-              view.unreachable_probability, "in_flight", view.own_in_flight,
-              "peers_in_flight", view.peers_in_flight, "rate_milli_per_s",
-              (json_int_t)view.rate_milli_per_s, "leaving", (int)u->drained));
+          json_pack ("{s:s%, s:f, s:f, s:f, s:i, s:i, s:I, s:b}", "upstream",
+                     u->name.data, u->name.len, "gray", view.gray_probability,
+                     "no_path", view.unreachable_probability, "rejected",
+                     view.rejected_share, "in_flight", view.own_in_flight,
+                     "peers_in_flight", view.peers_in_flight,
+                     "rate_milli_per_s", (json_int_t)view.rate_milli_per_s,
+                     "leaving", (int)u->drained));
     }
   return list;
 }
@@ -543,6 +560,11 @@
 {
   lt_upstream_controller_t *c = lt_alloc (sizeof (*c));
   lt_choice_options_t options = LT_CHOICE_OPTIONS_DEFAULT;
+  if (node->settings->priority_admission != 0)
+    {
+      options.rejection_loss = REJECTION_LOSS;
+      options.jitter = SPREAD_JITTER;
+    }
   const char *name = "lavendertrack_news_total";
   const char *help = "News about upstreams between VMs.";
   c->base.vtable = &vtable;
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -66,6 +66,10 @@
     /** Of an upstream that shed a request less than shed_us ago.  */
     double shed_loss;
     int64_t shed_us;
+    /** Of an upstream that rejects all attempts; proportionally less for one
+        that rejects a share.  Takes the place of shed_loss unless 0.  */
+    double rejection_loss;
+    int64_t rejection_decay_us; /**< Time constant of that share. */
     /** Age from which the load that another VM reported is ignored.  */
     int64_t peer_load_max_age_us;
     /** Bound of a random loss that spreads requests over upstreams with nearly
@@ -111,6 +115,8 @@
                           .warm_up_loss = 0.1,                                \
                           .shed_loss = 0.15,                                  \
                           .shed_us = 300 * 1000,                              \
+                          .rejection_loss = 0,                                \
+                          .rejection_decay_us = 3 * 1000 * 1000,              \
                           .peer_load_max_age_us = 3 * 1000 * 1000,            \
                           .jitter = 0.01,                                     \
                           .trial_idle_us = 1200 * 1000,                       \
@@ -164,6 +170,7 @@
     double gray_probability;        /**< Probability that it is gray. */
     double unreachable_probability; /**< Probability that this VM cannot
                                        connect to it. */
+    double rejected_share;          /**< Share of attempts that it rejects. */
     int32_t own_in_flight;          /**< Requests in flight from this VM. */
     int32_t peers_in_flight;        /**< Requests in flight from other VMs, as
                                        reported. */
@@ -213,6 +220,9 @@
   /** Records GOOD successes and BAD failures that another VM reported.  */
   void lt_choice_observe_peer (lt_choice_t *choice, uint64_t id, uint32_t good,
                                uint32_t bad, int64_t now_us);
+  /** Records REJECTED rejections that another VM reported.  */
+  void lt_choice_observe_peer_rejections (lt_choice_t *choice, uint64_t id,
+                                          uint32_t rejected, int64_t now_us);
   /** Records that the VM with id PEER has IN_FLIGHT requests in flight to the
       upstream.  */
   void lt_choice_set_peer_load (lt_choice_t *choice, uint64_t id,
--- a/packages/policy/include/lt/policy/room.h
+++ b/packages/policy/include/lt/policy/room.h
@@ -92,7 +92,7 @@
                         .report_delay_us = 100 * 1000,                        \
                         .least_share = 0.05,                                  \
                         .blind_share = 0.5,                                   \
-                        .alone_share = 1.5,                                   \
+                        .alone_share = 1,                                     \
                         .distance_load = 0.05,                                \
                         .rejected_share = 0.2,                                \
                         .far_wait_share = 0.3,                                \
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/base/rng.h"
 #include "lt/base/str.h"
+#include "lt/policy/rejection.h"
 
 enum
 {
@@ -41,6 +42,7 @@
   double unreachable;
   int64_t unreachable_us;
   int64_t shed_until_us;
+  lt_rejection_t rejection;
   int64_t evidence_us;
   int64_t used_us;       /* Last use by this VM or one that reports. */
   bool address_moved;    /* Another upstream answers at its address. */
@@ -242,20 +244,30 @@
   return sum;
 }
 
+static int32_t
+load_now (const lt_choice_t *choice, const upstream_estimate_t *estimate,
+          int64_t now_us)
+{
+  return estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
+}
+
 static double
 waiting_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
               int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
   int32_t slots = estimate->upstream.slots > 0 ? estimate->upstream.slots : 1;
-  int32_t load
-      = estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
+  int32_t load = load_now (choice, estimate, now_us);
   double loss = 0;
   if (load < slots)
     loss = o->busy_loss * load / slots;
   else
     loss = o->busy_loss + o->queue_loss * (load - slots + 1) / slots;
-  if (now_us < estimate->shed_until_us)
+  if (o->rejection_loss > 0)
+    loss += o->rejection_loss
+            * lt_rejection_share (&estimate->rejection, o->rejection_decay_us,
+                                  now_us);
+  else if (now_us < estimate->shed_until_us)
     loss += o->shed_loss;
   if (now_us < estimate->upstream.warm_until_us)
     loss += o->warm_up_loss;
@@ -400,8 +412,7 @@
     return false;
   int32_t above = limits->above_slots[estimate->upstream.distance];
   return above == LT_CHOICE_CLOSED
-         || estimate->own_in_flight
-                    + peers_in_flight (choice, estimate, now_us)
+         || load_now (choice, estimate, now_us)
                 >= estimate->upstream.slots + above;
 }
 
@@ -523,6 +534,9 @@
   upstream_estimate_t *estimate = find (choice, id);
   if (estimate == NULL)
     return;
+  if (evidence <= LT_CHOICE_SHED)
+    lt_rejection_add (&estimate->rejection, 1, evidence == LT_CHOICE_SHED,
+                      choice->options.rejection_decay_us, now_us);
   switch (evidence)
     {
     case LT_CHOICE_SUCCESS:
@@ -555,6 +569,8 @@
   if (estimate == NULL)
     return;
   count_outcomes (choice, estimate, good, bad, now_us);
+  lt_rejection_add (&estimate->rejection, good + bad, 0,
+                    choice->options.rejection_decay_us, now_us);
   estimate->used_us = now_us;
   for (uint32_t i = 0; i < good; i++)
     update_gray (choice, estimate, true, now_us);
@@ -562,6 +578,16 @@
     update_gray (choice, estimate, false, now_us);
 }
 
+void
+lt_choice_observe_peer_rejections (lt_choice_t *choice, uint64_t id,
+                                   uint32_t rejected, int64_t now_us)
+{
+  upstream_estimate_t *estimate = find (choice, id);
+  if (estimate != NULL)
+    lt_rejection_add (&estimate->rejection, rejected, rejected,
+                      choice->options.rejection_decay_us, now_us);
+}
+
 void
 lt_choice_set_peer_load (lt_choice_t *choice, uint64_t id, uint64_t peer,
                          int32_t in_flight, int64_t now_us)
@@ -589,6 +615,8 @@
   *view = (lt_choice_estimate_t){
     .gray_probability = gray_now (choice, estimate, now_us),
     .unreachable_probability = unreachable_now (choice, estimate, now_us),
+    .rejected_share = lt_rejection_share (
+        &estimate->rejection, choice->options.rejection_decay_us, now_us),
     .own_in_flight = estimate->own_in_flight,
     .peers_in_flight = peers_in_flight (choice, estimate, now_us),
     .evidence_us = estimate->evidence_us,
--- a/packages/policy/test/test_choice.cc
+++ b/packages/policy/test/test_choice.cc
@@ -102,6 +102,54 @@
   EXPECT_EQ (0u, picks (50).count (2));
 }
 
+// An upstream that rejects half of its requests looked sound, and as it then
+// was empty the best, 0.3 s after each rejection.
+TEST_F (Choice, AvoidsAnUpstreamThatRejectsAShareForSeconds)
+{
+  options.rejection_loss = 0.6;
+  lt_choice_destroy (choice);
+  choice = lt_choice_create (&options, &rng);
+  configure ();
+  for (int i = 0; i < 4; i++)
+    lt_choice_observe (choice, 2,
+                       i % 2 == 0 ? LT_CHOICE_SHED : LT_CHOICE_SUCCESS, now);
+  now += 2 * S;
+  EXPECT_EQ (0u, picks (50).count (2));
+  now += 30 * S;
+  EXPECT_EQ (1u, picks (50).count (2));
+}
+
+TEST_F (Choice, AvoidsAnUpstreamWhoseRejectionsAPeerReported)
+{
+  options.rejection_loss = 0.6;
+  lt_choice_destroy (choice);
+  choice = lt_choice_create (&options, &rng);
+  configure ();
+  lt_choice_observe_peer_rejections (choice, 2, 3, now);
+  now += 1 * S;
+  EXPECT_EQ (0u, picks (50).count (2));
+}
+
+// Capacity floor: a rejection rate that all share excludes none of them.
+TEST_F (Choice, SpreadsOverAllUpstreamsWhenAllReject)
+{
+  options.rejection_loss = 0.6;
+  lt_choice_destroy (choice);
+  choice = lt_choice_create (&options, &rng);
+  configure ();
+  for (int round = 0; round < 20; round++)
+    {
+      for (uint64_t id = 1; id <= 6; id++)
+        lt_choice_observe (choice, id,
+                           round % 2 == 0 ? LT_CHOICE_SHED : LT_CHOICE_SUCCESS,
+                           now);
+      now += 50000;
+    }
+  std::set<int64_t> used = picks (200);
+  for (int64_t id : { 1, 2, 3 })
+    EXPECT_EQ (1u, used.count (id)) << id;
+}
+
 TEST_F (Choice, GrayProbabilityDecaysToItsStationaryValue)
 {
   lt_choice_observe (choice, 2, LT_CHOICE_FAILURE, now);
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -185,6 +185,7 @@
     uint32_t successes;       /**< Successes. */
     uint32_t failures;        /**< Failures. */
     int64_t rate_milli_per_s; /**< Named in the last response; 0: none. */
+    uint32_t rejections;      /**< Attempts that it rejected as not run. */
   } lt_wire_upstream_update_t;
 
   typedef struct lt_wire_upstream_updates
@@ -193,8 +194,8 @@
     uint32_t count;
   } lt_wire_upstream_updates_t;
 
-  /** Rates are encoded only if there is one, as VMs of earlier versions reject
-      messages with rates.  */
+  /** Rates and rejections are encoded only if there is one, as VMs of earlier
+      versions reject messages with them.  */
   void
   lt_wire_upstream_updates_encode (const lt_wire_upstream_updates_t *message,
                                    lt_buf_t *out);
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -307,14 +307,39 @@
   return count;
 }
 
+static uint32_t
+count_rejecting (const lt_wire_upstream_updates_t *message)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < message->count; i++)
+    count += message->items[i].rejections > 0;
+  return count;
+}
+
+static void
+pack_rejections (const lt_wire_upstream_updates_t *message, uint32_t count,
+                 lt_buf_t *out)
+{
+  lt_pack_array (out, count * 2);
+  for (uint32_t i = 0; i < message->count; i++)
+    if (message->items[i].rejections > 0)
+      {
+        lt_pack_u64 (out, i);
+        lt_pack_u64 (out, message->items[i].rejections);
+      }
+}
+
 /* The fields of all items, then an array of the index and rate of each item
-   that has a rate, unless none has.  */
+   that has a rate, unless none has a rate or rejections, then the same for
+   rejections, unless none has any.  */
 void
 lt_wire_upstream_updates_encode (const lt_wire_upstream_updates_t *message,
                                  lt_buf_t *out)
 {
   uint32_t rates = count_rates (message);
-  lt_pack_array (out, message->count * UPDATE_FIELDS + (rates > 0));
+  uint32_t rejecting = count_rejecting (message);
+  uint32_t arrays = rejecting > 0 ? 2 : rates > 0;
+  lt_pack_array (out, message->count * UPDATE_FIELDS + arrays);
   for (uint32_t i = 0; i < message->count; i++)
     {
       const lt_wire_upstream_update_t *item = &message->items[i];
@@ -323,7 +348,7 @@
       lt_pack_u64 (out, item->successes);
       lt_pack_u64 (out, item->failures);
     }
-  if (rates == 0)
+  if (arrays == 0)
     return;
   lt_pack_array (out, rates * 2);
   for (uint32_t i = 0; i < message->count; i++)
@@ -332,12 +357,15 @@
         lt_pack_u64 (out, i);
         lt_pack_i64 (out, message->items[i].rate_milli_per_s);
       }
+  if (rejecting > 0)
+    pack_rejections (message, rejecting, out);
 }
 
 static void
-unpack_rates (lt_unpack_t *in, lt_wire_upstream_updates_t *message)
+unpack_rates (lt_unpack_t *in, bool required,
+              lt_wire_upstream_updates_t *message)
 {
-  uint32_t fields = lt_unpack_array (in, 2, message->count * 2);
+  uint32_t fields = lt_unpack_array (in, required ? 2 : 0, message->count * 2);
   for (uint32_t i = 0; i < fields / 2; i++)
     {
       uint64_t index = lt_unpack_u64 (in, message->count - 1);
@@ -346,6 +374,18 @@
     }
 }
 
+static void
+unpack_rejections (lt_unpack_t *in, lt_wire_upstream_updates_t *message)
+{
+  uint32_t fields = lt_unpack_array (in, 2, message->count * 2);
+  for (uint32_t i = 0; i < fields / 2; i++)
+    {
+      uint64_t index = lt_unpack_u64 (in, message->count - 1);
+      message->items[index].rejections
+          = (uint32_t)lt_unpack_u64 (in, REQUEST_COUNT_MAX);
+    }
+}
+
 int
 lt_wire_upstream_updates_decode (str_t payload,
                                  lt_wire_upstream_updates_t *message)
@@ -353,7 +393,7 @@
   lt_unpack_t in;
   lt_unpack_init (&in, payload);
   uint32_t fields = lt_unpack_array (
-      &in, 0, LT_WIRE_UPSTREAM_UPDATES_MAX * UPDATE_FIELDS + 1);
+      &in, 0, LT_WIRE_UPSTREAM_UPDATES_MAX * UPDATE_FIELDS + 2);
   message->count = fields / UPDATE_FIELDS;
   for (uint32_t i = 0; i < message->count; i++)
     {
@@ -363,9 +403,13 @@
       item->successes = (uint32_t)lt_unpack_u64 (&in, REQUEST_COUNT_MAX);
       item->failures = (uint32_t)lt_unpack_u64 (&in, REQUEST_COUNT_MAX);
       item->rate_milli_per_s = 0;
+      item->rejections = 0;
     }
-  if (message->count > 0 && fields % UPDATE_FIELDS == 1)
-    unpack_rates (&in, message);
+  uint32_t arrays = message->count > 0 ? fields % UPDATE_FIELDS : 0;
+  if (arrays > 0)
+    unpack_rates (&in, arrays == 1, message);
+  if (arrays > 1)
+    unpack_rejections (&in, message);
   return lt_unpack_end (&in);
 }
 
--- a/packages/wire/test/test_wire.cc
+++ b/packages/wire/test/test_wire.cc
@@ -462,6 +462,26 @@
   lt_buf_destroy (&out);
 }
 
+// Guards against rejections that get lost, with and without rates.
+TEST (Message, UpdatesCarryRejections)
+{
+  for (int64_t rate : { 0, 1500 })
+    {
+      lt_wire_upstream_updates_t updates
+          = { { { 7, 3, 1, 2, rate, 0 }, { 5, 0, 0, 1, 0, 4 } }, 2 };
+      lt_buf_t out = {};
+      lt_wire_upstream_updates_encode (&updates, &out);
+      lt_wire_upstream_updates_t decoded = {};
+      ASSERT_EQ (
+          0, lt_wire_upstream_updates_decode (lt_buf_str (&out), &decoded));
+      EXPECT_EQ (rate, decoded.items[0].rate_milli_per_s);
+      EXPECT_EQ (0u, decoded.items[0].rejections);
+      EXPECT_EQ (4u, decoded.items[1].rejections);
+      EXPECT_EQ (0, decoded.items[1].rate_milli_per_s);
+      lt_buf_destroy (&out);
+    }
+}
+
 // Guards the reader against arrays longer than the input, values out of range,
 // and containers in place of scalars.
 TEST (Unpack, RefusesOutOfBounds)
