--- a/packages/policy/include/lt/policy/room.h
+++ b/packages/policy/include/lt/policy/room.h
@@ -80,8 +80,9 @@
   } lt_room_options_t;
 
 /* A load of 1 would keep all slots busy if every request found a free slot.
-   With loads known 0.1 s late, a threshold of 1.05 uses 0.89 of the slots, 1.4
-   uses 0.96 and 1.5 uses 0.98 (RoomFleet.BurstOfTheLeastUrgentKind).  */
+   With loads known 0.1 s late, the least urgent kind of
+   RoomFleet.BurstOfTheLeastUrgentKind is served 0.62 at a threshold of 1.1,
+   0.66 at 1.25 and 0.71 at 1.5; urgent kinds are served alike.  */
 #define LT_ROOM_OPTIONS_DEFAULT                                               \
   ((lt_room_options_t){ .last_load = 1.5,                                     \
                         .level_step = 0.15,                                   \
--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -10,7 +10,7 @@
 
 enum
 {
-  PEERS_MAX = 64,
+  PEERS_MAX = 256,
   ROUTES = 256, /* A power of two. */
   /* Requests that a level may be owed, at most.  */
   OWED_MAX = 2,
