--- a/packages/node/src/room_controller.c
+++ b/packages/node/src/room_controller.c
@@ -531,11 +531,14 @@
                              "sent_per_s", state.sent_per_s[i]));
     str_t name = lt_buf_str (&service->name);
     json_array_append_new (
-        list, json_pack ("{s:s%, s:i, s:i, s:i, s:f, s:f, s:o}", "service",
-                         name.data, name.len, "load", (int)near->in_flight,
-                         "slots", (int)near->slots, "vms", (int)view.vms,
-                         "credit", state.credit, "rejected_share",
-                         state.rejected_share, "levels", levels));
+        list,
+        json_pack ("{s:s%, s:i, s:i, s:i, s:f, s:f, s:f, s:f, s:o}", "service",
+                   name.data, name.len, "load", (int)near->in_flight, "slots",
+                   (int)near->slots, "vms", (int)view.vms, "region_load",
+                   state.loads[LT_DISTANCE_SAME_REGION], "other_load",
+                   state.loads[LT_DISTANCE_OTHER_REGION], "credit",
+                   state.credit, "rejected_share", state.rejected_share,
+                   "levels", levels));
   }
   return list;
 }
--- a/packages/policy/include/lt/policy/room.h
+++ b/packages/policy/include/lt/policy/room.h
@@ -159,6 +159,9 @@
     double sent_per_s[LT_ROOM_LEVELS_MAX];
     double credit;         /**< Requests that this VM may send now. */
     double rejected_share; /**< Of its requests in the failure domain. */
+    /** Load of other failure domains in requests per slot, as they report it;
+        -1: not known.  */
+    double loads[LT_DISTANCES];
   } lt_room_status_t;
 
   typedef struct lt_room lt_room_t;
--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -572,6 +572,9 @@
                                 .credit = service->credit };
   status->rejected_share = lt_room_service_rejected (
       service, LT_DISTANCE_SAME_DOMAIN, o->rate_decay_us, now_us);
+  for (int i = 0; i < LT_DISTANCES; i++)
+    status->loads[i] = lt_room_service_load (service, (lt_distance_t)i,
+                                             o->load_max_age_us, now_us);
   for (uint32_t i = 0; i < service->levels; i++)
     {
       status->waiting[i] = lt_room_queue_of_level (&room->queue, key, i);
