--- a/packages/node/src/room_controller.c
+++ b/packages/node/src/room_controller.c
@@ -172,6 +172,9 @@
     .target_us = target_us == 0 ? 0 : request->started_us + target_us,
     .deadline_us = request->deadline_us,
     .bytes = request->body.len + HEADER_BYTES,
+    .other_regions_only
+    = lt_room_excludes_region (request->snapshot, route, request->workspace,
+                               request->node->settings->region),
   };
 }
 
--- a/packages/node/src/room_levels.c
+++ b/packages/node/src/room_levels.c
@@ -21,6 +21,23 @@
   return make_key (first, route->priority);
 }
 
+bool
+lt_room_excludes_region (const lt_snapshot_t *snapshot,
+                         const lt_route_t *route, uint32_t workspace,
+                         str_t region)
+{
+  uint64_t bit = 1ULL << LT_REGION_BIT_OTHER;
+  uint64_t of_workspace
+      = workspace == LT_NO_INDEX
+            ? 0
+            : snapshot->workspaces[workspace].allowed_regions;
+  for (uint32_t i = 0; i < snapshot->region_count; i++)
+    if (str_equal (snapshot->regions[i], region))
+      bit = 1ULL << i;
+  return (route->allowed_regions != 0 && (route->allowed_regions & bit) == 0)
+         || (of_workspace != 0 && (of_workspace & bit) == 0);
+}
+
 void
 lt_room_levels_add (lt_room_levels_t *levels, int64_t key)
 {
--- a/packages/node/src/room_levels.h
+++ b/packages/node/src/room_levels.h
@@ -1,6 +1,7 @@
 /** @file
-    Levels of urgency of a service's requests: the different priorities of its
-    routes and workspaces, most urgent first.  */
+    What routes and workspaces mean for admission by priority.  A service's
+    levels of urgency are the different priorities of its routes and
+   workspaces, most urgent first.  */
 #ifndef LT_NODE_ROOM_LEVELS_H
 #define LT_NODE_ROOM_LEVELS_H
 
@@ -23,6 +24,11 @@
       (LT_NO_INDEX) the route's takes its place.  */
   int64_t lt_room_level_key (const lt_snapshot_t *snapshot,
                              const lt_route_t *route, uint32_t workspace);
+  /** Returns whether the allowed regions of ROUTE or of WORKSPACE
+     (LT_NO_INDEX: none) exclude REGION.  */
+  bool lt_room_excludes_region (const lt_snapshot_t *snapshot,
+                                const lt_route_t *route, uint32_t workspace,
+                                str_t region);
   /** Adds KEY unless there are LT_ROOM_LEVELS_MAX already.  */
   void lt_room_levels_add (lt_room_levels_t *levels, int64_t key);
   /** Returns the level of KEY; one that is not listed has the level of the
--- a/packages/policy/include/lt/policy/room.h
+++ b/packages/policy/include/lt/policy/room.h
@@ -117,9 +117,10 @@
     uint64_t route;     /**< For its service time. */
     uint64_t workspace; /**< 0: none. */
     uint32_t level;
-    int64_t target_us;   /**< Latency target as a time; 0: none. */
-    int64_t deadline_us; /**< Time. */
-    size_t bytes;        /**< Memory that it holds while it waits. */
+    int64_t target_us;       /**< Latency target as a time; 0: none. */
+    int64_t deadline_us;     /**< Time. */
+    size_t bytes;            /**< Memory that it holds while it waits. */
+    bool other_regions_only; /**< The own region may not serve it. */
   } lt_room_request_t;
 
   /** What the VM knows when it decides.  */
--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -412,8 +412,8 @@
   *answer = (lt_room_answer_t){ 0 };
   /* A request does not overtake those that wait.  */
   if (!has_waiting (room, service, level)
-      && set_limits (room, service, level, false, view, now_us,
-                     &answer->limits))
+      && set_limits (room, service, level, request->other_regions_only, view,
+                     now_us, &answer->limits))
     return LT_ROOM_SEND;
   return lt_room_hold (room, request, view, now_us, answer);
 }
@@ -425,8 +425,9 @@
             int64_t now_us)
 {
   double allowed = (double)(entry->start_until_us - entry->queued_us);
-  return (double)(now_us - entry->queued_us)
-         >= room->options.far_wait_share * allowed;
+  return entry->request.other_regions_only
+         || (double)(now_us - entry->queued_us)
+                >= room->options.far_wait_share * allowed;
 }
 
 uint64_t
--- a/packages/policy/test/test_room.cc
+++ b/packages/policy/test/test_room.cc
@@ -390,6 +390,18 @@
   EXPECT_EQ (LT_CHOICE_CLOSED, answer.limits.above_slots[0]);
 }
 
+// Guards against a wait for the own region of a request that it may not serve.
+TEST_F (Room, RequestsOnlyForOtherRegionsDoNotWaitForTheOwn)
+{
+  set_load (200);
+  view.loads[LT_DISTANCE_OTHER_REGION] = { 100, 0, 0 };
+  lt_room_request_t r = request (2);
+  r.other_regions_only = true;
+  EXPECT_EQ (LT_ROOM_SEND, offer (r));
+  EXPECT_NE (LT_CHOICE_CLOSED,
+             answer.limits.above_slots[LT_DISTANCE_OTHER_REGION]);
+}
+
 // With all upstreams of the own region gone, others are used at once.
 TEST_F (Room, OtherRegionsAreUsedWhenThereIsNoOther)
 {
