Choice: an upstream that failed once is tried as early as before

Cause: the bound of 0.6 on the gray probability delayed trials of an upstream that had failed once from 1.6 to 2.4 s; Answers.IdleServersGetTrialsWhileRequestsAreRejected, which guards the capacity floor, failed. Change: the bound is 0.68, which one failure reaches after 1.6 s and several after 2.7 s.

--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -13,9 +13,9 @@
 /* Above this probability an upstream is more likely gray than healthy.  */
 #define GRAY_THRESHOLD 0.5
 /* A request that must not be repeated is used for trials below this
-   probability: 2.4 s after the only failure of an upstream, later after
-   several.  */
-#define TRIAL_GRAY_MAX 0.6
+   probability: an upstream that failed once is tried as soon as it has been
+   idle long enough, one that failed several times about a second later.  */
+#define TRIAL_GRAY_MAX 0.68
 
 lt_choice_t *
 lt_choice_create (const lt_choice_options_t *options, lt_rng_t *rng)
