lavenderctl check reads platform configurations, warns and compares

Cause: an operator learns of a faulty configuration only from VMs that refuse it, or from callers; check read sheets only and reported no rows that do not go together. Change: check also takes the hosting platform's configuration as JSON.

--- a/packages/config/include/lt/config/diff.h
+++ b/packages/config/include/lt/config/diff.h
@@ -75,6 +75,10 @@
       end.  Hashes of keys are not shown.  */
   void lt_diff_row_words (const lt_diff_t *diff, const lt_diff_row_t *row,
                           lt_buf_t *out);
+  /** Appends what callers will notice of the row, on one line without line
+     end; nothing when they will not.  */
+  void lt_diff_row_notice (const lt_diff_t *diff, const lt_diff_row_t *row,
+                           lt_buf_t *out);
   /** Adds a finding for each of keys, routes and upstreams of which more than
       LT_DIFF_REMOVAL_PERCENT are removed.  Returns 0 or -LT_EFINDINGS.  */
   int lt_diff_check_removals (const lt_diff_t *diff, lt_findings_t *findings);
--- a/packages/config/include/lt/config/sheet.h
+++ b/packages/config/include/lt/config/sheet.h
@@ -18,6 +18,11 @@
                         */
     str_t hash_secret; /**< Key for the keyed hash of plain keys. */
     size_t max_findings; /**< Later findings are counted, not listed. */
+    /** Also warn of entries that can never match and of limits that contradict
+        each other.  */
+    bool advise;
+    int64_t request_ms; /**< Time that a request is taken to need, to compare
+                           rates with slots; 0: do not. */
   } lt_sheet_options_t;
 
 #define LT_SHEET_OPTIONS_DEFAULT ((lt_sheet_options_t){ .max_findings = 200 })
--- a/packages/config/src/diff.c
+++ b/packages/config/src/diff.c
@@ -82,6 +82,12 @@
 lt_diff_row_name (const lt_diff_t *diff, const lt_diff_row_t *row)
 {
   lt_row_kind_t kind = (lt_row_kind_t)row->kind;
+  const lt_snapshot_t *s
+      = row->new_index == LT_NO_INDEX ? diff->before : diff->after;
+  uint32_t index
+      = row->new_index == LT_NO_INDEX ? row->old_index : row->new_index;
+  if (row->kind == LT_DIFF_KEY && s->keys[index].name.len == 0)
+    return lt_rows_workspace_name (s, s->keys[index].workspace);
   return row->new_index == LT_NO_INDEX
              ? lt_rows_name (diff->before, kind, row->old_index)
              : lt_rows_name (diff->after, kind, row->new_index);
--- a/packages/config/src/diff_words.c
+++ b/packages/config/src/diff_words.c
@@ -23,7 +23,7 @@
 static void
 say_text (words_t *w, const char *column, str_t before, str_t after)
 {
-  if (w->changed_only && str_equal (before, after))
+  if (w->changed_only ? str_equal (before, after) : after.len == 0)
     return;
   separate (w);
   if (w->changed_only)
@@ -55,6 +55,14 @@
   say_text (w, column, str_from (old_text), str_from (new_text));
 }
 
+/* For values of which 0 means that there is none.  */
+static void
+say_optional (words_t *w, const char *column, int64_t before, int64_t after)
+{
+  if (before != 0 || after != 0)
+    say_number (w, column, before, after);
+}
+
 static void
 say_word (words_t *w, const char *column, const char *before,
           const char *after)
@@ -114,6 +122,45 @@
                    STR_ARG (s->workspaces[route->workspaces[i]].name));
 }
 
+static void
+list_splits (const lt_snapshot_t *s, const lt_route_t *route, lt_buf_t *out)
+{
+  for (uint32_t i = 0; i < route->split_count; i++)
+    lt_buf_printf (out, "%s%.*s:%d", i > 0 ? "|" : "",
+                   STR_ARG (s->services[route->splits[i].service].name),
+                   (int)route->splits[i].weight);
+}
+
+static void
+say_deployed_route (words_t *w, const lt_snapshot_t *before,
+                    const lt_route_t *old, const lt_snapshot_t *after,
+                    const lt_route_t *now)
+{
+  lt_buf_t old_list = { 0 };
+  lt_buf_t new_list = { 0 };
+  list_splits (before, old, &old_list);
+  list_splits (after, now, &new_list);
+  say_text (w, "host", old->host, now->host);
+  say_text (w, "splits", lt_buf_str (&old_list), lt_buf_str (&new_list));
+  say_optional (w, "latency_target_ms", old->latency_target_ms,
+                now->latency_target_ms);
+  say_optional (w, "attempts_max", old->attempts_max, now->attempts_max);
+  say_optional (w, "priority", old->priority, now->priority);
+  lt_buf_destroy (&old_list);
+  lt_buf_destroy (&new_list);
+}
+
+static void
+say_service (words_t *w, const lt_service_t *old, const lt_service_t *now)
+{
+  say_number (w, "floor_percent", old->floor_percent, now->floor_percent);
+  say_text (w, "health_path", old->health_path, now->health_path);
+  say_optional (w, "warm_up_ms", old->warm_up_ms, now->warm_up_ms);
+  if (old->warm_up_rate_milli_per_s != 0 || now->warm_up_rate_milli_per_s != 0)
+    say_milli (w, "warm_up_rate_per_s", old->warm_up_rate_milli_per_s,
+               now->warm_up_rate_milli_per_s);
+}
+
 static void
 say_route (words_t *w, const lt_snapshot_t *before, const lt_route_t *old,
            const lt_snapshot_t *after, const lt_route_t *now)
@@ -135,6 +182,7 @@
   say_number (w, "timeout_ms", old->timeout_ms, now->timeout_ms);
   say_number (w, "max_body_bytes", old->max_body_bytes, now->max_body_bytes);
   say_text (w, "workspaces", lt_buf_str (&old_list), lt_buf_str (&new_list));
+  say_deployed_route (w, before, old, after, now);
   lt_buf_destroy (&old_list);
   lt_buf_destroy (&new_list);
 }
@@ -158,13 +206,14 @@
                  after->workspaces[k].rate_milli_per_s);
       say_number (&w, "burst", before->workspaces[i].burst,
                   after->workspaces[k].burst);
+      say_optional (&w, "priority", before->workspaces[i].priority,
+                    after->workspaces[k].priority);
       return;
     case LT_DIFF_KEY:
       say_key (&w, before, &before->keys[i], after, &after->keys[k]);
       return;
     case LT_DIFF_SERVICE:
-      say_number (&w, "floor_percent", before->services[i].floor_percent,
-                  after->services[k].floor_percent);
+      say_service (&w, &before->services[i], &after->services[k]);
       return;
     case LT_DIFF_UPSTREAM:
       say_upstream (&w, &before->upstreams[i],
--- a/packages/config/src/rows.c
+++ b/packages/config/src/rows.c
@@ -90,7 +90,11 @@
     return lt_snapshot_find_service (snapshot, name);
   if (kind == LT_ROW_ROUTE)
     return lt_snapshot_find_route (snapshot, name);
-  const lt_key_t *key = lt_snapshot_find_key_name (snapshot, name);
+  /* Keys of a deployment have no name.  */
+  const lt_key_t *key
+      = name.len > 0
+            ? lt_snapshot_find_key_name (snapshot, name)
+            : lt_snapshot_find_key (snapshot, &other->keys[index].hash);
   return key == NULL ? LT_NO_INDEX : (uint32_t)(key - snapshot->keys);
 }
 
@@ -118,6 +122,14 @@
               && x->max_body_bytes == y->max_body_bytes
               && x->all_workspaces == y->all_workspaces
               && x->workspace_count == y->workspace_count;
+  same = same && str_equal (x->host, y->host)
+         && x->attempts_max == y->attempts_max
+         && x->latency_target_ms == y->latency_target_ms
+         && x->priority == y->priority && x->split_count == y->split_count;
+  for (uint32_t i = 0; same && i < x->split_count; i++)
+    same = x->splits[i].weight == y->splits[i].weight
+           && str_equal (a->services[x->splits[i].service].name,
+                         b->services[y->splits[i].service].name);
   for (uint32_t i = 0; same && i < x->workspace_count; i++)
     same = str_equal (a->workspaces[x->workspaces[i]].name,
                       b->workspaces[y->workspaces[i]].name);
@@ -133,14 +145,20 @@
     case LT_ROW_WORKSPACE:
       return a->workspaces[i].rate_milli_per_s
                  == b->workspaces[j].rate_milli_per_s
-             && a->workspaces[i].burst == b->workspaces[j].burst;
+             && a->workspaces[i].burst == b->workspaces[j].burst
+             && a->workspaces[i].priority == b->workspaces[j].priority;
     case LT_ROW_KEY:
       return a->keys[i].state == b->keys[j].state
              && lt_digest_equal (&a->keys[i].hash, &b->keys[j].hash)
              && str_equal (lt_rows_workspace_name (a, a->keys[i].workspace),
                            lt_rows_workspace_name (b, b->keys[j].workspace));
     case LT_ROW_SERVICE:
-      return a->services[i].floor_percent == b->services[j].floor_percent;
+      return a->services[i].floor_percent == b->services[j].floor_percent
+             && str_equal (a->services[i].health_path,
+                           b->services[j].health_path)
+             && a->services[i].warm_up_ms == b->services[j].warm_up_ms
+             && a->services[i].warm_up_rate_milli_per_s
+                    == b->services[j].warm_up_rate_milli_per_s;
     case LT_ROW_UPSTREAM:
       return upstreams_equal (a, &a->upstreams[i], b, &b->upstreams[j]);
     case LT_ROW_ROUTE:
--- a/packages/config/src/sheet.c
+++ b/packages/config/src/sheet.c
@@ -66,6 +66,8 @@
   lt_sheet_build_upstreams (b);
   lt_sheet_build_routes (b);
   lt_sheet_build_stops (b);
+  if (b->sheet->options->advise)
+    lt_sheet_advise (b);
   lt_sheet_names_destroy (&b->workspaces);
   lt_sheet_names_destroy (&b->services);
   lt_sheet_names_destroy (&b->upstreams);
--- a/packages/config/src/sheet_build.h
+++ b/packages/config/src/sheet_build.h
@@ -22,6 +22,9 @@
 void lt_sheet_build_upstreams (lt_sheet_build_t *b);
 void lt_sheet_build_routes (lt_sheet_build_t *b);
 void lt_sheet_build_stops (lt_sheet_build_t *b);
+/** Adds warnings about rows that are valid by themselves.  Rows with faults
+   are left out.  */
+void lt_sheet_advise (lt_sheet_build_t *b);
 /** Returns a number scaled by 10^DECIMALS from LOW to HIGH; a fault gives
     LOW.  */
 int64_t lt_sheet_number (lt_sheet_t *sheet, lt_sheet_kind_t kind,
--- a/packages/config/src/sheet_rows.c
+++ b/packages/config/src/sheet_rows.c
@@ -68,11 +68,10 @@
   return kinds[kind].name;
 }
 
-void
-lt_sheet_fault (lt_sheet_t *sheet, int row, lt_column_t column, str_t value,
-                const char *format, ...)
+static void
+add_finding (lt_sheet_t *sheet, lt_severity_t severity, int row,
+             lt_column_t column, str_t value, const char *format, va_list args)
 {
-  sheet->errors++;
   /* The missing column itself has been reported.  */
   if (column < LT_COLUMN_COUNT && (sheet->missing & 1U << column) != 0)
     return;
@@ -90,17 +89,34 @@
   while (value.len > 0 && !str_is_utf8 (value))
     value.len--;
   char *expected = NULL;
-  va_list args;
-  va_start (args, format);
   if (vasprintf (&expected, format, args) < 0)
     abort ();
-  va_end (args);
-  lt_findings_add (sheet->findings, LT_SEVERITY_ERROR, sheet->options->source,
-                   row, str_from (lt_column_name (column)), value, "%s",
-                   expected);
+  lt_findings_add (sheet->findings, severity, sheet->options->source, row,
+                   str_from (lt_column_name (column)), value, "%s", expected);
   free (expected);
 }
 
+void
+lt_sheet_fault (lt_sheet_t *sheet, int row, lt_column_t column, str_t value,
+                const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  sheet->errors++;
+  add_finding (sheet, LT_SEVERITY_ERROR, row, column, value, format, args);
+  va_end (args);
+}
+
+void
+lt_sheet_warn (lt_sheet_t *sheet, int row, lt_column_t column, str_t value,
+               const char *format, ...)
+{
+  va_list args;
+  va_start (args, format);
+  add_finding (sheet, LT_SEVERITY_WARNING, row, column, value, format, args);
+  va_end (args);
+}
+
 str_t
 lt_sheet_value (const lt_sheet_t *sheet, lt_sheet_kind_t kind,
                 const lt_sheet_row_t *row, lt_column_t column)
--- a/packages/config/src/sheet_rows.h
+++ b/packages/config/src/sheet_rows.h
@@ -86,6 +86,10 @@
 void lt_sheet_fault (lt_sheet_t *sheet, int row, lt_column_t column,
                      str_t value, const char *format, ...)
     __attribute__ ((format (printf, 5, 6)));
+/** Adds a warning; the same otherwise.  */
+void lt_sheet_warn (lt_sheet_t *sheet, int row, lt_column_t column,
+                    str_t value, const char *format, ...)
+    __attribute__ ((format (printf, 5, 6)));
 /** Reads TEXT into SHEET; faults become findings.  */
 void lt_sheet_read (lt_sheet_t *sheet, str_t text);
 /** Returns a value of ROW; COLUMN must be used by KIND.  */
--- a/packages/ctl/include/lt/ctl/ctl.h
+++ b/packages/ctl/include/lt/ctl/ctl.h
@@ -24,6 +24,22 @@
     LT_CTL_UNAVAILABLE = 6   /**< No answer, or no store; nothing changed. */
   } lt_ctl_status_t;
 
+  struct lt_deployment;
+  struct lt_findings;
+
+  /** Reads configurations in the format of a hosting platform.  */
+  typedef struct lt_ctl_format
+  {
+    /** Reads TEXT; faults are added to FINDINGS with SOURCE as their source.
+        Returns the configuration, whose members with faults are 0 or empty,
+        or NULL when TEXT is not in the format at all.  *OWNER holds the memory
+        until release.  */
+    const struct lt_deployment *(*read) (str_t text, str_t source,
+                                         struct lt_findings *findings,
+                                         void **owner);
+    void (*release) (void *owner);
+  } lt_ctl_format_t;
+
   typedef struct lt_ctl
   {
     const char *admin;        /**< "ip:port" of a VM's admin server. */
@@ -33,6 +49,7 @@
     int timeout_s;
     FILE *out;
     FILE *err;
+    const lt_ctl_format_t *format; /**< NULL: none. */
   } lt_ctl_t;
 
   /** One command.  RUN gets the arguments from the command's name on.  */
--- a/packages/ctl/src/commands.h
+++ b/packages/ctl/src/commands.h
@@ -36,6 +36,9 @@
   const char *base;
   const char *count_text;
   const char *before;
+  const char *compare; /**< File to compare with; NULL: none. */
+  bool in_force;
+  int64_t request_ms;
   bool allow_removal;
   bool allow_below_floor;
   bool no_wait;
@@ -49,7 +52,8 @@
   LT_CTL_OPTION_REMOVAL = 1 << 2,
   LT_CTL_OPTION_FLOOR = 1 << 3,
   LT_CTL_OPTION_NO_WAIT = 1 << 4,
-  LT_CTL_OPTION_RANGE = 1 << 5
+  LT_CTL_OPTION_RANGE = 1 << 5,
+  LT_CTL_OPTION_CHECK = 1 << 6
 } lt_ctl_option_t;
 
 typedef struct lt_ctl_usage
--- a/packages/ctl/src/ctl.c
+++ b/packages/ctl/src/ctl.c
@@ -9,7 +9,7 @@
 /* Sorted by name.  */
 static const lt_ctl_command_t commands[] = {
   { "apply", "make a sheet the configuration in force", lt_ctl_apply },
-  { "check", "find mistakes in a sheet; needs no VM", lt_ctl_check },
+  { "check", "find mistakes in a sheet or configuration", lt_ctl_check },
   { "diff", "say what a sheet would change", lt_ctl_diff },
   { "explain", "say what happened to a request", lt_ctl_explain },
   { "history", "list accepted changes", lt_ctl_history },
--- a/packages/ctl/src/options.c
+++ b/packages/ctl/src/options.c
@@ -16,9 +16,14 @@
   KEY_REMOVAL,
   KEY_FLOOR,
   KEY_NO_WAIT,
+  KEY_COMPARE,
+  KEY_IN_FORCE,
+  KEY_REQUEST_MS,
   OPTIONS_MAX = 16,
   TIMEOUT_MAX_S = 600,
-  DEFAULT_TIMEOUT_S = 30
+  DEFAULT_TIMEOUT_S = 30,
+  /* Below the means of the kinds of requests that were measured.  */
+  DEFAULT_REQUEST_MS = 100
 };
 
 #define DEFAULT_ADMIN "127.0.0.1:18081"
@@ -57,6 +62,16 @@
   { LT_CTL_OPTION_NO_WAIT,
     { "no-wait", KEY_NO_WAIT, NULL, 0,
       "Do not wait until the change is in force on all VMs", 1 } },
+  { LT_CTL_OPTION_CHECK,
+    { "compare", KEY_COMPARE, "FILE", 0,
+      "Also say what differs from the configuration in FILE", 1 } },
+  { LT_CTL_OPTION_CHECK,
+    { "in-force", KEY_IN_FORCE, NULL, 0,
+      "Also say what a sheet changes in the configuration in force; asks a VM",
+      1 } },
+  { LT_CTL_OPTION_CHECK,
+    { "request-ms", KEY_REQUEST_MS, "MS", 0,
+      "Time that a request needs, to compare rates with slots (100)", 1 } },
   { LT_CTL_OPTION_RANGE,
     { "count", KEY_COUNT, "COUNT", 0, "Entries to list (20)", 1 } },
   { LT_CTL_OPTION_RANGE,
@@ -139,6 +154,16 @@
     case KEY_FLOOR:
       a->allow_below_floor = true;
       return 0;
+    case KEY_COMPARE:
+      a->compare = arg;
+      return 0;
+    case KEY_IN_FORCE:
+      a->in_force = true;
+      return 0;
+    case KEY_REQUEST_MS:
+      check_number (state, "--request-ms", arg);
+      str_to_i64 (str_from (arg), &a->request_ms);
+      return 0;
     case KEY_NO_WAIT:
       a->no_wait = true;
       return 0;
@@ -184,7 +209,8 @@
     options[count++] = *o;
   *arguments = (lt_ctl_arguments_t){ .ctl = ctl,
                                      .least = usage->least,
-                                     .most = usage->most };
+                                     .most = usage->most,
+                                     .request_ms = DEFAULT_REQUEST_MS };
   const struct argp argp
       = { options, parse_option, usage->words, usage->text, NULL, NULL, NULL };
   argp_parse (&argp, argc, argv, 0, NULL, arguments);
--- a/packages/ctl/test/test_ctl.cc
+++ b/packages/ctl/test/test_ctl.cc
@@ -262,6 +262,22 @@
     { "check --day 2026-12-05 small.csv", {} },
     { "check --json --day 2026-12-05 small.csv", {} },
     { "check --day any ../packages/config/test/golden/bad-structure.csv", {} },
+    // Twenty and more seeded faults, each of which has to be named.
+    { "check --day any ../packages/ctl/test/golden/faults.csv", {} },
+    { "check --day any --compare small.csv "
+      "../packages/ctl/test/golden/changed.csv",
+      {} },
+    { "check --json --day any --compare small.csv "
+      "../packages/ctl/test/golden/changed.csv",
+      {} },
+    { "check --day any --compare ../packages/ctl/test/golden/faults.csv "
+      "small.csv",
+      {} },
+    { "check --day any --request-ms 200 small.csv", {} },
+    { "check --day any --in-force small.csv", { { 200, DIFF } } },
+    { "check --json --day any --in-force small.csv", { { 200, SAME } } },
+    { "check --day any --in-force small.csv", { { 503, DOWN } } },
+    { "check --day any --request-ms soon small.csv", {} },
     { "--timeout 0 status", {} },
     { "diff --day any small.csv", { { 200, DIFF } } },
     { "diff --day any --json small.csv", { { 200, SAME } } },
--- a/tools/check-words.sh
+++ b/tools/check-words.sh
@@ -7,7 +7,7 @@
 words="$words|Server-Seal|rows-(get|tx|feed|parts)|blob-(put|get|drop|list)"
 words="$words|LAVENDERTRACK_SETTINGS|trafficSplit|targetLatencyMs"
 words="$words|warmupLeftMs|maxAttempts|apiKeys|ratePerS|timeoutMs"
-words="$words|healthPath|maxConns|waitMs|hasMore|tombstone|[Tt]enant"
+words="$words|healthPath|maxConns|warmupS|warmupPerS|Warmup-Ms|allowedRegions|waitMs|hasMore|tombstone|[Tt]enant"
 words="$words|internalPorts|nodeId|/lavendertrack/"
 # X-Deadline-Ms is the product's own header.
 if git grep -nE "(^|[^-])($words)" -- packages tools ':!tools/check-words.sh'
