Differences of configurations include allowed regions

Change: rows are compared, and described, by the names of the regions; a lost region is among what callers notice.

--- a/packages/config/src/diff_notice.c
+++ b/packages/config/src/diff_notice.c
@@ -9,9 +9,38 @@
     lt_buf_printf (out, "%s%s", out->len > 0 ? "; " : "", text);
 }
 
+/* Whether OLD allows a region that NOW does not.  */
+static bool
+loses_region (const lt_diff_t *diff, uint64_t old, uint64_t now)
+{
+  if (old == 0 || now == 0)
+    return now != 0;
+  for (uint32_t i = 0; i < diff->before->region_count; i++)
+    {
+      bool kept = (old >> i & 1) == 0;
+      for (uint32_t k = 0; k < diff->after->region_count; k++)
+        kept = kept
+               || ((now >> k & 1) != 0
+                   && str_equal (diff->before->regions[i],
+                                 diff->after->regions[k]));
+      if (!kept)
+        return true;
+    }
+  return false;
+}
+
+static void
+notice_regions (const lt_diff_t *diff, uint64_t old, uint64_t now,
+                lt_buf_t *out)
+{
+  say (out, loses_region (diff, old, now),
+       "requests get 503 when only regions that are left out could serve "
+       "them");
+}
+
 static void
-notice_workspace (const lt_workspace_t *old, const lt_workspace_t *now,
-                  lt_buf_t *out)
+notice_workspace (const lt_diff_t *diff, const lt_workspace_t *old,
+                  const lt_workspace_t *now, lt_buf_t *out)
 {
   bool limited
       = !now->unlimited
@@ -27,6 +56,7 @@
        "under overload its requests come later");
   say (out, now->priority < old->priority,
        "under overload its requests come earlier");
+  notice_regions (diff, old->allowed_regions, now->allowed_regions, out);
 }
 
 static bool
@@ -85,6 +115,7 @@
        "under overload its requests come later");
   say (out, now->priority < old->priority,
        "under overload its requests come earlier");
+  notice_regions (diff, old->allowed_regions, now->allowed_regions, out);
 }
 
 static void
@@ -122,7 +153,7 @@
   if (row->kind == LT_DIFF_KEY)
     notice_key (diff, row, &text);
   if (row->kind == LT_DIFF_WORKSPACE && changed)
-    notice_workspace (&diff->before->workspaces[i],
+    notice_workspace (diff, &diff->before->workspaces[i],
                       &diff->after->workspaces[k], &text);
   if (row->kind == LT_DIFF_ROUTE && changed)
     notice_route (diff, &diff->before->routes[i], &diff->after->routes[k],
--- a/packages/config/src/diff_words.c
+++ b/packages/config/src/diff_words.c
@@ -131,6 +131,22 @@
                    (int)route->splits[i].weight);
 }
 
+static void
+say_regions (words_t *w, const lt_snapshot_t *before, uint64_t old,
+             const lt_snapshot_t *after, uint64_t now)
+{
+  lt_buf_t old_list = { 0 };
+  lt_buf_t new_list = { 0 };
+  if (old == 0 && now == 0)
+    return;
+  lt_rows_list_regions (before, old, &old_list);
+  lt_rows_list_regions (after, now, &new_list);
+  say_text (w, "allowed_regions", lt_buf_str (&old_list),
+            lt_buf_str (&new_list));
+  lt_buf_destroy (&old_list);
+  lt_buf_destroy (&new_list);
+}
+
 static void
 say_deployed_route (words_t *w, const lt_snapshot_t *before,
                     const lt_route_t *old, const lt_snapshot_t *after,
@@ -146,6 +162,7 @@
                 now->latency_target_ms);
   say_optional (w, "attempts_max", old->attempts_max, now->attempts_max);
   say_optional (w, "priority", old->priority, now->priority);
+  say_regions (w, before, old->allowed_regions, after, now->allowed_regions);
   lt_buf_destroy (&old_list);
   lt_buf_destroy (&new_list);
 }
@@ -208,6 +225,8 @@
                   after->workspaces[k].burst);
       say_optional (&w, "priority", before->workspaces[i].priority,
                     after->workspaces[k].priority);
+      say_regions (&w, before, before->workspaces[i].allowed_regions, after,
+                   after->workspaces[k].allowed_regions);
       return;
     case LT_DIFF_KEY:
       say_key (&w, before, &before->keys[i], after, &after->keys[k]);
--- a/packages/config/src/rows.c
+++ b/packages/config/src/rows.c
@@ -38,6 +38,46 @@
     }
 }
 
+void
+lt_rows_list_regions (const lt_snapshot_t *snapshot, uint64_t mask,
+                      lt_buf_t *out)
+{
+  if (mask == 0)
+    lt_buf_printf (out, "any");
+  for (bool first = true; mask != 0; first = false)
+    {
+      uint32_t least = LT_NO_INDEX;
+      for (uint32_t i = 0; i < snapshot->region_count; i++)
+        if ((mask >> i & 1) != 0
+            && (least == LT_NO_INDEX
+                || str_compare (snapshot->regions[i], snapshot->regions[least])
+                       < 0))
+          least = i;
+      if (least == LT_NO_INDEX)
+        return;
+      lt_buf_printf (out, "%s%.*s", first ? "" : "|",
+                     STR_ARG (snapshot->regions[least]));
+      mask &= ~((uint64_t)1 << least);
+    }
+}
+
+/* The same region may have another bit in each snapshot.  */
+static bool
+regions_equal (const lt_snapshot_t *a, uint64_t x, const lt_snapshot_t *b,
+               uint64_t y)
+{
+  if (x == 0 || y == 0)
+    return x == y;
+  lt_buf_t left = { 0 };
+  lt_buf_t right = { 0 };
+  lt_rows_list_regions (a, x, &left);
+  lt_rows_list_regions (b, y, &right);
+  bool same = str_equal (lt_buf_str (&left), lt_buf_str (&right));
+  lt_buf_destroy (&left);
+  lt_buf_destroy (&right);
+  return same;
+}
+
 static bool
 stops_equal (const lt_snapshot_t *a, uint32_t i, const lt_snapshot_t *b,
              uint32_t j)
@@ -125,7 +165,8 @@
   same = same && str_equal (x->host, y->host)
          && x->attempts_max == y->attempts_max
          && x->latency_target_ms == y->latency_target_ms
-         && x->priority == y->priority && x->split_count == y->split_count;
+         && x->priority == y->priority && x->split_count == y->split_count
+         && regions_equal (a, x->allowed_regions, b, y->allowed_regions);
   for (uint32_t i = 0; same && i < x->split_count; i++)
     same = x->splits[i].weight == y->splits[i].weight
            && str_equal (a->services[x->splits[i].service].name,
@@ -146,7 +187,9 @@
       return a->workspaces[i].rate_milli_per_s
                  == b->workspaces[j].rate_milli_per_s
              && a->workspaces[i].burst == b->workspaces[j].burst
-             && a->workspaces[i].priority == b->workspaces[j].priority;
+             && a->workspaces[i].priority == b->workspaces[j].priority
+             && regions_equal (a, a->workspaces[i].allowed_regions, b,
+                               b->workspaces[j].allowed_regions);
     case LT_ROW_KEY:
       return a->keys[i].state == b->keys[j].state
              && lt_digest_equal (&a->keys[i].hash, &b->keys[j].hash)
--- a/packages/config/src/rows.h
+++ b/packages/config/src/rows.h
@@ -17,6 +17,10 @@
 /** Compares all values; references are equal when their names are.  */
 bool lt_rows_equal (lt_row_kind_t kind, const lt_snapshot_t *a, uint32_t i,
                     const lt_snapshot_t *b, uint32_t j);
+/** Appends the names of the regions of MASK in their order, joined by "|";
+   "any" for no restriction.  */
+void lt_rows_list_regions (const lt_snapshot_t *snapshot, uint64_t mask,
+                           lt_buf_t *out);
 /** Returns the workspace's name, empty for LT_NO_INDEX.  */
 str_t lt_rows_workspace_name (const lt_snapshot_t *snapshot, uint32_t index);
 
--- a/packages/config/test/test_check.cc
+++ b/packages/config/test/test_check.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "lt/config/check.h"
+#include "lt/config/diff.h"
 
 namespace
 {
@@ -128,6 +129,44 @@
   EXPECT_EQ (std::string::npos, text.find ("key-of-one"));
 }
 
+// A region may have another bit in each configuration; the names count.
+TEST_F (Check, DifferencesOfRegions)
+{
+  str_t old_names[] = { view ("vest"), view ("jug") };
+  str_t new_names[] = { view ("jug"), view ("vest"), view ("vzhod") };
+  lt_workspace_t old_rows[2] = {};
+  lt_workspace_t new_rows[2] = {};
+  old_rows[0].name = new_rows[0].name = view ("a");
+  old_rows[1].name = new_rows[1].name = view ("b");
+  old_rows[0].allowed_regions = 3; // vest and jug
+  new_rows[0].allowed_regions = 3; // jug and vest
+  old_rows[1].allowed_regions = 1; // vest
+  new_rows[1].allowed_regions = 5; // jug and vzhod
+  lt_snapshot_t before = {};
+  lt_snapshot_t after = {};
+  before.workspaces = old_rows;
+  after.workspaces = new_rows;
+  before.workspace_count = after.workspace_count = 2;
+  before.regions = old_names;
+  before.region_count = 2;
+  after.regions = new_names;
+  after.region_count = 3;
+  lt_diff_t *diff = lt_diff_create (&before, &after);
+  ASSERT_EQ (1u, diff->row_count);
+  lt_buf_t words = {};
+  lt_buf_t notice = {};
+  lt_diff_row_words (diff, &diff->rows[0], &words);
+  lt_diff_row_notice (diff, &diff->rows[0], &notice);
+  EXPECT_EQ ("allowed_regions vest -> jug|vzhod",
+             std::string (words.data, words.len));
+  EXPECT_EQ ("requests get 503 when only regions that are left out could "
+             "serve them",
+             std::string (notice.data, notice.len));
+  lt_buf_destroy (&words);
+  lt_buf_destroy (&notice);
+  lt_diff_destroy (diff);
+}
+
 // Members that are 0 or empty because of a fault lead to nothing more.
 TEST_F (Check, EmptyMembers)
 {
