--- a/packages/config/src/diff_words.c
+++ b/packages/config/src/diff_words.c
@@ -4,6 +4,7 @@
 
 #include "lt/base/clock.h"
 #include "lt/config/diff.h"
+#include "regions.h"
 #include "rows.h"
 
 typedef struct words
@@ -109,6 +110,27 @@
   if (old->drained != now->drained || now->drained)
     say_word (w, "drained", old->drained ? "yes" : "no",
               now->drained ? "yes" : "no");
+  if (old->evacuated != now->evacuated || now->evacuated)
+    say_word (w, "evacuated", old->evacuated ? "yes" : "no",
+              now->evacuated ? "yes" : "no");
+}
+
+/* Rows that any region may serve say so only when that changed.  */
+static void
+say_regions (words_t *w, const lt_snapshot_t *before, uint64_t old,
+             const lt_snapshot_t *after, uint64_t now)
+{
+  lt_buf_t old_list = { 0 };
+  lt_buf_t new_list = { 0 };
+  if (old == 0 && now == 0)
+    return;
+  lt_regions_print (before->regions, old, &old_list);
+  lt_regions_print (after->regions, now, &new_list);
+  say_text (w, "allowed_regions",
+            old == 0 ? STR_LIT ("*") : lt_buf_str (&old_list),
+            now == 0 ? STR_LIT ("*") : lt_buf_str (&new_list));
+  lt_buf_destroy (&old_list);
+  lt_buf_destroy (&new_list);
 }
 
 static void
@@ -131,22 +153,6 @@
                    (int)route->splits[i].weight);
 }
 
-static void
-say_regions (words_t *w, const lt_snapshot_t *before, uint64_t old,
-             const lt_snapshot_t *after, uint64_t now)
-{
-  lt_buf_t old_list = { 0 };
-  lt_buf_t new_list = { 0 };
-  if (old == 0 && now == 0)
-    return;
-  lt_rows_list_regions (before, old, &old_list);
-  lt_rows_list_regions (after, now, &new_list);
-  say_text (w, "allowed_regions", lt_buf_str (&old_list),
-            lt_buf_str (&new_list));
-  lt_buf_destroy (&old_list);
-  lt_buf_destroy (&new_list);
-}
-
 static void
 say_deployed_route (words_t *w, const lt_snapshot_t *before,
                     const lt_route_t *old, const lt_snapshot_t *after,
@@ -162,7 +168,6 @@
                 now->latency_target_ms);
   say_optional (w, "attempts_max", old->attempts_max, now->attempts_max);
   say_optional (w, "priority", old->priority, now->priority);
-  say_regions (w, before, old->allowed_regions, after, now->allowed_regions);
   lt_buf_destroy (&old_list);
   lt_buf_destroy (&new_list);
 }
@@ -202,6 +207,7 @@
   say_deployed_route (w, before, old, after, now);
   lt_buf_destroy (&old_list);
   lt_buf_destroy (&new_list);
+  say_regions (w, before, old->allowed_regions, after, now->allowed_regions);
 }
 
 void
--- a/packages/ctl/src/options.c
+++ b/packages/ctl/src/options.c
@@ -19,6 +19,7 @@
   KEY_COMPARE,
   KEY_IN_FORCE,
   KEY_REQUEST_MS,
+  KEY_UNDO,
   OPTIONS_MAX = 16,
   TIMEOUT_MAX_S = 600,
   DEFAULT_TIMEOUT_S = 30,
@@ -72,6 +73,8 @@
   { LT_CTL_OPTION_CHECK,
     { "request-ms", KEY_REQUEST_MS, "MS", 0,
       "Time that a request needs, to compare rates with slots (100)", 1 } },
+  { LT_CTL_OPTION_UNDO,
+    { "undo", KEY_UNDO, NULL, 0, "Use the failure domain again", 1 } },
   { LT_CTL_OPTION_RANGE,
     { "count", KEY_COUNT, "COUNT", 0, "Entries to list (20)", 1 } },
   { LT_CTL_OPTION_RANGE,
@@ -79,6 +82,13 @@
       1 } },
 };
 
+/* The shared options include the end of the list.  */
+_Static_assert(sizeof (own_options) / sizeof (own_options[0])
+                       + sizeof (lt_ctl_shared_options)
+                             / sizeof (lt_ctl_shared_options[0])
+                   <= OPTIONS_MAX,
+               "OPTIONS_MAX holds all options");
+
 void
 lt_ctl_read_environment (lt_ctl_t *ctl)
 {
@@ -164,6 +174,9 @@
       check_number (state, "--request-ms", arg);
       str_to_i64 (str_from (arg), &a->request_ms);
       return 0;
+    case KEY_UNDO:
+      a->undo = true;
+      return 0;
     case KEY_NO_WAIT:
       a->no_wait = true;
       return 0;
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -84,7 +84,9 @@
         but only while more than this share of its attempts fails, or more than
         this share of its requests is refused by this VM before an upstream is
         chosen.  Then avoiding the upstreams that are estimated as gray does
-        not prevent losses, and a wrong estimate costs more than a trial.  */
+        not prevent losses, and a wrong estimate costs more than a trial. Below
+        the tenth at which the capacity floor applies, since failures of
+        upstreams that are known to be gray are not counted.  */
     double failing_share;
     /** Minimum decayed count of failures for such trials.  */
     double failing_min_failures;
@@ -119,7 +121,7 @@
                           .peer_load_max_age_us = 3 * 1000 * 1000,            \
                           .jitter = 0.01,                                     \
                           .trial_idle_us = 1200 * 1000,                       \
-                          .failing_share = 0.1,                               \
+                          .failing_share = 0.07,                              \
                           .failing_min_failures = 2,                          \
                           .failing_min_refusals = 0.75,                       \
                           .failing_trial_idle_us = 1600 * 1000,               \
@@ -184,10 +186,11 @@
       -LT_EUNAVAILABLE when no upstream may get the request.  */
   int64_t lt_choice_pick (lt_choice_t *choice,
                           const lt_choice_request_t *request, int64_t now_us);
-  /** Returns when an upstream of SERVICE that names a rate or is cold takes
-      the next request of this VM; NOW_US if one does now or none is paced.  */
+  /** Returns when an upstream of SERVICE in ALLOWED_REGIONS (0: any) that
+      names a rate or is cold takes the next request of this VM; NOW_US if one
+      does now or none is paced.  */
   int64_t lt_choice_next_us (const lt_choice_t *choice, uint32_t service,
-                             int64_t now_us);
+                             uint64_t allowed_regions, int64_t now_us);
   /** Records that this VM refused a request for SERVICE before an upstream was
       chosen.  */
   void lt_choice_record_refusal (lt_choice_t *choice, uint32_t service,
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -11,6 +11,10 @@
 
 /* Above this probability an upstream is more likely gray than healthy.  */
 #define GRAY_THRESHOLD 0.5
+/* A request that must not be repeated is used for trials below this
+   probability: 2.4 s after the only failure of an upstream, later after
+   several.  */
+#define TRIAL_GRAY_MAX 0.6
 
 lt_choice_t *
 lt_choice_create (const lt_choice_options_t *options, lt_rng_t *rng)
@@ -249,12 +253,22 @@
          && !estimate->address_moved;
 }
 
+/* A request without ALLOWED_REGIONS may go anywhere.  */
+static bool
+is_in_region (const upstream_estimate_t *estimate, uint64_t allowed_regions)
+{
+  return allowed_regions == 0
+         || (allowed_regions & 1ULL << estimate->upstream.region_bit) != 0;
+}
+
 static bool
 is_eligible (const lt_choice_t *choice, const lt_choice_request_t *request,
              uint32_t index, int64_t now_us)
 {
   const upstream_estimate_t *estimate = choice->by_index[index];
-  return takes_work (estimate, request->service) && !was_tried (request, index)
+  return takes_work (estimate, request->service)
+         && is_in_region (estimate, request->allowed_regions)
+         && !was_tried (request, index)
          && next_slot_us (choice, estimate, now_us) <= now_us;
 }
 
@@ -323,6 +337,8 @@
       const upstream_estimate_t *estimate = choice->by_index[i];
       if (estimate->upstream.distance != LT_DISTANCE_SAME_DOMAIN
           || estimate->used_us > oldest_us
+          || (!request->repeatable
+              && gray_now (choice, estimate, now_us) >= TRIAL_GRAY_MAX)
           || !is_eligible (choice, request, i, now_us))
         continue;
       oldest_us = estimate->used_us;
@@ -356,13 +372,15 @@
 }
 
 int64_t
-lt_choice_next_us (const lt_choice_t *choice, uint32_t service, int64_t now_us)
+lt_choice_next_us (const lt_choice_t *choice, uint32_t service,
+                   uint64_t allowed_regions, int64_t now_us)
 {
   int64_t earliest_us = INT64_MAX;
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const upstream_estimate_t *estimate = choice->by_index[i];
-      if (!takes_work (estimate, service))
+      if (!takes_work (estimate, service)
+          || !is_in_region (estimate, allowed_regions))
         continue;
       int64_t next_us = next_slot_us (choice, estimate, now_us);
       if (next_us < earliest_us)
--- a/packages/policy/test/test_cold.cc
+++ b/packages/policy/test/test_cold.cc
@@ -343,7 +343,7 @@
     {
       send (vm, t, true);
       EXPECT_EQ (T0 + WARM_UP + vm.skew_us,
-                 lt_choice_next_us (vm.choice.get (), 0, t + vm.skew_us));
+                 lt_choice_next_us (vm.choice.get (), 0, 0, t + vm.skew_us));
     }
   EXPECT_EQ (0u, count (0, T0, T0 + WARM_UP));
   send (vm, T0 + WARM_UP, true);
