--- a/packages/config/src/sheet_build.h
+++ b/packages/config/src/sheet_build.h
@@ -32,6 +32,9 @@
 /** Reports routes whose service has no upstream where they, or they and one of
     the workspaces that they name, are allowed.  */
 void lt_sheet_check_regions (lt_sheet_build_t *b);
+/** Adds warnings about rows that are valid by themselves.  Rows with faults
+   are left out.  */
+void lt_sheet_advise (lt_sheet_build_t *b);
 /** Returns a number scaled by 10^DECIMALS from LOW to HIGH; a fault gives
     LOW.  */
 int64_t lt_sheet_number (lt_sheet_t *sheet, lt_sheet_kind_t kind,
