Admission by priority: thresholds keep their range with many levels

Three priorities of workspaces and three of routes give nine levels; with a fixed step the threshold of the most urgent would have been 2.7 requests per slot. The thresholds now lie at equal distances between last_load and urgent_load, and there may be 16 levels. With three levels nothing changes.

--- a/packages/policy/include/lt/policy/room.h
+++ b/packages/policy/include/lt/policy/room.h
@@ -26,16 +26,15 @@
 {
 #endif
 
-#define LT_ROOM_LEVELS_MAX 8
+#define LT_ROOM_LEVELS_MAX 16
 
   /** All tunable values.  Loads are shares of the slots of a failure domain's
       upstreams.  */
   typedef struct lt_room_options
   {
-    double last_load; /**< Threshold of the least urgent level. */
-    /** The threshold rises by this for each more urgent level.  */
-    double level_step;
-    /** Least threshold of the most urgent level.  */
+    /** Thresholds of the least and the most urgent level; those of the others
+        lie between them at equal distances.  */
+    double last_load;
     double urgent_load;
     /** Requests at one upstream beyond its slots, by level 0 and by others. */
     int32_t urgent_queue;
@@ -85,7 +84,6 @@
    0.66 at 1.25 and 0.71 at 1.5; urgent kinds are served alike.  */
 #define LT_ROOM_OPTIONS_DEFAULT                                               \
   ((lt_room_options_t){ .last_load = 1.5,                                     \
-                        .level_step = 0.15,                                   \
                         .urgent_load = 1.8,                                   \
                         .urgent_queue = 6,                                    \
                         .level_queue = 4,                                     \
--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -160,8 +160,11 @@
            uint32_t level)
 {
   const lt_room_options_t *o = &room->options;
-  double load = o->last_load + o->level_step * (service->levels - 1 - level);
-  return level == 0 && load < o->urgent_load ? o->urgent_load : load;
+  uint32_t last = service->levels - 1;
+  if (level == 0)
+    return o->urgent_load;
+  return o->last_load
+         + (o->urgent_load - o->last_load) * (last - level) / last;
 }
 
 static double
--- a/packages/policy/test/test_room_fleet.cc
+++ b/packages/policy/test/test_room_fleet.cc
@@ -94,6 +94,28 @@
     }
 }
 
+// Three priorities of workspaces and three of routes give nine levels; the
+// load is 1.4 times what the slots take.
+TEST (RoomFleet, NineLevelsAboveTheCapacity)
+{
+  std::vector<Kind> nine;
+  for (uint32_t level = 0; level < 9; level++)
+    nine.push_back (
+        { level, 85, 300 * MS, 1200 * MS, 5000 * MS, level % 2 == 1 });
+  World world (Options (), nine);
+  world.run_until (world.now + 3 * S);
+  auto result = world.run_and_finish (world.now + 15 * S);
+  print ("nine levels", result);
+  for (size_t k = 1; k < nine.size (); k++)
+    {
+      EXPECT_GE (result[k - 1].share (), result[k].share () - 0.05) << k;
+      EXPECT_GE (result[k - 1].value_share (), 0.85 * result[k].value_share ())
+          << k;
+    }
+  EXPECT_GE (result[0].value_share (), 0.95);
+  EXPECT_GT (result[8].share (), 0);
+}
+
 // Half of the upstreams are gone from the middle of the burst on.
 TEST (RoomFleet, HalfOfTheUpstreamsGoneDuringABurst)
 {
