--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -68,9 +68,6 @@
 /** Returns the service that handles the request: the route's, or one drawn by
     weight from its traffic splits.  */
 str_t lt_dispatch_choose_service (const lt_request_t *request);
-/** Switches DISPATCH to the pools' configuration.  Returns it, or NULL when
-    there is none.  */
-lt_snapshot_ref_t *lt_dispatch_use_pools_config (lt_dispatch_t *dispatch);
 /** Switches DISPATCH to the pools' configuration and picks an upstream that
     was not tried yet, within LIMITS unless NULL.  Returns its index,
     -LT_EUNAVAILABLE or -LT_EFULL.  */
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -26,10 +26,10 @@
   return services[route->splits[part].service].name;
 }
 
-/* The pools' snapshot may be newer than that of earlier attempts; the service
-   is then looked up by name.  */
-lt_snapshot_ref_t *
-lt_dispatch_use_pools_config (lt_dispatch_t *dispatch)
+/* Switches to the pools' snapshot, which may be newer than that of earlier
+   attempts; the service is then looked up by name.  Returns it, or NULL.  */
+static lt_snapshot_ref_t *
+use_pools_config (lt_dispatch_t *dispatch)
 {
   lt_pools_t *pools = dispatch->request->node->pools;
   lt_snapshot_ref_t *config = pools->vtable->config (pools);
@@ -75,7 +75,7 @@
 {
   lt_request_t *request = dispatch->request;
   lt_pools_t *pools = request->node->pools;
-  lt_snapshot_ref_t *config = lt_dispatch_use_pools_config (dispatch);
+  lt_snapshot_ref_t *config = use_pools_config (dispatch);
   uint32_t tried[ATTEMPTS_MAX];
   uint32_t count = 0;
   if (config == NULL || dispatch->attempt_count == ATTEMPTS_MAX)
