Bounded memory for clients that are not trusted

Cause: the sum of request bodies, of responses that callers do not read and of connections had no bound, and a body over its limit was read to its end.

Change: each process has a byte budget, its memory limit less what it needs itself (--memory-limit-mb, LAVENDERTRACK_MEMORY_LIMIT_MB, or the hosting platform's field). packages/policy/memory_budget decides: bodies reserve their length before they are read, chunked ones grow in steps; small ones have a reserved share; without room reading pauses, and the client with the least progress is dropped when others have waited. caller_memory.c carries it out, caller_refuse.c answers bodies in mid-flow, node_memory.c charges responses. Bodies are freed with the complete response, whole responses are no longer copied, freed blocks go back to the system, connections are bounded by memory and descriptors, and a planned stop drops clients without progress. New refusals: body-over-memory (413), memory-full (503), body-stalled (408).

--- a/packages/base/include/lt/base/str.h
+++ b/packages/base/include/lt/base/str.h
@@ -75,6 +75,11 @@
   void lt_buf_append_str (lt_buf_t *buf, str_t s);
   void lt_buf_printf (lt_buf_t *buf, const char *format, ...)
       __attribute__ ((format (printf, 2, 3)));
+  /** Makes room for CAPACITY bytes in all, and not more.  */
+  void lt_buf_reserve (lt_buf_t *buf, size_t capacity);
+  /** Returns memory to the system, so that BUF has room for CAPACITY bytes, or
+      for those that it holds.  */
+  void lt_buf_shrink (lt_buf_t *buf, size_t capacity);
   /** Drops the first LEN bytes.  */
   void lt_buf_consume (lt_buf_t *buf, size_t len);
   void lt_buf_clear (lt_buf_t *buf);
--- a/packages/base/src/str.c
+++ b/packages/base/src/str.c
@@ -242,6 +242,25 @@
   buf->cap = cap;
 }
 
+void
+lt_buf_reserve (lt_buf_t *buf, size_t capacity)
+{
+  if (capacity + 1 <= buf->cap)
+    return;
+  buf->data = lt_realloc (buf->data, capacity + 1);
+  buf->cap = capacity + 1;
+}
+
+void
+lt_buf_shrink (lt_buf_t *buf, size_t capacity)
+{
+  size_t cap = (capacity > buf->len ? capacity : buf->len) + 1;
+  if (cap >= buf->cap)
+    return;
+  buf->data = lt_realloc (buf->data, cap);
+  buf->cap = cap;
+}
+
 void
 lt_buf_append (lt_buf_t *buf, const void *data, size_t len)
 {
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -147,6 +147,12 @@
     struct lt_upstream_client *upstreams;
     struct lt_pools *pools;
     struct lt_retry *retry;
+    struct lt_memory_budget *memory; /**< Of what callers can fill. */
+    lt_gauge_t *memory_used;
+    lt_gauge_t *memory_total;
+    lt_counter_t *body_pauses;
+    lt_counter_t *readers_dropped;
+    lt_counter_t *connections_closed; /**< Idle or without a header. */
     lt_counter_t *refused[LT_REFUSAL_COUNT];
     lt_counter_t *retry_decisions[LT_RETRY_REASONS];
     lt_counter_t *retry_failures[LT_RETRY_FAILURES];
--- a/packages/node/include/lt/node/refusal.h
+++ b/packages/node/include/lt/node/refusal.h
@@ -32,6 +32,12 @@
      "The route does not allow the method")                                   \
   X (LT_REFUSE_BODY_TOO_LARGE, "body-too-large", 413, LT_RUN_STATE_NOT_RUN,   \
      0, "The body exceeds the limit of the route")                            \
+  X (LT_REFUSE_BODY_OVER_MEMORY, "body-over-memory", 413,                     \
+     LT_RUN_STATE_NOT_RUN, 0, "The body exceeds the memory of this VM")       \
+  X (LT_REFUSE_MEMORY, "memory-full", 503, LT_RUN_STATE_NOT_RUN, 1,           \
+     "No memory became free for the body")                                    \
+  X (LT_REFUSE_BODY_STALLED, "body-stalled", 408, LT_RUN_STATE_NOT_RUN, 0,    \
+     "The body made no progress while others waited for memory")              \
   X (LT_REFUSE_KEY_MISSING, "key-missing", 401, LT_RUN_STATE_NOT_RUN, 0,      \
      "The route requires a key")                                              \
   X (LT_REFUSE_KEY_UNKNOWN, "key-unknown", 401, LT_RUN_STATE_NOT_RUN, 0,      \
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -75,6 +75,11 @@
     lt_buf_t body;
     int64_t body_limit_bytes;
     bool body_too_large;
+    bool body_refused; /**< There is no memory for the body, or it stalled;
+                          see the next two fields. */
+    lt_refusal_t body_refusal;
+    int64_t body_retry_after_ms;
+    int64_t response_charged_bytes; /**< To the memory budget. */
     bool framing_invalid; /**< The body length is ambiguous, or the Host is
                              missing or repeated. */
     struct lt_snapshot_ref *config; /**< Snapshot used for this request. */
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -8,13 +8,10 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#include "caller_hangup.h"
-#include "caller_linger.h"
+#include "caller_internal.h"
 #include "dispatch.h"
-#include "http_loop.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
-#include "lt/node/request.h"
 #include "request_parse.h"
 
 enum
@@ -25,50 +22,10 @@
      overhead.  */
   HOSTED_CONNECTION_MEMORY_BYTES = 40 * 1024,
   IDLE_TIMEOUT_S = 75,
-  RESPONSE_BLOCK_BYTES = 16 * 1024
-};
-
-/* A caller's connection.  */
-typedef struct caller_connection
-{
-  struct caller_connection *prev;
-  struct caller_connection *next;
-  int fd;
-  bool read_closed;         /* By this server, see close_idle. */
-  int open_exchanges;       /* Requests that are being received or served. */
-  int64_t waiting_since_us; /* Unread bytes wait on the socket; 0: none. */
-  int64_t input_us;         /* Last read by libmicrohttpd; 0: none yet. */
-  uint64_t input_run;       /* Run of the daemon in which that holds. */
-} caller_connection_t;
-
-typedef struct exchange exchange_t;
-
-struct lt_caller_server
-{
-  lt_node_t *node;
-  caller_connection_t *connections;
-  exchange_t *exchanges;
-  lt_linger_t linger;
-  lt_http_loop_t http;
-  bool quiesced;
-};
-
-/* One request and its response on a caller's connection.  */
-struct exchange
-{
-  lt_hangup_watch_t hangup;
-  exchange_t *prev;
-  exchange_t *next;
-  lt_caller_server_t *server;
-  struct MHD_Connection *connection;
-  caller_connection_t *caller;
-  lt_request_t *request;
-  char *target;
-  int64_t received_us; /* When the first bytes of the request arrived. */
-  bool suspended;
-  bool chain_started;
-  bool responded;
-  bool caller_disconnected;
+  RESPONSE_BLOCK_BYTES = 16 * 1024,
+  /* Memory of a request besides its body and response: header lists, and
+     libcurl's state of an attempt with a buffer of 16 KiB.  */
+  REQUEST_BYTES = 32 * 1024
 };
 
 static void
@@ -87,11 +44,8 @@
 /* Consumes the response of a request whose caller has disconnected.  */
 static const lt_request_sink_t detached_sink = { detached_wake };
 
-/* Ends the request of EXCHANGE.  A never-repeat action that may have reached
-   an upstream continues without its caller, so that its outcome is
-   recorded.  */
-static void
-release_request (exchange_t *exchange)
+void
+lt_exchange_release_request (exchange_t *exchange)
 {
   lt_request_t *request = exchange->request;
   exchange->request = NULL;
@@ -110,8 +64,8 @@
   request->sink_data = NULL;
 }
 
-static void
-resume_connection (exchange_t *exchange)
+void
+lt_exchange_resume (exchange_t *exchange)
 {
   if (!exchange->suspended)
     return;
@@ -126,8 +80,8 @@
 {
   exchange_t *exchange = (exchange_t *)watch;
   exchange->caller_disconnected = true;
-  release_request (exchange);
-  resume_connection (exchange);
+  lt_exchange_release_request (exchange);
+  lt_exchange_resume (exchange);
 }
 
 static void
@@ -142,8 +96,8 @@
 static const lt_hangup_vtable_t hangup_vtable
     = { .request_waiting = on_request_waiting, .left = on_left };
 
-static void
-suspend_connection (exchange_t *exchange)
+void
+lt_exchange_suspend (exchange_t *exchange)
 {
   exchange->suspended = true;
   MHD_suspend_connection (exchange->connection);
@@ -156,7 +110,7 @@
 on_wake (void *sink, lt_request_t *request)
 {
   (void)request;
-  resume_connection (sink);
+  lt_exchange_resume (sink);
 }
 
 static const lt_request_sink_t caller_sink = { on_wake };
@@ -182,7 +136,7 @@
     return MHD_CONTENT_READER_END_WITH_ERROR;
   if (response->complete)
     return MHD_CONTENT_READER_END_OF_STREAM;
-  suspend_connection (exchange);
+  lt_exchange_suspend (exchange);
   return 0;
 }
 
@@ -190,9 +144,10 @@
 make_response (exchange_t *exchange)
 {
   lt_response_t *response = &exchange->request->response;
+  /* The request outlives the response, see on_completed.  */
   if (response->complete)
     return MHD_create_response_from_buffer (
-        response->body.len, response->body.data, MHD_RESPMEM_MUST_COPY);
+        response->body.len, response->body.data, MHD_RESPMEM_PERSISTENT);
   uint64_t size
       = response->length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)response->length;
   return MHD_create_response_from_callback (
@@ -229,20 +184,21 @@
   if (exchange->server->node->draining || request->framing_invalid)
     add_header (mhd_response, STR_LIT ("Connection"), STR_LIT ("close"));
   response->header_sent = true;
+  lt_exchange_deliver (exchange);
   enum MHD_Result result = MHD_queue_response (
       exchange->connection, (unsigned int)response->status, mhd_response);
   MHD_destroy_response (mhd_response);
   return result;
 }
 
-static enum MHD_Result
-respond_or_suspend (exchange_t *exchange)
+enum MHD_Result
+lt_exchange_respond (exchange_t *exchange)
 {
   if (exchange->request == NULL)
     return MHD_NO;
   if (exchange->request->response.header_ready)
     return queue_response (exchange);
-  suspend_connection (exchange);
+  lt_exchange_suspend (exchange);
   return MHD_YES;
 }
 
@@ -262,23 +218,9 @@
          afterwards.  */
       exchange->chain_started = true;
       lt_request_start (request);
-      return respond_or_suspend (exchange);
-    }
-  return MHD_YES;
-}
-
-static void
-append_body (lt_request_t *request, const char *data, size_t len)
-{
-  if (request->body_too_large)
-    return;
-  if ((int64_t)(request->body.len + len) > request->body_limit_bytes)
-    {
-      request->body_too_large = true;
-      lt_buf_clear (&request->body);
-      return;
+      return lt_exchange_respond (exchange);
     }
-  lt_buf_append (&request->body, data, len);
+  return lt_exchange_admit (exchange);
 }
 
 /* Returns when the input of CALLER that libmicrohttpd passes on now arrived.
@@ -316,17 +258,22 @@
   if (exchange->request == NULL)
     return start_request (exchange, method, version);
   if (*upload_data_size > 0)
+    return lt_exchange_receive (exchange, upload_data, upload_data_size);
+  if (exchange->at_header)
     {
-      append_body (exchange->request, upload_data, *upload_data_size);
-      *upload_data_size = 0;
-      return MHD_YES;
+      exchange->at_header = false;
+      if (!exchange->chain_started)
+        return MHD_YES;
     }
   if (!exchange->chain_started)
     {
       exchange->chain_started = true;
+      if (exchange->memory.state != LT_MEMORY_NONE)
+        lt_memory_budget_complete (exchange->server->node->memory,
+                                   &exchange->memory);
       lt_request_start (exchange->request);
     }
-  return exchange->responded ? MHD_YES : respond_or_suspend (exchange);
+  return exchange->responded ? MHD_YES : lt_exchange_respond (exchange);
 }
 
 static caller_connection_t *
@@ -348,6 +295,9 @@
           connection, MHD_CONNECTION_INFO_CONNECTION_FD);
       caller_connection_t *caller = lt_alloc (sizeof (*caller));
       caller->fd = info->connect_fd;
+      caller->since_us = lt_node_now_us (server->node);
+      server->connection_count++;
+      lt_memory_budget_charge (server->node->memory, server->connection_bytes);
       DL_APPEND (server->connections, caller);
       *socket_context = caller;
       return;
@@ -355,6 +305,8 @@
   caller_connection_t *caller = *socket_context;
   lt_linger_add (&server->linger, caller->fd);
   DL_DELETE (server->connections, caller);
+  server->connection_count--;
+  lt_memory_budget_charge (server->node->memory, -server->connection_bytes);
   free (caller);
   *socket_context = NULL;
 }
@@ -390,12 +342,14 @@
   if (exchange->caller != NULL)
     {
       exchange->caller->open_exchanges++;
+      exchange->caller->exchange = exchange;
       exchange->caller_disconnected = exchange->caller->read_closed;
       if (exchange->caller_disconnected)
         lt_log (LT_LOG_INFO, "caller-server",
                 "msg=\"request on a connection that is closing dropped\"");
     }
   DL_APPEND (exchange->server->exchanges, exchange);
+  lt_memory_budget_charge (exchange->server->node->memory, REQUEST_BYTES);
   return exchange;
 }
 
@@ -411,10 +365,13 @@
   if (exchange == NULL)
     return;
   lt_hangup_watch_stop (&exchange->hangup);
-  release_request (exchange);
+  lt_exchange_release_request (exchange);
   DL_DELETE (exchange->server->exchanges, exchange);
+  lt_memory_budget_release (exchange->server->node->memory, &exchange->memory);
+  lt_memory_budget_charge (exchange->server->node->memory, -REQUEST_BYTES);
   if (exchange->caller != NULL)
     {
+      exchange->caller->exchange = NULL;
       exchange->caller->open_exchanges--;
       /* What follows in this run was read before the response.  */
       exchange->caller->input_run = exchange->server->http.runs;
@@ -435,11 +392,8 @@
       MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, server,
       MHD_OPTION_NOTIFY_CONNECTION, on_connection, server,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      (size_t)(server->node->registry != NULL ? HOSTED_CONNECTION_MEMORY_BYTES
-                                              : CONNECTION_MEMORY_BYTES),
-      MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned int)server->node->settings->max_connections,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)server->connection_bytes,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned int)server->connections_max,
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned int)IDLE_TIMEOUT_S,
       /* Level 1 also requires a Host, but libmicrohttpd 0.9.75 then writes its
          response head twice; lt_request_parse_head checks it.  */
@@ -455,6 +409,10 @@
   lt_caller_server_t *server = lt_alloc (sizeof (*server));
   server->node = node;
   server->linger.loop = node->loop;
+  server->connection_bytes = node->registry != NULL
+                                 ? HOSTED_CONNECTION_MEMORY_BYTES
+                                 : CONNECTION_MEMORY_BYTES;
+  lt_caller_memory_start (server);
   struct MHD_Daemon *daemon = start_daemon (server, &address);
   if (daemon == NULL
       || lt_http_loop_start (&server->http, node->loop, daemon) != 0)
@@ -499,6 +457,7 @@
   if (server->quiesced)
     return;
   server->quiesced = true;
+  server->quiesced_us = lt_node_now_us (server->node);
   close_idle (server);
   int listen_fd = MHD_quiesce_daemon (server->http.daemon);
   if (listen_fd < 0)
@@ -525,15 +484,22 @@
   DL_FOREACH (server->exchanges, exchange)
   {
     exchange->caller_disconnected = true;
-    resume_connection (exchange);
+    lt_exchange_resume (exchange);
   }
 }
 
+void
+lt_caller_server_tick (lt_caller_server_t *server, int64_t now_us)
+{
+  lt_caller_memory_tick (server, now_us);
+}
+
 void
 lt_caller_server_destroy (lt_caller_server_t *server)
 {
   if (server == NULL)
     return;
+  lt_caller_memory_stop (server);
   resume_all (server);
   lt_http_loop_stop (&server->http);
   lt_linger_end (&server->linger);
--- a/packages/node/src/caller_server.h
+++ b/packages/node/src/caller_server.h
@@ -23,6 +23,8 @@
   void lt_caller_server_quiesce (lt_caller_server_t *server);
   /** Returns the number of open connections.  */
   int lt_caller_server_connections (const lt_caller_server_t *server);
+  /** Called about every 100 ms; keeps within the node's memory budget.  */
+  void lt_caller_server_tick (lt_caller_server_t *server, int64_t now_us);
   void lt_caller_server_destroy (lt_caller_server_t *server);
 
 #ifdef __cplusplus
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -23,10 +23,12 @@
 #include "lt/node/source_controller.h"
 #include "lt/node/upstream_controller.h"
 #include "lt/policy/freshness.h"
+#include "lt/policy/memory_budget.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
 #include "mesh_controller.h"
 #include "node_counters.h"
+#include "node_memory.h"
 #include "readiness.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
@@ -140,6 +142,7 @@
         = node->config != NULL
           && lt_freshness_allows_keyed (node->freshness, now_us);
   update_retry_burst (node);
+  lt_caller_server_tick (daemon->callers, now_us);
   if (node->draining)
     continue_drain (daemon, now_us);
 }
@@ -286,6 +289,7 @@
     set_hosted_retry_budget (settings, &retry_options);
   node->retry = lt_retry_create (&retry_options, &node->rng);
   lt_node_metrics_create (node);
+  lt_node_memory_create (node);
   add_filters (node);
 }
 
@@ -356,6 +360,7 @@
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
   lt_retry_destroy (node->retry);
+  lt_memory_budget_destroy (node->memory);
   lt_platform_destroy (&node->platform);
   if (node->registry != NULL)
     node->registry->vtable->destroy (node->registry);
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -8,6 +8,7 @@
 #include "lt/base/rng.h"
 #include "lt/node/claim_controller.h"
 #include "lt/node/quarantine_controller.h"
+#include "node_memory.h"
 #include "outgoing.h"
 #include "pools.h"
 #include "upstream_probe.h"
@@ -174,14 +175,13 @@
   lt_response_t *response = &request->response;
   bool buffered = !response->header_ready;
   size_t limit = buffered ? WHOLE_RESPONSE_BYTES_MAX : STREAM_BUFFER_BYTES;
-  if (response->body.len > 0 && response->body.len + data.len > limit)
+  if (!lt_node_memory_append_response (request, data, limit))
     {
       attempt->paused = true;
       response->header_ready = true;
       request->sink->wake (request->sink_data, request);
       return false;
     }
-  lt_buf_append_str (&response->body, data);
   if (response->header_ready)
     request->sink->wake (request->sink_data, request);
   return true;
@@ -596,6 +596,7 @@
       || request->response.body.len > STREAM_BUFFER_BYTES / 2)
     return;
   winner->paused = false;
+  lt_node_memory_shrink_response (request, STREAM_BUFFER_BYTES);
   lt_transfer_unpause (winner->transfer);
 }
 
--- a/packages/node/src/filter_size.c
+++ b/packages/node/src/filter_size.c
@@ -5,6 +5,9 @@
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
   (void)filter;
+  if (request->body_refused)
+    return lt_request_refuse_after (request, request->body_refusal,
+                                    request->body_retry_after_ms);
   bool over = request->body_too_large
               || (int64_t)request->body.len > request->route->max_body_bytes;
   if (over)
--- a/packages/node/src/main.c
+++ b/packages/node/src/main.c
@@ -1,5 +1,6 @@
 #include <argp.h>
 #include <ev.h>
+#include <malloc.h>
 #include <signal.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -14,7 +15,10 @@
 
 enum
 {
-  EXIT_FINDINGS = 2
+  EXIT_FINDINGS = 2,
+  MAPPED_BLOCK_MIN_BYTES = 128 * 1024,
+  /* Kept free at the end of the heap, as small requests come and go.  */
+  HEAP_TRIM_BYTES = 1024 * 1024
 };
 
 /* Starts the drain.  Planned stops may overlap, so a further SIGTERM changes
@@ -112,11 +116,22 @@
   return EXIT_SUCCESS;
 }
 
+/* Blocks of bodies and responses go back to the system when they are freed:
+   with its defaults, the C library raises the size from which it maps blocks
+   to that of the largest one freed, and keeps smaller ones in its heap.  */
+static void
+set_up_allocator (void)
+{
+  mallopt (M_MMAP_THRESHOLD, MAPPED_BLOCK_MIN_BYTES);
+  mallopt (M_TRIM_THRESHOLD, HEAP_TRIM_BYTES);
+}
+
 int
 main (int argc, char **argv)
 {
   lt_settings_t settings;
   lt_findings_t findings = { 0 };
+  set_up_allocator ();
   mask_signals (SIG_BLOCK);
   signal (SIGPIPE, SIG_IGN);
   if (sodium_init () < 0)
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/node/node.h"
 #include "node_counters.h"
+#include "node_memory.h"
 #include "pools.h"
 #include "upstream_client.h"
 
@@ -87,6 +88,7 @@
   lt_header_list_destroy (&request->response.headers);
   lt_upstream_client_free_body (node->upstreams, &request->body);
   lt_buf_destroy (&request->response.body);
+  lt_node_memory_release_response (request);
   wipe_and_free (request->key);
   free (request->method);
   wipe_and_free (request->target);
