--- a/packages/node/src/caller_memory.c
+++ b/packages/node/src/caller_memory.c
@@ -26,8 +26,10 @@
      quarter is left for connections to upstreams, as only requests that are
      served have one.  */
   OWN_DESCRIPTORS = 128,
-  /* What the kernel may hold of a paused body; it doubles the number.  */
-  PAUSED_RECEIVE_BYTES = 32 * 1024,
+  /* What the kernel may hold of a body that is paused in its middle, when the
+     socket's buffer may have grown to megabytes; it doubles the number.  Less
+     than a few segments (64 KiB on loopback) delays the rest by timers.  */
+  PAUSED_RECEIVE_BYTES = 128 * 1024,
   STOP_RETRY_AFTER_MS = 10,
   /* Between two measurements of what the process itself needs.  */
   UPDATE_TICKS = 20
@@ -92,7 +94,7 @@
   lt_memory_budget_wait (server->node->memory, &exchange->memory, bytes,
                          wait_until_us (exchange->request, now_us), now_us);
   server->node->body_pauses->value++;
-  if (exchange->caller != NULL)
+  if (exchange->caller != NULL && exchange->memory.received_bytes > 0)
     setsockopt (exchange->caller->fd, SOL_SOCKET, SO_RCVBUF, &size,
                 sizeof (size));
   lt_exchange_suspend (exchange);
