--- a/packages/node/src/caller_linger.c
+++ b/packages/node/src/caller_linger.c
@@ -16,7 +16,12 @@
   DISCARD_BYTES = 4096,
   /* Reads at one event, so that a caller that sends fast cannot hold the
      loop.  */
-  READS_MAX = 16
+  READS_MAX = 16,
+  /* A caller that sends more after the response is reset, as it would cost
+     processor time for nothing.  */
+  DISCARD_MAX_BYTES = 8 * 1024 * 1024,
+  /* Each holds a descriptor.  */
+  LINGERING_MAX = 512
 };
 
 struct lt_lingering
@@ -26,6 +31,7 @@
   lt_linger_t *linger;
   ev_io readable;
   ev_timer end;
+  int64_t discarded_bytes;
 };
 
 static void
@@ -40,14 +46,18 @@
   free (connection);
 }
 
-/* Reads and drops what has arrived.  Returns the result of the last read.  */
+/* Reads and drops what has arrived, and counts it.  Returns the result of the
+   last read.  */
 static ssize_t
-discard_input (int fd)
+discard_input (int fd, int64_t *discarded_bytes)
 {
   char bytes[DISCARD_BYTES];
   ssize_t got = 1;
   for (int i = 0; i < READS_MAX && got > 0; i++)
-    got = recv (fd, bytes, sizeof (bytes), MSG_DONTWAIT);
+    {
+      got = recv (fd, bytes, sizeof (bytes), MSG_DONTWAIT);
+      *discarded_bytes += got > 0 ? got : 0;
+    }
   return got;
 }
 
@@ -56,10 +66,11 @@
 {
   (void)loop;
   (void)events;
-  ssize_t got = discard_input (io->fd);
+  lt_lingering_t *connection = io->data;
+  ssize_t got = discard_input (io->fd, &connection->discarded_bytes);
   bool again = got < 0 && (errno == EAGAIN || errno == EINTR);
-  if (got <= 0 && !again)
-    lingering_close (io->data);
+  if ((got <= 0 && !again) || connection->discarded_bytes > DISCARD_MAX_BYTES)
+    lingering_close (connection);
 }
 
 static void
@@ -80,7 +91,7 @@
 void
 lt_linger_add (lt_linger_t *linger, int fd)
 {
-  if (!lt_socket_has_input (fd))
+  if (linger->count >= LINGERING_MAX || !lt_socket_has_input (fd))
     return;
   int copy = fcntl (fd, F_DUPFD_CLOEXEC, 0);
   if (copy < 0)
--- a/packages/node/src/caller_linger.h
+++ b/packages/node/src/caller_linger.h
@@ -28,7 +28,8 @@
   /** Returns whether received bytes of FD are not read yet.  */
   bool lt_socket_has_input (int fd);
   /** Called before FD is closed: if it has unread input, keeps a duplicate of
-      it open until the caller closes, for at most LT_LINGER_MS.  */
+      it open until the caller closes, for at most LT_LINGER_MS and 8 MiB of
+      input; not if many are kept already.  */
   void lt_linger_add (lt_linger_t *linger, int fd);
   /** Closes all.  */
   void lt_linger_end (lt_linger_t *linger);
--- a/packages/node/src/caller_memory.c
+++ b/packages/node/src/caller_memory.c
@@ -127,7 +127,8 @@
     return MHD_YES;
   if (bytes < 0)
     bytes = FIRST_STEP_BYTES;
-  int64_t now_us = exchange->request->started_us;
+  int64_t now_us = exchange->caller == NULL ? exchange->request->started_us
+                                            : exchange->caller->input_us;
   switch (lt_memory_budget_reserve (budget_of (exchange), &exchange->memory,
                                     bytes, now_us))
     {
