--- a/packages/base/test/test_base.cc
+++ b/packages/base/test/test_base.cc
@@ -224,3 +224,21 @@
       lt_rng_below (&b, 10);
     }
 }
+
+// A body's charge is the room that was made for it, so no more may be taken.
+TEST (Buf, ReserveAndShrinkAreExact)
+{
+  lt_buf_t buf = {};
+  lt_buf_reserve (&buf, 1000);
+  EXPECT_EQ (1001u, buf.cap);
+  std::string text (1000, 'x');
+  lt_buf_append (&buf, text.data (), text.size ());
+  EXPECT_EQ (1001u, buf.cap);
+  lt_buf_reserve (&buf, 10);
+  EXPECT_EQ (1001u, buf.cap);
+  lt_buf_consume (&buf, 900);
+  lt_buf_shrink (&buf, 50);
+  EXPECT_EQ (101u, buf.cap);
+  EXPECT_EQ (std::string (100, 'x'), std::string (buf.data, buf.len));
+  lt_buf_destroy (&buf);
+}
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -305,6 +305,10 @@
   caller_connection_t *caller = *socket_context;
   lt_linger_add (&server->linger, caller->fd);
   DL_DELETE (server->connections, caller);
+  /* At its limit libmicrohttpd does not accept, and tries again only when it
+     runs; without an event of a connection that would be never.  */
+  if (server->connection_count >= server->connections_max)
+    lt_http_loop_wake (&server->http);
   server->connection_count--;
   lt_memory_budget_charge (server->node->memory, -server->connection_bytes);
   free (caller);
