--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -112,6 +112,8 @@
     /** Rate that the upstream named in its response; 0: none; -1: there was no
         response of this upstream, or the rate was unreadable.  */
     int64_t rate_milli_per_s;
+    /** When the upstream is warm, by its response; 0: it did not say.  */
+    int64_t warm_until_us;
     lt_digest_t fingerprint; /**< Of the request. */
     uint32_t workspace;
     bool byte_sent;        /**< A byte of the request may have been sent. */
@@ -147,6 +149,12 @@
     struct lt_upstream_client *upstreams;
     struct lt_pools *pools;
     struct lt_retry *retry;
+    struct lt_memory_budget *memory; /**< Of what callers can fill. */
+    lt_gauge_t *memory_used;
+    lt_gauge_t *memory_total;
+    lt_counter_t *body_pauses;
+    lt_counter_t *readers_dropped;
+    lt_counter_t *connections_closed; /**< Idle or without a header. */
     lt_counter_t *refused[LT_REFUSAL_COUNT];
     lt_counter_t *retry_decisions[LT_RETRY_REASONS];
     lt_counter_t *retry_failures[LT_RETRY_FAILURES];
@@ -182,6 +190,7 @@
     struct lt_source_controller *source_controller;
     struct lt_quota_controller *quota_controller;
     struct lt_cost_controller *cost_controller;
+    struct lt_room_controller *room_controller;
   };
 
   /** Returns the monotonic time of the node's clock in microseconds.  */
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -24,11 +24,14 @@
 #include "lt/node/source_controller.h"
 #include "lt/node/upstream_controller.h"
 #include "lt/policy/freshness.h"
+#include "lt/policy/memory_budget.h"
 #include "lt/policy/retry.h"
 #include "membership_controller.h"
 #include "mesh_controller.h"
 #include "node_counters.h"
+#include "node_memory.h"
 #include "readiness.h"
+#include "room_controller.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
 
@@ -141,6 +144,7 @@
         = node->config != NULL
           && lt_freshness_allows_keyed (node->freshness, now_us);
   update_retry_burst (node);
+  lt_caller_server_tick (daemon->callers, now_us);
   if (node->draining)
     continue_drain (daemon, now_us);
 }
@@ -203,6 +207,8 @@
   lt_controller_t *upstreams = lt_upstream_controller_create (node);
   lt_node_add_controller (node, upstreams);
   node->pools = lt_upstream_controller_pools (upstreams);
+  if (node->settings->priority_admission != 0)
+    lt_node_add_controller (node, lt_room_controller_create (node));
   lt_node_add_controller (node, lt_quarantine_controller_create (node));
   lt_node_add_controller (node, lt_quota_controller_create (node));
   lt_node_add_controller (node, lt_source_controller_create (node));
@@ -289,6 +295,7 @@
     set_hosted_retry_budget (settings, &retry_options);
   node->retry = lt_retry_create (&retry_options, &node->rng);
   lt_node_metrics_create (node);
+  lt_node_memory_create (node);
   add_filters (node);
 }
 
@@ -359,6 +366,7 @@
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
   lt_retry_destroy (node->retry);
+  lt_memory_budget_destroy (node->memory);
   lt_platform_destroy (&node->platform);
   if (node->registry != NULL)
     node->registry->vtable->destroy (node->registry);
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -9,6 +9,7 @@
 #include "lt/node/node.h"
 #include "lt/policy/cost.h"
 #include "lt/policy/retry.h"
+#include "lt/policy/room.h"
 #include "upstream_client.h"
 
 enum
@@ -27,6 +28,7 @@
   int status;
   int64_t retry_after_ms;
   int64_t rate_milli_per_s; /* See lt_observation_event_t. */
+  int64_t warm_until_us;    /* The same. */
   bool byte_sent;
   bool connection_lost; /* See lt_transfer_result_t. */
   bool closing;         /* The upstream closes the connection. */
@@ -43,6 +45,8 @@
   lt_snapshot_ref_t *config; /* Snapshot of the pools at the last attempt. */
   str_t service_name;        /* Belongs to the request's snapshot. */
   uint32_t service;          /* Index in CONFIG; LT_NO_INDEX: absent. */
+  bool restricted;           /* ALLOWED_REGIONS applies; empty: nowhere. */
+  uint64_t allowed_regions;  /* Mask over the regions of CONFIG. */
   attempt_t attempts[ATTEMPTS_MAX];
   uint32_t attempt_count;
   uint32_t may_have_run; /* Attempts sent, without those marked not_run. */
@@ -54,13 +58,36 @@
   bool timed_out;       /* The last attempt timed out. */
   bool last_reset;      /* The last attempt's connection was reset. */
   bool refusal_pending; /* The retry timer only delays the refusal. */
+  /* Admission by priority; the room controller's.  */
+  bool waiting;
+  struct lt_dispatch *previous_waiting;
+  struct lt_dispatch *next_waiting;
+  lt_room_request_t room_request;
+  int64_t waiting_since_us;
+  lt_refusal_t room_refusal;
+  int64_t room_retry_after_ms; /* 0: it has not refused the request. */
   ev_timer retry_timer;
   ev_timer hedge_timer;
 };
 
+/** Returns the service that handles the request: the route's, or one drawn by
+    weight from its traffic splits.  */
+str_t lt_dispatch_choose_service (const lt_request_t *request);
 /** Switches DISPATCH to the pools' configuration and picks an upstream that
-    was not tried yet.  Returns its index or -LT_EUNAVAILABLE.  */
-int64_t lt_dispatch_pick (lt_dispatch_t *dispatch);
+    was not tried yet, within LIMITS unless NULL.  Returns its index,
+    -LT_EUNAVAILABLE or -LT_EFULL.  */
+int64_t lt_dispatch_pick (lt_dispatch_t *dispatch,
+                          const lt_choice_limits_t *limits);
+/** Returns whether the route and the workspace of the request allow no region
+    in common, as of the last lt_dispatch_pick.  */
+bool lt_dispatch_has_no_region (const lt_dispatch_t *dispatch);
+/** Sends the request to another upstream within LIMITS.  Returns 0,
+    -LT_EUNAVAILABLE when none can take it, or -LT_EFULL.  */
+int lt_dispatch_try (lt_dispatch_t *dispatch,
+                     const lt_choice_limits_t *limits);
+/** Refuses a request for which no response is in use and no attempt is in
+    progress.  */
+void lt_dispatch_refuse (lt_dispatch_t *dispatch);
 /** Sets NOT_RUN and WRONG_RESPONSE of ATTEMPT from a response header.  */
 void lt_dispatch_check_response (attempt_t *attempt,
                                  const lt_header_list_t *headers);
@@ -68,6 +95,10 @@
     lt_observation_event_t has it.  */
 int64_t lt_dispatch_read_rate (const attempt_t *attempt,
                                const lt_header_list_t *headers);
+/** Returns when the upstream is warm by the response with HEADERS, as
+    lt_observation_event_t has it.  */
+int64_t lt_dispatch_read_warm_until (const attempt_t *attempt,
+                                     const lt_header_list_t *headers);
 /** Returns whether callers may take STATUS to mean that the request did not
     run.  The dispatcher does not forward such a response of an upstream but
     retries or refuses the request.  */
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -15,6 +15,9 @@
 
   typedef struct lt_pools lt_pools_t;
 
+  struct lt_choice_limits;
+  struct lt_choice_load;
+
   /** Criteria for picking an upstream.  */
   typedef struct lt_pick
   {
@@ -24,7 +27,8 @@
     bool repeatable;          /**< A failure would be retried elsewhere. */
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
-    const lt_cost_key_t *cost; /**< Keys of its likely cost. */
+    const struct lt_choice_limits *limits; /**< NULL: none. */
+    const lt_cost_key_t *cost;             /**< Keys of its likely cost. */
   } lt_pick_t;
 
   /** An attempt, for a choice by the likely cost of requests.  */
@@ -41,15 +45,21 @@
     /** Returns the snapshot that upstream indexes refer to, or NULL before
         the first.  The pools own the reference.  */
     lt_snapshot_ref_t *(*config) (lt_pools_t *pools);
-    /** Returns the index of an upstream, or -LT_EUNAVAILABLE.  */
+    /** Returns the index of an upstream, -LT_EUNAVAILABLE, or -LT_EFULL when
+        all are full by the pick's limits.  */
     int64_t (*pick) (lt_pools_t *pools, const lt_pick_t *pick, int64_t now_us);
     /** Returns the connect timeout of UPSTREAM in milliseconds; 0: the
         default.  May be NULL.  */
     int64_t (*connect_ms) (lt_pools_t *pools, uint32_t upstream);
-    /** Returns how long it takes until an upstream of SERVICE, whose
-        upstreams take requests at a rate, takes another one; 0: rates are not
-        the reason.  May be NULL.  */
-    int64_t (*wait_us) (lt_pools_t *pools, uint32_t service, int64_t now_us);
+    /** Returns how long it takes until an upstream of SERVICE in
+        ALLOWED_REGIONS, whose upstreams take requests at a rate, takes another
+        one; 0: rates are not the reason.  May be NULL.  */
+    int64_t (*wait_us) (lt_pools_t *pools, uint32_t service,
+                        uint64_t allowed_regions, int64_t now_us);
+    /** Writes the load of SERVICE to LOADS, which has an element for each
+        lt_distance_t.  May be NULL.  */
+    void (*load) (lt_pools_t *pools, uint32_t service, int64_t now_us,
+                  struct lt_choice_load *loads);
     /** Called when a request for SERVICE of SNAPSHOT was refused before any
         attempt.  May be NULL.  */
     void (*on_refused) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -8,6 +8,7 @@
 #include "lt/base/error.h"
 #include "lt/node/node.h"
 #include "node_counters.h"
+#include "node_memory.h"
 #include "pools.h"
 #include "upstream_client.h"
 
@@ -87,6 +88,7 @@
   lt_header_list_destroy (&request->response.headers);
   lt_upstream_client_free_body (node->upstreams, &request->body);
   lt_buf_destroy (&request->response.body);
+  lt_node_memory_release_response (request);
   wipe_and_free (request->key);
   free (request->method);
   wipe_and_free (request->target);
@@ -206,14 +208,15 @@
 
 /* Reports a refused request to the pools.  A service whose requests are mostly
    refused, for whatever reason, counts as failing, and its idle upstreams are
-   then tried.  */
+   then tried.  The refusal of a request that only some regions may serve shows
+   nothing about the upstreams of the others.  */
 static void
 notify_pools (const lt_request_t *request)
 {
   const lt_route_t *route = request->route;
   lt_pools_t *pools = request->node->pools;
-  if (route == NULL || request->attempts > 0 || pools == NULL
-      || pools->vtable->on_refused == NULL)
+  if (route == NULL || request->attempts > 0 || request->restricted
+      || pools == NULL || pools->vtable->on_refused == NULL)
     return;
   int64_t now_us = lt_node_now_us (request->node);
   for (uint32_t i = 0; i < route->split_count; i++)
--- /dev/null
+++ b/packages/node/src/upstream_internal.h
@@ -0,0 +1,75 @@
+/** @file
+    State of the upstream controller, shared by its files.  */
+#ifndef LT_NODE_UPSTREAM_INTERNAL_H
+#define LT_NODE_UPSTREAM_INTERNAL_H
+
+#include <ev.h>
+
+#include "lt/node/node.h"
+#include "lt/node/upstream_controller.h"
+#include "lt/policy/choice.h"
+#include "lt/wire/message.h"
+#include "pools.h"
+#include "upstream_places.h"
+
+/* What other VMs are to learn about one upstream.  */
+typedef struct pending_update
+{
+  uint32_t successes;
+  uint32_t failures;
+  uint32_t rejections;      /* Counted only with admission by priority. */
+  int64_t rate_milli_per_s; /* Named in the last response. */
+  bool changed;
+} pending_update_t;
+
+struct lt_upstream_controller
+{
+  lt_controller_t base;
+  lt_pools_t pools;
+  lt_pools_vtable_t vtable; /* Of POOLS. */
+  lt_choice_t *choice;
+  lt_snapshot_ref_t *config;
+  lt_choice_upstream_t *upstreams; /* Indexed by upstream of CONFIG. */
+  pending_update_t *updates;       /* Indexed by upstream of CONFIG. */
+  ev_timer flush;
+  lt_counter_t *sent;
+  lt_counter_t *received;
+  lt_counter_t *malformed;
+  lt_gauge_t *suspected;
+  lt_gauge_t *limited;
+  lt_gauge_t *evacuated;
+  lt_gauge_t *cold;
+  uint32_t limited_count; /* Upstreams that name a rate, at most. */
+  lt_upstream_places_t *places;
+  int64_t gauge_updated_us; /* Last update of the gauges. */
+};
+
+/** Returns the id of UPSTREAM for the choice and for other VMs.  It includes
+    the incarnation, so that an upstream that restarts under the same name does
+    not inherit the estimate of its predecessor.  */
+uint64_t lt_upstream_id (const lt_upstream_t *upstream);
+/** Takes over the rate that an upstream named in a response to this or another
+    VM.  Returns whether it changed.  */
+bool lt_upstream_set_rate (lt_upstream_controller_t *c, uint64_t id,
+                           int64_t rate_milli_per_s, const char *source,
+                           int64_t now_us);
+
+/** Prepares the timer of updates.  */
+void lt_upstream_updates_init (lt_upstream_controller_t *c);
+/** Schedules an update on UPSTREAM and returns it for changes, or NULL when
+    the upstream is no longer in the configuration.  */
+pending_update_t *lt_upstream_updates_mark (lt_upstream_controller_t *c,
+                                            const lt_upstream_t *upstream);
+/** Sends UPDATES to the VMs of the failure domain if IN_DOMAIN, else to the
+    other VMs of the region.  */
+void lt_upstream_updates_send (lt_upstream_controller_t *c,
+                               const lt_wire_upstream_updates_t *updates,
+                               bool in_domain);
+/** Sends all pending updates to the VMs of the failure domain.  */
+void lt_upstream_updates_flush (lt_upstream_controller_t *c);
+/** Takes over the updates in a message of another VM.  */
+void lt_upstream_updates_receive (lt_controller_t *base,
+                                  const lt_peer_message_t *message,
+                                  int64_t now_us);
+
+#endif
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -2,82 +2,18 @@
 
 #include <math.h>
 #include <stdlib.h>
-#include <uthash.h>
 
+#include "choice_internal.h"
 #include "lt/base/clock.h"
 #include "lt/base/error.h"
 #include "lt/base/rng.h"
 #include "lt/base/str.h"
+#include "lt/policy/rejection.h"
 #include "lt/policy/work.h"
 
-enum
-{
-  MAX_PEERS = 64,
-  /* A response without a rate may have been sent before one with a rate that
-     arrived earlier, or be reported late.  */
-  RATE_END_DELAY_MS = 500
-};
-
 /* Above this probability an upstream is more likely gray than healthy.  */
 #define GRAY_THRESHOLD 0.5
 
-/* Load of one upstream that another VM reported.  */
-typedef struct peer_load
-{
-  uint64_t peer;
-  int32_t in_flight;
-  int64_t received_us;
-} peer_load_t;
-
-/* The estimated state of one upstream.  Probabilities are stored as of the
-   time beside them and decay from there when read.  */
-typedef struct upstream_estimate
-{
-  UT_hash_handle hh;
-  uint64_t id;
-  bool current; /* In the latest configuration. */
-  lt_choice_upstream_t upstream;
-  double gray;
-  int64_t gray_us;
-  double unreachable;
-  int64_t unreachable_us;
-  int64_t shed_until_us;
-  int64_t evidence_us;
-  int64_t used_us;       /* Last use by this VM or one that reports. */
-  bool address_moved;    /* Another upstream answers at its address. */
-  int32_t own_in_flight; /* Requests in flight from this VM. */
-  peer_load_t peers[MAX_PEERS];
-  uint32_t peer_count;
-  lt_pace_t pace;
-  int64_t rate_named_us; /* Last response with a rate. */
-} upstream_estimate_t;
-
-/* Recent outcomes of a service's requests, as counts that decay exponentially.
- */
-typedef struct service_state
-{
-  double good; /* Successful attempts of this VM and of VMs that report. */
-  double bad;  /* Failed attempts of these VMs. */
-  int64_t updated_us;
-  double requests; /* Requests to this VM. */
-  double refused;  /* Those that it refused before a choice. */
-  int64_t requests_us;
-  int64_t repeatable_us; /* Last repeatable request. */
-} service_state_t;
-
-struct lt_choice
-{
-  lt_choice_options_t options;
-  lt_rng_t *rng;
-  upstream_estimate_t *estimates;
-  upstream_estimate_t **by_index;
-  uint32_t count;
-  service_state_t *services;
-  uint32_t service_count;
-  lt_pace_place_t *places;
-  uint32_t place_count;
-};
-
 lt_choice_t *
 lt_choice_create (const lt_choice_options_t *options, lt_rng_t *rng)
 {
@@ -111,8 +47,8 @@
   free (choice);
 }
 
-static upstream_estimate_t *
-find (const lt_choice_t *choice, uint64_t id)
+upstream_estimate_t *
+lt_choice_find (const lt_choice_t *choice, uint64_t id)
 {
   upstream_estimate_t *estimate = NULL;
   HASH_FIND (hh, choice->estimates, &id, sizeof (id), estimate);
@@ -135,9 +71,9 @@
   return rest + (value - rest) * exp (-rate_per_s * elapsed_s);
 }
 
-static double
-gray_now (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-          int64_t now_us)
+double
+lt_choice_gray_now (const lt_choice_t *choice,
+                    const upstream_estimate_t *estimate, int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
   return decay_towards (estimate->gray, stationary_gray (o),
@@ -181,7 +117,7 @@
   if (!estimate->current
       || estimate->upstream.service >= choice->service_count)
     return;
-  if (gray_now (choice, estimate, now_us) >= GRAY_THRESHOLD)
+  if (lt_choice_gray_now (choice, estimate, now_us) >= GRAY_THRESHOLD)
     bad = 0;
   service_state_t *state = &choice->services[estimate->upstream.service];
   double kept = exp (-(double)(now_us - state->updated_us)
@@ -208,7 +144,7 @@
   choice->count = count;
   for (uint32_t i = 0; i < count; i++)
     {
-      estimate = find (choice, upstreams[i].id);
+      estimate = lt_choice_find (choice, upstreams[i].id);
       if (estimate == NULL)
         {
           estimate = lt_alloc (sizeof (*estimate));
@@ -221,6 +157,7 @@
                     estimate);
         }
       estimate->upstream = upstreams[i];
+      lt_choice_update_warm_up (estimate);
       estimate->current = true;
       choice->by_index[i] = estimate;
     }
@@ -254,14 +191,24 @@
   lt_work_offer (choice->options.work, index, loss, &load);
 }
 
+int32_t
+lt_choice_load_now (const lt_choice_t *choice,
+                    const upstream_estimate_t *estimate, int64_t now_us)
+{
+  return estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
+}
+
+/* LEAST is the load that counts at least.  */
 static double
 waiting_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-              const lt_choice_request_t *request, int64_t now_us)
+              const lt_choice_request_t *request, int32_t least,
+              int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
   int32_t slots = estimate->upstream.slots > 0 ? estimate->upstream.slots : 1;
-  int32_t load
-      = estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
+  int32_t load = lt_choice_load_now (choice, estimate, now_us);
+  if (load < least)
+    load = least;
   double loss = 0;
   if (request->cost != NULL)
     load = 0; /* See offer. */
@@ -269,26 +216,34 @@
     loss = o->busy_loss * load / slots;
   else
     loss = o->busy_loss + o->queue_loss * (load - slots + 1) / slots;
-  if (now_us < estimate->shed_until_us)
+  if (o->rejection_loss > 0)
+    loss += o->rejection_loss
+            * lt_rejection_share (&estimate->rejection, o->rejection_decay_us,
+                                  now_us);
+  else if (now_us < estimate->shed_until_us)
     loss += o->shed_loss;
-  if (now_us < estimate->upstream.warm_until_us)
+  if (now_us < estimate->upstream.warm_until_us
+      || lt_pace_is_cold (&estimate->pace, now_us))
     loss += o->warm_up_loss;
   return loss;
 }
 
 static double
 expected_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-               const lt_choice_request_t *request, int64_t now_us)
+               const lt_choice_request_t *request, int32_t least_load,
+               int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
-  double gray = gray_now (choice, estimate, now_us);
+  double gray = lt_choice_gray_now (choice, estimate, now_us);
   double failure_share
       = gray * o->gray_failure_share + (1 - gray) * o->healthy_failure_share;
   double loss
       = failure_share * (request->repeatable ? o->retryable_loss : 1.0);
   loss += unreachable_now (choice, estimate, now_us) * o->unreachable_loss;
   loss += o->distance_loss[estimate->upstream.distance];
-  return loss + waiting_loss (choice, estimate, request, now_us);
+  if (!request->repeatable && lt_pace_is_cold (&estimate->pace, now_us))
+    loss += o->cold_once_loss;
+  return loss + waiting_loss (choice, estimate, request, least_load, now_us);
 }
 
 static bool
@@ -324,86 +279,60 @@
          && !estimate->address_moved;
 }
 
+/* A request without ALLOWED_REGIONS may go anywhere.  */
 static bool
-is_eligible (const lt_choice_t *choice, const lt_choice_request_t *request,
-             uint32_t index, int64_t now_us)
+is_in_region (const upstream_estimate_t *estimate, uint64_t allowed_regions)
 {
-  const upstream_estimate_t *estimate = choice->by_index[index];
-  return takes_work (estimate, request->service) && !was_tried (request, index)
-         && next_slot_us (choice, estimate, now_us) <= now_us;
+  return allowed_regions == 0
+         || (allowed_regions & 1ULL << estimate->upstream.region_bit) != 0;
 }
 
-static void
-count_request (lt_choice_t *choice, service_state_t *state, bool refused,
-               int64_t now_us)
-{
-  double kept = exp (-(double)(now_us - state->requests_us)
-                     / (double)choice->options.failing_decay_us);
-  state->requests = state->requests * kept + 1;
-  state->refused = state->refused * kept + (refused ? 1 : 0);
-  state->requests_us = now_us;
-}
-
-void
-lt_choice_record_refusal (lt_choice_t *choice, uint32_t service,
-                          int64_t now_us)
+bool
+lt_choice_is_eligible (const lt_choice_t *choice,
+                       const lt_choice_request_t *request, uint32_t index,
+                       int64_t now_us)
 {
-  if (service < choice->service_count)
-    count_request (choice, &choice->services[service], true, now_us);
+  const upstream_estimate_t *estimate = choice->by_index[index];
+  return takes_work (estimate, request->service)
+         && is_in_region (estimate, request->allowed_regions)
+         && !was_tried (request, index)
+         && next_slot_us (choice, estimate, now_us) <= now_us;
 }
 
 static bool
-is_failing (const lt_choice_options_t *o, const service_state_t *state)
+is_full (const lt_choice_t *choice, const lt_choice_limits_t *limits,
+         const upstream_estimate_t *estimate, int64_t now_us)
 {
-  return (state->bad >= o->failing_min_failures
-          && state->bad > o->failing_share * (state->good + state->bad))
-         || (state->refused >= o->failing_min_refusals
-             && state->refused > o->failing_share * state->requests);
+  if (limits == NULL)
+    return false;
+  int32_t above = limits->above_slots[estimate->upstream.distance];
+  return above == LT_CHOICE_CLOSED
+         || lt_choice_load_now (choice, estimate, now_us)
+                >= estimate->upstream.slots + above;
 }
 
-/* Returns how long an upstream must have been idle for REQUEST to be sent to
-   it as a trial, or -1 when REQUEST is not used for trials.  */
-static int64_t
-required_idle_us (lt_choice_t *choice, const lt_choice_request_t *request,
-                  int64_t now_us)
+/* Returns the mean load of the failure domain's upstreams that may get
+   REQUEST, or 0 for a request without limits or chosen by work, which has its
+   own measure against stale reports (see lt_work_pick).  */
+static int32_t
+mean_load (const lt_choice_t *choice, const lt_choice_request_t *request,
+           int64_t now_us)
 {
-  const lt_choice_options_t *o = &choice->options;
-  if (request->tried_count > 0 || request->service >= choice->service_count)
-    return -1;
-  service_state_t *state = &choice->services[request->service];
-  count_request (choice, state, false, now_us);
-  if (request->repeatable)
-    {
-      state->repeatable_us = now_us;
-      return o->trial_idle_us;
-    }
-  bool repeatable = state->repeatable_us != 0
-                    && now_us - state->repeatable_us < o->failing_decay_us;
-  return is_failing (o, state) && !repeatable ? o->failing_trial_idle_us : -1;
-}
-
-/* Returns the index of the upstream that has been idle longest and is due for
-   a trial, or -1.  */
-static int64_t
-pick_trial (lt_choice_t *choice, const lt_choice_request_t *request,
-            int64_t now_us)
-{
-  int64_t found = -1;
-  int64_t idle_us = required_idle_us (choice, request, now_us);
-  int64_t oldest_us = now_us - idle_us;
-  if (idle_us < 0)
-    return -1;
+  int32_t sum = 0;
+  int32_t count = 0;
+  if (request->limits == NULL || request->cost != NULL
+      || choice->options.trusted_share >= 1)
+    return 0;
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const upstream_estimate_t *estimate = choice->by_index[i];
       if (estimate->upstream.distance != LT_DISTANCE_SAME_DOMAIN
-          || estimate->used_us > oldest_us
-          || !is_eligible (choice, request, i, now_us))
+          || !takes_work (estimate, request->service))
         continue;
-      oldest_us = estimate->used_us;
-      found = i;
+      sum += lt_choice_load_now (choice, estimate, now_us);
+      count++;
     }
-  return found;
+  return count == 0 ? 0 : sum / count;
 }
 
 int64_t
@@ -411,17 +340,28 @@
                 int64_t now_us)
 {
   int64_t best = -LT_EUNAVAILABLE;
+  bool full = false;
   double least = INFINITY;
   const lt_choice_options_t *o = &choice->options;
-  int64_t trial = pick_trial (choice, request, now_us);
+  int64_t trial = lt_choice_pick_trial (choice, request, now_us);
   if (trial >= 0)
     return trial;
+  int32_t mean = mean_load (choice, request, now_us);
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const upstream_estimate_t *estimate = choice->by_index[i];
-      if (!is_eligible (choice, request, i, now_us))
+      if (!lt_choice_is_eligible (choice, request, i, now_us))
         continue;
-      double loss = expected_loss (choice, estimate, request, now_us)
+      if (is_full (choice, request->limits, estimate, now_us))
+        {
+          full = true;
+          continue;
+        }
+      bool counts_as_mean
+          = mean > 0 && estimate->upstream.distance == LT_DISTANCE_SAME_DOMAIN
+            && lt_rng_unit (choice->rng) >= o->trusted_share;
+      double loss = expected_loss (choice, estimate, request,
+                                   counts_as_mean ? mean : 0, now_us)
                     + o->jitter * lt_rng_unit (choice->rng);
       if (request->cost != NULL)
         offer (choice, i, loss, now_us);
@@ -430,31 +370,24 @@
       least = loss;
       best = i;
     }
+  if (best < 0)
+    return full ? -LT_EFULL : best;
   return request->cost == NULL
              ? best
              : lt_work_pick (o->work, request->cost, o->busy_loss,
                              o->queue_loss, choice->rng, now_us);
 }
 
-void
-lt_choice_set_places (lt_choice_t *choice, const lt_pace_place_t *places,
-                      uint32_t count)
-{
-  free (choice->places);
-  choice->places = lt_alloc ((count + 1) * sizeof (*choice->places));
-  choice->place_count = count;
-  for (uint32_t i = 0; i < count; i++)
-    choice->places[i] = places[i];
-}
-
 int64_t
-lt_choice_next_us (const lt_choice_t *choice, uint32_t service, int64_t now_us)
+lt_choice_next_us (const lt_choice_t *choice, uint32_t service,
+                   uint64_t allowed_regions, int64_t now_us)
 {
   int64_t earliest_us = INT64_MAX;
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const upstream_estimate_t *estimate = choice->by_index[i];
-      if (!takes_work (estimate, service))
+      if (!takes_work (estimate, service)
+          || !is_in_region (estimate, allowed_regions))
         continue;
       int64_t next_us = next_slot_us (choice, estimate, now_us);
       if (next_us < earliest_us)
@@ -464,26 +397,10 @@
                                                           : earliest_us;
 }
 
-bool
-lt_choice_set_rate (lt_choice_t *choice, uint64_t id, int64_t rate_milli_per_s,
-                    int64_t now_us)
-{
-  upstream_estimate_t *estimate = find (choice, id);
-  if (estimate == NULL)
-    return false;
-  if (rate_milli_per_s > 0)
-    estimate->rate_named_us = now_us;
-  else if (now_us - estimate->rate_named_us < RATE_END_DELAY_MS * LT_US_PER_MS)
-    return false;
-  bool changed = estimate->pace.rate_milli_per_s != rate_milli_per_s;
-  estimate->pace.rate_milli_per_s = rate_milli_per_s;
-  return changed;
-}
-
 void
 lt_choice_begin_attempt (lt_choice_t *choice, uint64_t id, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   estimate->own_in_flight++;
@@ -494,7 +411,7 @@
 void
 lt_choice_end_attempt (lt_choice_t *choice, uint64_t id)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   estimate->own_in_flight--;
@@ -508,7 +425,7 @@
              int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
-  double gray = gray_now (choice, estimate, now_us);
+  double gray = lt_choice_gray_now (choice, estimate, now_us);
   double if_gray = good ? 1 - o->gray_failure_share : o->gray_failure_share;
   double if_healthy
       = good ? 1 - o->healthy_failure_share : o->healthy_failure_share;
@@ -521,9 +438,12 @@
 lt_choice_observe (lt_choice_t *choice, uint64_t id,
                    lt_choice_evidence_t evidence, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
+  if (evidence <= LT_CHOICE_SHED)
+    lt_rejection_add (&estimate->rejection, 1, evidence == LT_CHOICE_SHED,
+                      choice->options.rejection_decay_us, now_us);
   switch (evidence)
     {
     case LT_CHOICE_SUCCESS:
@@ -552,10 +472,12 @@
 lt_choice_observe_peer (lt_choice_t *choice, uint64_t id, uint32_t good,
                         uint32_t bad, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   count_outcomes (choice, estimate, good, bad, now_us);
+  lt_rejection_add (&estimate->rejection, good + bad, 0,
+                    choice->options.rejection_decay_us, now_us);
   estimate->used_us = now_us;
   for (uint32_t i = 0; i < good; i++)
     update_gray (choice, estimate, true, now_us);
@@ -563,17 +485,27 @@
     update_gray (choice, estimate, false, now_us);
 }
 
+void
+lt_choice_observe_peer_rejections (lt_choice_t *choice, uint64_t id,
+                                   uint32_t rejected, int64_t now_us)
+{
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
+  if (estimate != NULL)
+    lt_rejection_add (&estimate->rejection, rejected, rejected,
+                      choice->options.rejection_decay_us, now_us);
+}
+
 void
 lt_choice_set_peer_load (lt_choice_t *choice, uint64_t id, uint64_t peer,
                          int32_t in_flight, int64_t now_us)
 {
-  upstream_estimate_t *estimate = find (choice, id);
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return;
   uint32_t at = 0;
   while (at < estimate->peer_count && estimate->peers[at].peer != peer)
     at++;
-  if (at == MAX_PEERS)
+  if (at == CHOICE_MAX_PEERS)
     return;
   if (at == estimate->peer_count)
     estimate->peer_count++;
@@ -584,16 +516,19 @@
 lt_choice_look_up (const lt_choice_t *choice, uint64_t id, int64_t now_us,
                    lt_choice_estimate_t *view)
 {
-  const upstream_estimate_t *estimate = find (choice, id);
+  const upstream_estimate_t *estimate = lt_choice_find (choice, id);
   if (estimate == NULL)
     return -LT_ENOTFOUND;
   *view = (lt_choice_estimate_t){
-    .gray_probability = gray_now (choice, estimate, now_us),
+    .gray_probability = lt_choice_gray_now (choice, estimate, now_us),
     .unreachable_probability = unreachable_now (choice, estimate, now_us),
+    .rejected_share = lt_rejection_share (
+        &estimate->rejection, choice->options.rejection_decay_us, now_us),
     .own_in_flight = estimate->own_in_flight,
     .peers_in_flight = peers_in_flight (choice, estimate, now_us),
     .evidence_us = estimate->evidence_us,
-    .rate_milli_per_s = estimate->pace.rate_milli_per_s
+    .rate_milli_per_s = estimate->pace.rate_milli_per_s,
+    .cold = lt_pace_is_cold (&estimate->pace, now_us),
   };
   return 0;
 }
