--- a/packages/policy/test/test_work.cc
+++ b/packages/policy/test/test_work.cc
@@ -339,6 +339,36 @@
   lt_choice_destroy (other);
 }
 
+// Guards against a choice by work that goes past the limits of admission by
+// priority or leaves the allowed regions.
+TEST_F (Work, LimitsAndRegionsBind)
+{
+  teach ();
+  lt_cost_key_t k = key (CHEAP);
+  lt_choice_limits_t limits = { { 0, 0, 0 } };
+  upstreams[3].region_bit = 1;
+  configure ();
+  lt_choice_request_t request
+      = { .service = 0, .allowed_regions = 1, .limits = &limits, .cost = &k };
+  // Upstream 3 has the most work left, but is the only one below its limit.
+  for (uint64_t id = 1; id <= 2; id++)
+    for (int i = 0; i < 4; i++)
+      begin (id, CHEAP);
+  for (int i = 0; i < 3; i++)
+    begin (3, COSTLY);
+  for (int i = 0; i < 100; i++)
+    ASSERT_EQ (2, lt_choice_pick (choice, &request, now));
+  begin (3, COSTLY);
+  EXPECT_EQ (-LT_EFULL, lt_choice_pick (choice, &request, now));
+  // A refused choice leaves no offers behind for the next one.
+  request.allowed_regions = 1 << 1;
+  EXPECT_EQ (3, lt_choice_pick (choice, &request, now));
+  limits = { { LT_CHOICE_CLOSED, 0, 0 } };
+  EXPECT_EQ (-LT_EFULL, lt_choice_pick (choice, &request, now));
+  request.allowed_regions = 1 << 2;
+  EXPECT_EQ (-LT_EUNAVAILABLE, lt_choice_pick (choice, &request, now));
+}
+
 // Attempts that are unknown or end twice change nothing, and no upstream is
 // chosen where none may get the request.
 TEST_F (Work, UnknownAttemptsAndNoUpstreams)
