--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -148,6 +148,7 @@
       if (index != LT_NO_INDEX)
         tried[count++] = index;
     }
+  lt_dispatch_describe_cost (dispatch);
   lt_pick_t pick = {
     .service = dispatch->service,
     .tried = tried,
@@ -155,6 +156,7 @@
     .repeatable = can_retry_next (dispatch),
     .allowed_regions = dispatch->allowed_regions,
     .limits = limits,
+    .cost = &dispatch->cost,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -50,6 +50,7 @@
   if (attempt->byte_sent && attempt->not_run)
     dispatch->may_have_run--;
   request->byte_sent = dispatch->may_have_run > 0;
+  lt_dispatch_end_work (attempt, outcome, end_us - attempt->started_us);
   pools->vtable->end (pools, attempt->config->snapshot, attempt->upstream);
   if (request->node->room_controller != NULL)
     lt_room_controller_attempt_ended (request->node->room_controller, attempt,
@@ -495,6 +496,7 @@
   lt_snapshot_ref_acquire (attempt->config);
   dispatch->attempt_count++;
   record_attempt (dispatch->request, attempt);
+  lt_dispatch_begin_work (attempt);
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
   return 0;
 }
--- a/packages/node/src/settings.c
+++ b/packages/node/src/settings.c
@@ -105,6 +105,8 @@
     "Hosted: time in which new work for a leaving upstream ends" },
   { "revoke-ms", SETTING_NUMBER, OFFSET (revoke_ms), 0, DRAIN_GRACE_MAX_MS,
     "MS", "Hosted: time in which a withdrawn key is dead" },
+  { "cost-aware-choice", SETTING_NUMBER, OFFSET (cost_aware_choice), 0, 1,
+    "0|1", "Hosted: choose upstreams by the likely cost of requests" },
   { "priority-admission", SETTING_NUMBER, OFFSET (priority_admission), 0, 1,
     "0|1", "Hosted: 1 admits requests by priority when upstreams are full" },
   { "seed", SETTING_NUMBER, OFFSET (seed), 0, INT64_MAX, "N",
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -1,6 +1,5 @@
 #include "lt/node/upstream_controller.h"
 
-#include <ev.h>
 #include <jansson.h>
 #include <stddef.h>
 #include <stdlib.h>
@@ -8,17 +7,14 @@
 #include "lt/base/error.h"
 #include "lt/base/hash.h"
 #include "lt/base/log.h"
+#include "lt/node/cost_controller.h"
 #include "lt/node/node.h"
 #include "lt/policy/choice_load.h"
 #include "lt/wire/frame.h"
-#include "lt/wire/message.h"
-#include "pools.h"
-#include "room_controller.h"
-#include "upstream_places.h"
+#include "upstream_internal.h"
 
 enum
 {
-  NEAR_VMS_MAX = 256,
   /* Connecting takes one round trip: about 3 ms within a region and 40 ms
      across regions.  TCP retransmits a lost SYN only after one second, so a
      new attempt is faster than waiting for it.  */
@@ -26,8 +22,6 @@
   CONNECT_TIMEOUT_FAR_MS = 500
 };
 
-/* Upstream updates without a failure are batched for this long.  */
-#define UPDATE_DELAY_S 0.1
 /* From this probability on, an upstream counts as gray in logs and gauges.  */
 #define GRAY_THRESHOLD 0.5
 /* Expected loss of an upstream that rejects everything: a rejected request is
@@ -44,36 +38,6 @@
 /* Interval at which the gauges and the places in the fleet are updated.  */
 #define GAUGE_INTERVAL_US LT_US_PER_S
 
-typedef struct pending_update
-{
-  uint32_t successes;
-  uint32_t failures;
-  uint32_t rejections;      /* Counted only with admission by priority. */
-  int64_t rate_milli_per_s; /* Named in the last response. */
-  bool changed;
-} pending_update_t;
-
-struct lt_upstream_controller
-{
-  lt_controller_t base;
-  lt_pools_t pools;
-  lt_choice_t *choice;
-  lt_snapshot_ref_t *config;
-  lt_choice_upstream_t *upstreams; /* Indexed by upstream of CONFIG. */
-  pending_update_t *updates;       /* Indexed by upstream of CONFIG. */
-  ev_timer flush;
-  lt_counter_t *sent;
-  lt_counter_t *received;
-  lt_counter_t *malformed;
-  lt_gauge_t *suspected;
-  lt_gauge_t *limited;
-  lt_gauge_t *evacuated;
-  lt_gauge_t *cold;
-  uint32_t limited_count; /* Upstreams that name a rate, at most. */
-  lt_upstream_places_t *places;
-  int64_t gauge_updated_us; /* Last update of the gauges. */
-};
-
 static lt_upstream_controller_t *
 controller_of_pools (lt_pools_t *pools)
 {
@@ -82,10 +46,8 @@
                                                   pools));
 }
 
-/* The id includes the incarnation, so that an upstream that restarts under the
-   same name does not inherit the estimate of its predecessor.  */
-static uint64_t
-upstream_id (const lt_upstream_t *upstream)
+uint64_t
+lt_upstream_id (const lt_upstream_t *upstream)
 {
   return lt_hash64 (upstream->name)
          ^ (upstream->incarnation * 0x9e3779b97f4a7c15ULL);
@@ -113,7 +75,10 @@
                                   .tried_count = pick->tried_count,
                                   .repeatable = pick->repeatable,
                                   .allowed_regions = pick->allowed_regions,
-                                  .limits = pick->limits };
+                                  .limits = pick->limits,
+                                  .cost = pick->cost };
+  if (pools->vtable->begin_work == NULL)
+    request.cost = NULL;
   return lt_choice_pick (controller_of_pools (pools)->choice, &request,
                          now_us);
 }
@@ -162,36 +127,15 @@
              : CONNECT_TIMEOUT_REGION_MS;
 }
 
-/* Schedules an update on UPSTREAM and returns it for changes, or NULL when the
-   upstream is no longer in the configuration.  */
-static pending_update_t *
-mark_changed (lt_upstream_controller_t *c, const lt_upstream_t *upstream)
-{
-  if (c->config == NULL)
-    return NULL;
-  const lt_snapshot_t *s = c->config->snapshot;
-  uint32_t index = lt_snapshot_find_upstream (s, upstream->name);
-  if (index == LT_NO_INDEX
-      || s->upstreams[index].incarnation != upstream->incarnation)
-    return NULL;
-  c->updates[index].changed = true;
-  if (!ev_is_active (&c->flush))
-    {
-      ev_timer_set (&c->flush, UPDATE_DELAY_S, 0);
-      ev_timer_start (c->base.node->loop, &c->flush);
-    }
-  return &c->updates[index];
-}
-
 static void
 pools_begin (lt_pools_t *pools, const lt_snapshot_t *snapshot,
              uint32_t upstream)
 {
   lt_upstream_controller_t *c = controller_of_pools (pools);
   lt_choice_begin_attempt (c->choice,
-                           upstream_id (&snapshot->upstreams[upstream]),
+                           lt_upstream_id (&snapshot->upstreams[upstream]),
                            lt_node_now_us (c->base.node));
-  mark_changed (c, &snapshot->upstreams[upstream]);
+  lt_upstream_updates_mark (c, &snapshot->upstreams[upstream]);
 }
 
 static void
@@ -199,82 +143,38 @@
 {
   lt_upstream_controller_t *c = controller_of_pools (pools);
   lt_choice_end_attempt (c->choice,
-                         upstream_id (&snapshot->upstreams[upstream]));
-  mark_changed (c, &snapshot->upstreams[upstream]);
+                         lt_upstream_id (&snapshot->upstreams[upstream]));
+  lt_upstream_updates_mark (c, &snapshot->upstreams[upstream]);
 }
 
-static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
-                                                .pick = pools_pick,
-                                                .on_refused = pools_refuse,
-                                                .wait_us = pools_wait_us,
-                                                .load = pools_load,
-                                                .connect_ms = pools_connect_ms,
-                                                .begin = pools_begin,
-                                                .end = pools_end };
-
 static void
-send_updates (lt_upstream_controller_t *c,
-              const lt_wire_upstream_updates_t *updates, bool in_domain)
+pools_begin_work (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
+                  int64_t now_us)
 {
-  lt_node_t *node = c->base.node;
-  str_t ids[NEAR_VMS_MAX];
-  if (updates->count == 0 || node->directory == NULL
-      || node->directory->others_near == NULL)
-    return;
-  lt_buf_t payload = { 0 };
-  lt_wire_upstream_updates_encode (updates, &payload);
-  size_t count
-      = node->directory->others_near (node, in_domain, ids, NEAR_VMS_MAX);
-  for (size_t i = 0; i < count; i++)
-    if (lt_node_send (node, ids[i], LT_MESSAGE_UPSTREAM_UPDATES, 0,
-                      lt_buf_str (&payload))
-        == 0)
-      c->sent->value++;
-  lt_buf_destroy (&payload);
+  lt_upstream_controller_t *c = controller_of_pools (pools);
+  const lt_upstream_t *u = &attempt->snapshot->upstreams[attempt->upstream];
+  lt_cost_controller_begin (c->base.node->cost_controller, c->choice,
+                            lt_upstream_id (u), attempt, now_us);
 }
 
-/* Sends all pending updates to the VMs of the failure domain.  */
 static void
-flush_updates (lt_upstream_controller_t *c)
+pools_end_work (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
+                lt_attempt_outcome_t outcome, int64_t latency_us)
 {
-  ev_timer_stop (c->base.node->loop, &c->flush);
-  if (c->config == NULL)
-    return;
-  const lt_snapshot_t *s = c->config->snapshot;
-  int64_t now_us = lt_node_now_us (c->base.node);
-  lt_wire_upstream_updates_t updates = { .count = 0 };
-  for (uint32_t i = 0; i < s->upstream_count; i++)
-    {
-      pending_update_t *pending = &c->updates[i];
-      if (!pending->changed)
-        continue;
-      uint64_t id = upstream_id (&s->upstreams[i]);
-      lt_choice_estimate_t view = { 0 };
-      lt_choice_look_up (c->choice, id, now_us, &view);
-      updates.items[updates.count++] = (lt_wire_upstream_update_t){
-        .upstream = id,
-        .in_flight = view.own_in_flight > 0 ? (uint32_t)view.own_in_flight : 0,
-        .successes = pending->successes,
-        .failures = pending->failures,
-        .rejections = pending->rejections,
-        .rate_milli_per_s = pending->rate_milli_per_s,
-      };
-      *pending = (pending_update_t){ 0 };
-      if (updates.count < LT_WIRE_UPSTREAM_UPDATES_MAX)
-        continue;
-      send_updates (c, &updates, true);
-      updates.count = 0;
-    }
-  send_updates (c, &updates, true);
+  lt_upstream_controller_t *c = controller_of_pools (pools);
+  const lt_upstream_t *u = &attempt->snapshot->upstreams[attempt->upstream];
+  lt_cost_controller_end (c->base.node->cost_controller, lt_upstream_id (u),
+                          attempt, outcome, latency_us);
 }
 
-static void
-on_flush (struct ev_loop *loop, ev_timer *watcher, int events)
-{
-  (void)loop;
-  (void)events;
-  flush_updates (watcher->data);
-}
+static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
+                                                .pick = pools_pick,
+                                                .on_refused = pools_refuse,
+                                                .wait_us = pools_wait_us,
+                                                .load = pools_load,
+                                                .connect_ms = pools_connect_ms,
+                                                .begin = pools_begin,
+                                                .end = pools_end };
 
 static bool
 classify_outcome (const lt_observation_event_t *event,
@@ -324,16 +224,15 @@
 {
   uint32_t count = c->config == NULL ? 0 : c->config->snapshot->upstream_count;
   for (uint32_t i = 0; i < count; i++)
-    if (upstream_id (&c->config->snapshot->upstreams[i]) == id)
+    if (lt_upstream_id (&c->config->snapshot->upstreams[i]) == id)
       return &c->config->snapshot->upstreams[i];
   return NULL;
 }
 
-/* Takes over the rate that an upstream named in a response to this or another
-   VM.  Returns whether it changed.  */
-static bool
-set_rate (lt_upstream_controller_t *c, uint64_t id, int64_t rate_milli_per_s,
-          const char *source, int64_t now_us)
+bool
+lt_upstream_set_rate (lt_upstream_controller_t *c, uint64_t id,
+                      int64_t rate_milli_per_s, const char *source,
+                      int64_t now_us)
 {
   if (!lt_choice_set_rate (c->choice, id, rate_milli_per_s, now_us))
     return false;
@@ -359,13 +258,13 @@
               int64_t now_us)
 {
   const lt_upstream_t *upstream = &event->snapshot->upstreams[event->upstream];
-  uint64_t id = upstream_id (upstream);
+  uint64_t id = lt_upstream_id (upstream);
   int64_t rate = event->rate_milli_per_s;
   /* A failure that names no rate may come from something in between.  */
   if (rate < 0 || (rate == 0 && event->outcome != LT_ATTEMPT_OK))
     return;
-  bool changed = set_rate (c, id, rate, "own", now_us);
-  pending_update_t *pending = mark_changed (c, upstream);
+  bool changed = lt_upstream_set_rate (c, id, rate, "own", now_us);
+  pending_update_t *pending = lt_upstream_updates_mark (c, upstream);
   if (pending == NULL)
     return;
   pending->rate_milli_per_s = rate;
@@ -375,8 +274,8 @@
   lt_wire_upstream_updates_t updates = { .count = 1 };
   updates.items[0] = (lt_wire_upstream_update_t){ .upstream = id,
                                                   .rate_milli_per_s = rate };
-  flush_updates (c);
-  send_updates (c, &updates, false);
+  lt_upstream_updates_flush (c);
+  lt_upstream_updates_send (c, &updates, false);
 }
 
 static void
@@ -385,7 +284,7 @@
 {
   const lt_upstream_t *upstream = &event->snapshot->upstreams[event->upstream];
   if (event->warm_until_us == 0
-      || !lt_choice_set_cold (c->choice, upstream_id (upstream),
+      || !lt_choice_set_cold (c->choice, lt_upstream_id (upstream),
                               event->warm_until_us, now_us))
     return;
   lt_log (LT_LOG_INFO, "upstreams",
@@ -405,7 +304,7 @@
   observe_warm_up (c, event, now_us);
   if (!classify_outcome (event, &evidence))
     return;
-  uint64_t id = upstream_id (upstream);
+  uint64_t id = lt_upstream_id (upstream);
   lt_choice_estimate_t before = { 0 };
   lt_choice_estimate_t after = { 0 };
   lt_choice_look_up (c->choice, id, now_us, &before);
@@ -413,7 +312,7 @@
   lt_choice_look_up (c->choice, id, now_us, &after);
   log_change (upstream, before.gray_probability, after.gray_probability,
               "own");
-  pending_update_t *pending = mark_changed (c, upstream);
+  pending_update_t *pending = lt_upstream_updates_mark (c, upstream);
   if (pending == NULL)
     return;
   if (evidence == LT_CHOICE_SUCCESS)
@@ -427,46 +326,8 @@
   lt_wire_upstream_updates_t updates = { .count = 1 };
   updates.items[0]
       = (lt_wire_upstream_update_t){ .upstream = id, .failures = 1 };
-  flush_updates (c);
-  send_updates (c, &updates, false);
-}
-
-static void
-apply_updates (lt_upstream_controller_t *c, const lt_peer_message_t *message,
-               const lt_wire_upstream_updates_t *updates, int64_t now_us)
-{
-  uint64_t peer = lt_hash64 (message->sender);
-  if (c->base.node->room_controller != NULL)
-    lt_room_controller_hear (c->base.node->room_controller, message->sender,
-                             updates, now_us);
-  for (uint32_t i = 0; i < updates->count; i++)
-    {
-      const lt_wire_upstream_update_t *item = &updates->items[i];
-      lt_choice_observe_peer (c->choice, item->upstream, item->successes,
-                              item->failures, now_us);
-      if (item->rejections > 0)
-        lt_choice_observe_peer_rejections (c->choice, item->upstream,
-                                           item->rejections, now_us);
-      lt_choice_set_peer_load (c->choice, item->upstream, peer,
-                               (int32_t)item->in_flight, now_us);
-      if (item->rate_milli_per_s > 0 || item->successes > 0)
-        set_rate (c, item->upstream, item->rate_milli_per_s, "peer", now_us);
-    }
-}
-
-static void
-on_frame (lt_controller_t *base, const lt_peer_message_t *message,
-          int64_t now_us)
-{
-  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
-  lt_wire_upstream_updates_t updates;
-  if (lt_wire_upstream_updates_decode (message->payload, &updates) != 0)
-    {
-      c->malformed->value++;
-      return;
-    }
-  c->received->value++;
-  apply_updates (c, message, &updates, now_us);
+  lt_upstream_updates_flush (c);
+  lt_upstream_updates_send (c, &updates, false);
 }
 
 static void
@@ -497,7 +358,7 @@
     {
       const lt_upstream_t *u = &current->upstreams[i];
       upstreams[i] = (lt_choice_upstream_t){
-        .id = upstream_id (u),
+        .id = lt_upstream_id (u),
         .service = u->service,
         .distance = distance_to (node, u),
         .slots = u->slots,
@@ -535,7 +396,7 @@
   for (uint32_t i = 0; i < s->upstream_count; i++)
     {
       lt_choice_estimate_t view = { 0 };
-      lt_choice_look_up (c->choice, upstream_id (&s->upstreams[i]), now_us,
+      lt_choice_look_up (c->choice, lt_upstream_id (&s->upstreams[i]), now_us,
                          &view);
       count += view.gray_probability >= GRAY_THRESHOLD;
       limited += view.rate_milli_per_s > 0;
@@ -560,7 +421,7 @@
     {
       const lt_upstream_t *u = &c->config->snapshot->upstreams[i];
       lt_choice_estimate_t view = { 0 };
-      lt_choice_look_up (c->choice, upstream_id (u), now_us, &view);
+      lt_choice_look_up (c->choice, lt_upstream_id (u), now_us, &view);
       json_array_append_new (
           list,
           json_pack (
@@ -592,7 +453,7 @@
     = { .name = "upstreams",
         .message_types = LT_MESSAGE_TYPE_BIT (LT_MESSAGE_UPSTREAM_UPDATES),
         .tick = tick,
-        .on_message = on_frame,
+        .on_message = lt_upstream_updates_receive,
         .on_config = on_config,
         .on_attempt_end = on_observation,
         .status = status,
@@ -613,11 +474,17 @@
   const char *help = "News about upstreams between VMs.";
   c->base.vtable = &vtable;
   c->base.node = node;
-  c->pools.vtable = &pools_vtable;
+  c->vtable = pools_vtable;
+  c->pools.vtable = &c->vtable;
+  if (node->cost_controller != NULL)
+    {
+      c->vtable.begin_work = pools_begin_work;
+      c->vtable.end_work = pools_end_work;
+      options.work = lt_cost_controller_work (node->cost_controller);
+    }
   c->choice = lt_choice_create (&options, &node->rng);
   c->places = lt_upstream_places_create (node);
-  ev_timer_init (&c->flush, on_flush, UPDATE_DELAY_S, 0);
-  c->flush.data = c;
+  lt_upstream_updates_init (c);
   c->sent = lt_metrics_counter (node->metrics, name, help, "event=\"sent\"");
   c->received
       = lt_metrics_counter (node->metrics, name, help, "event=\"received\"");
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -25,6 +25,8 @@
 #endif
 
   struct lt_rng;
+  struct lt_cost_key;
+  struct lt_work;
 
   /** What the outcome of an attempt shows about its upstream.  */
   typedef enum lt_choice_evidence
@@ -108,6 +110,9 @@
     /** Time constant of the exponential decay of the counts behind both
         shares.  */
     int64_t failing_decay_us;
+    /** Cost-aware choice: for requests with a cost the work left at upstreams
+        takes the place of counts.  NULL: off.  Must outlive the choice.  */
+    struct lt_work *work;
   } lt_choice_options_t;
 
 /* The losses follow the prices that the hosting platform documents; the rates
@@ -175,6 +180,8 @@
     uint64_t allowed_regions; /**< Bits of the regions that may serve it; 0: no
                                  restriction. */
     const lt_choice_limits_t *limits; /**< NULL: none. */
+    /** For a choice by work, which needs the option; NULL: by counts.  */
+    const struct lt_cost_key *cost;
   } lt_choice_request_t;
 
   /** The estimate of an upstream's state.  */
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -9,13 +9,10 @@
 #include "lt/base/rng.h"
 #include "lt/base/str.h"
 #include "lt/policy/rejection.h"
+#include "lt/policy/work.h"
 
 /* Above this probability an upstream is more likely gray than healthy.  */
 #define GRAY_THRESHOLD 0.5
-/* A request that must not be repeated is used for trials below this
-   probability: an upstream that failed once is tried as soon as it has been
-   idle long enough, one that failed several times about a second later.  */
-#define TRIAL_GRAY_MAX 0.68
 
 lt_choice_t *
 lt_choice_create (const lt_choice_options_t *options, lt_rng_t *rng)
@@ -74,9 +71,9 @@
   return rest + (value - rest) * exp (-rate_per_s * elapsed_s);
 }
 
-static double
-gray_now (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-          int64_t now_us)
+double
+lt_choice_gray_now (const lt_choice_t *choice,
+                    const upstream_estimate_t *estimate, int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
   return decay_towards (estimate->gray, stationary_gray (o),
@@ -120,7 +117,7 @@
   if (!estimate->current
       || estimate->upstream.service >= choice->service_count)
     return;
-  if (gray_now (choice, estimate, now_us) >= GRAY_THRESHOLD)
+  if (lt_choice_gray_now (choice, estimate, now_us) >= GRAY_THRESHOLD)
     bad = 0;
   service_state_t *state = &choice->services[estimate->upstream.service];
   double kept = exp (-(double)(now_us - state->updated_us)
@@ -183,9 +180,20 @@
   return sum;
 }
 
-static int32_t
-load_now (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-          int64_t now_us)
+/* Offers an upstream to the choice by work, which adds the loss by load.  */
+static void
+offer (const lt_choice_t *choice, uint32_t index, double loss, int64_t now_us)
+{
+  const upstream_estimate_t *e = choice->by_index[index];
+  bool reported = e->upstream.distance == LT_DISTANCE_SAME_DOMAIN;
+  lt_work_load_t load = { e->id, e->upstream.slots, e->own_in_flight,
+                          peers_in_flight (choice, e, now_us), reported };
+  lt_work_offer (choice->options.work, index, loss, &load);
+}
+
+int32_t
+lt_choice_load_now (const lt_choice_t *choice,
+                    const upstream_estimate_t *estimate, int64_t now_us)
 {
   return estimate->own_in_flight + peers_in_flight (choice, estimate, now_us);
 }
@@ -193,14 +201,17 @@
 /* LEAST is the load that counts at least.  */
 static double
 waiting_loss (const lt_choice_t *choice, const upstream_estimate_t *estimate,
-              int32_t least, int64_t now_us)
+              const lt_choice_request_t *request, int32_t least,
+              int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
   int32_t slots = estimate->upstream.slots > 0 ? estimate->upstream.slots : 1;
-  int32_t load = load_now (choice, estimate, now_us);
+  int32_t load = lt_choice_load_now (choice, estimate, now_us);
   if (load < least)
     load = least;
   double loss = 0;
+  if (request->cost != NULL)
+    load = 0; /* See offer. */
   if (load < slots)
     loss = o->busy_loss * load / slots;
   else
@@ -223,7 +234,7 @@
                int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
-  double gray = gray_now (choice, estimate, now_us);
+  double gray = lt_choice_gray_now (choice, estimate, now_us);
   double failure_share
       = gray * o->gray_failure_share + (1 - gray) * o->healthy_failure_share;
   double loss
@@ -232,7 +243,7 @@
   loss += o->distance_loss[estimate->upstream.distance];
   if (!request->repeatable && lt_pace_is_cold (&estimate->pace, now_us))
     loss += o->cold_once_loss;
-  return loss + waiting_loss (choice, estimate, least_load, now_us);
+  return loss + waiting_loss (choice, estimate, request, least_load, now_us);
 }
 
 static bool
@@ -276,9 +287,10 @@
          || (allowed_regions & 1ULL << estimate->upstream.region_bit) != 0;
 }
 
-static bool
-is_eligible (const lt_choice_t *choice, const lt_choice_request_t *request,
-             uint32_t index, int64_t now_us)
+bool
+lt_choice_is_eligible (const lt_choice_t *choice,
+                       const lt_choice_request_t *request, uint32_t index,
+                       int64_t now_us)
 {
   const upstream_estimate_t *estimate = choice->by_index[index];
   return takes_work (estimate, request->service)
@@ -287,84 +299,6 @@
          && next_slot_us (choice, estimate, now_us) <= now_us;
 }
 
-static void
-count_request (lt_choice_t *choice, service_state_t *state, bool refused,
-               int64_t now_us)
-{
-  double kept = exp (-(double)(now_us - state->requests_us)
-                     / (double)choice->options.failing_decay_us);
-  state->requests = state->requests * kept + 1;
-  state->refused = state->refused * kept + (refused ? 1 : 0);
-  state->requests_us = now_us;
-}
-
-void
-lt_choice_record_refusal (lt_choice_t *choice, uint32_t service,
-                          int64_t now_us)
-{
-  if (service < choice->service_count)
-    count_request (choice, &choice->services[service], true, now_us);
-}
-
-static bool
-is_failing (const lt_choice_options_t *o, const service_state_t *state)
-{
-  return (state->bad >= o->failing_min_failures
-          && state->bad > o->failing_share * (state->good + state->bad))
-         || (state->refused >= o->failing_min_refusals
-             && state->refused > o->failing_share * state->requests);
-}
-
-/* Returns how long an upstream must have been idle for REQUEST to be sent to
-   it as a trial, or -1 when REQUEST is not used for trials.  */
-static int64_t
-required_idle_us (lt_choice_t *choice, const lt_choice_request_t *request,
-                  int64_t now_us)
-{
-  const lt_choice_options_t *o = &choice->options;
-  if (request->tried_count > 0 || request->service >= choice->service_count)
-    return -1;
-  service_state_t *state = &choice->services[request->service];
-  count_request (choice, state, false, now_us);
-  if (request->repeatable)
-    {
-      state->repeatable_us = now_us;
-      return o->trial_idle_us;
-    }
-  bool repeatable = state->repeatable_us != 0
-                    && now_us - state->repeatable_us < o->failing_decay_us;
-  return is_failing (o, state) && !repeatable ? o->failing_trial_idle_us : -1;
-}
-
-/* Returns the index of the upstream that has been idle longest and is due for
-   a trial, or -1.  */
-static int64_t
-pick_trial (lt_choice_t *choice, const lt_choice_request_t *request,
-            int64_t now_us)
-{
-  int64_t found = -1;
-  int64_t idle_us = required_idle_us (choice, request, now_us);
-  int64_t oldest_us = now_us - idle_us;
-  if (idle_us < 0)
-    return -1;
-  for (uint32_t i = 0; i < choice->count; i++)
-    {
-      const upstream_estimate_t *estimate = choice->by_index[i];
-      if (estimate->upstream.distance != LT_DISTANCE_SAME_DOMAIN
-          || estimate->used_us > oldest_us
-          || (!request->repeatable
-              && gray_now (choice, estimate, now_us) >= TRIAL_GRAY_MAX)
-          /* Slow requests fill it: all VMs would try it at the same time.  */
-          || (request->limits != NULL
-              && load_now (choice, estimate, now_us) > 0)
-          || !is_eligible (choice, request, i, now_us))
-        continue;
-      oldest_us = estimate->used_us;
-      found = i;
-    }
-  return found;
-}
-
 static bool
 is_full (const lt_choice_t *choice, const lt_choice_limits_t *limits,
          const upstream_estimate_t *estimate, int64_t now_us)
@@ -373,19 +307,21 @@
     return false;
   int32_t above = limits->above_slots[estimate->upstream.distance];
   return above == LT_CHOICE_CLOSED
-         || load_now (choice, estimate, now_us)
+         || lt_choice_load_now (choice, estimate, now_us)
                 >= estimate->upstream.slots + above;
 }
 
 /* Returns the mean load of the failure domain's upstreams that may get
-   REQUEST, or 0 for a request without limits.  */
+   REQUEST, or 0 for a request without limits or chosen by work, which has its
+   own measure against stale reports (see lt_work_pick).  */
 static int32_t
 mean_load (const lt_choice_t *choice, const lt_choice_request_t *request,
            int64_t now_us)
 {
   int32_t sum = 0;
   int32_t count = 0;
-  if (request->limits == NULL || choice->options.trusted_share >= 1)
+  if (request->limits == NULL || request->cost != NULL
+      || choice->options.trusted_share >= 1)
     return 0;
   for (uint32_t i = 0; i < choice->count; i++)
     {
@@ -393,7 +329,7 @@
       if (estimate->upstream.distance != LT_DISTANCE_SAME_DOMAIN
           || !takes_work (estimate, request->service))
         continue;
-      sum += load_now (choice, estimate, now_us);
+      sum += lt_choice_load_now (choice, estimate, now_us);
       count++;
     }
   return count == 0 ? 0 : sum / count;
@@ -406,14 +342,15 @@
   int64_t best = -LT_EUNAVAILABLE;
   bool full = false;
   double least = INFINITY;
-  int64_t trial = pick_trial (choice, request, now_us);
+  const lt_choice_options_t *o = &choice->options;
+  int64_t trial = lt_choice_pick_trial (choice, request, now_us);
   if (trial >= 0)
     return trial;
   int32_t mean = mean_load (choice, request, now_us);
   for (uint32_t i = 0; i < choice->count; i++)
     {
       const upstream_estimate_t *estimate = choice->by_index[i];
-      if (!is_eligible (choice, request, i, now_us))
+      if (!lt_choice_is_eligible (choice, request, i, now_us))
         continue;
       if (is_full (choice, request->limits, estimate, now_us))
         {
@@ -422,16 +359,23 @@
         }
       bool counts_as_mean
           = mean > 0 && estimate->upstream.distance == LT_DISTANCE_SAME_DOMAIN
-            && lt_rng_unit (choice->rng) >= choice->options.trusted_share;
+            && lt_rng_unit (choice->rng) >= o->trusted_share;
       double loss = expected_loss (choice, estimate, request,
                                    counts_as_mean ? mean : 0, now_us)
-                    + choice->options.jitter * lt_rng_unit (choice->rng);
+                    + o->jitter * lt_rng_unit (choice->rng);
+      if (request->cost != NULL)
+        offer (choice, i, loss, now_us);
       if (loss >= least)
         continue;
       least = loss;
       best = i;
     }
-  return best < 0 && full ? -LT_EFULL : best;
+  if (best < 0)
+    return full ? -LT_EFULL : best;
+  return request->cost == NULL
+             ? best
+             : lt_work_pick (o->work, request->cost, o->busy_loss,
+                             o->queue_loss, choice->rng, now_us);
 }
 
 int64_t
@@ -481,7 +425,7 @@
              int64_t now_us)
 {
   const lt_choice_options_t *o = &choice->options;
-  double gray = gray_now (choice, estimate, now_us);
+  double gray = lt_choice_gray_now (choice, estimate, now_us);
   double if_gray = good ? 1 - o->gray_failure_share : o->gray_failure_share;
   double if_healthy
       = good ? 1 - o->healthy_failure_share : o->healthy_failure_share;
@@ -576,7 +520,7 @@
   if (estimate == NULL)
     return -LT_ENOTFOUND;
   *view = (lt_choice_estimate_t){
-    .gray_probability = gray_now (choice, estimate, now_us),
+    .gray_probability = lt_choice_gray_now (choice, estimate, now_us),
     .unreachable_probability = unreachable_now (choice, estimate, now_us),
     .rejected_share = lt_rejection_share (
         &estimate->rejection, choice->options.rejection_decay_us, now_us),
--- a/packages/policy/src/choice_internal.h
+++ b/packages/policy/src/choice_internal.h
@@ -75,6 +75,25 @@
 
 /** Returns the estimate of the upstream, or NULL.  */
 upstream_estimate_t *lt_choice_find (const lt_choice_t *choice, uint64_t id);
+/** Returns the probability that the upstream is gray at NOW_US.  */
+double lt_choice_gray_now (const lt_choice_t *choice,
+                           const upstream_estimate_t *estimate,
+                           int64_t now_us);
+/** Returns the number of requests in flight there, those that other VMs
+    reported included.  */
+int32_t lt_choice_load_now (const lt_choice_t *choice,
+                            const upstream_estimate_t *estimate,
+                            int64_t now_us);
+/** Returns whether the upstream at INDEX may get REQUEST; its limits are not
+    considered.  */
+bool lt_choice_is_eligible (const lt_choice_t *choice,
+                            const lt_choice_request_t *request, uint32_t index,
+                            int64_t now_us);
+/** Returns the index of the upstream that has been idle longest and is due for
+    a trial, or -1.  */
+int64_t lt_choice_pick_trial (lt_choice_t *choice,
+                              const lt_choice_request_t *request,
+                              int64_t now_us);
 /** Derives the end of the warm-up from the configuration and from what the
     upstream has said; the later one counts, as its entry may be older.  */
 void lt_choice_update_warm_up (upstream_estimate_t *estimate);
