Dispatcher: refusals in a file of their own

What it tells callers when no upstream takes a request is in dispatch_refuse.c now; no behaviour changes.

--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -88,6 +88,12 @@
 /** Refuses a request for which no response is in use and no attempt is in
     progress.  */
 void lt_dispatch_refuse (lt_dispatch_t *dispatch);
+/** Refuses REQUEST with the Retry-After of REFUSAL, unless its claim defers
+    that.  */
+lt_filter_result_t lt_dispatch_refuse_with (lt_request_t *request,
+                                            lt_refusal_t refusal);
+/** Refuses a request for which there is no upstream.  */
+lt_filter_result_t lt_dispatch_refuse_no_upstream (lt_dispatch_t *dispatch);
 /** Sets NOT_RUN and WRONG_RESPONSE of ATTEMPT from a response header.  */
 void lt_dispatch_check_response (attempt_t *attempt,
                                  const lt_header_list_t *headers);
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -261,59 +261,6 @@
   lt_request_finish (request);
 }
 
-static lt_filter_result_t
-refuse_after (lt_request_t *request, lt_refusal_t refusal,
-              int64_t retry_after_ms)
-{
-  if (request->node->dialect->uses_claims
-      && lt_claim_defers_refusal (request, refusal))
-    return LT_FILTER_WAIT;
-  return lt_request_refuse_after (request, refusal, retry_after_ms);
-}
-
-static lt_filter_result_t
-refuse (lt_request_t *request, lt_refusal_t refusal)
-{
-  return refuse_after (request, refusal,
-                       lt_refusal_get (refusal)->retry_after_s * 1000LL);
-}
-
-/* Refuses a request for which there is no upstream.  If that is so because
-   upstreams name a rate, callers are told when there will be one.  */
-static lt_filter_result_t
-refuse_no_upstream (lt_dispatch_t *dispatch)
-{
-  lt_request_t *request = dispatch->request;
-  lt_pools_t *pools = dispatch_pools (dispatch);
-  int64_t now_us = lt_node_now_us (request->node);
-  int64_t wait_us
-      = pools->vtable->wait_us == NULL || dispatch->service == LT_NO_INDEX
-                || lt_dispatch_has_no_region (dispatch)
-            ? 0
-            : pools->vtable->wait_us (pools, dispatch->service,
-                                      dispatch->allowed_regions, now_us);
-  if (dispatch->room_retry_after_ms > 0)
-    return refuse_after (request, dispatch->room_refusal,
-                         dispatch->room_retry_after_ms);
-  if (wait_us == 0)
-    return refuse (request, LT_REFUSE_NO_UPSTREAM);
-  return refuse_after (request, LT_REFUSE_NO_UPSTREAM,
-                       wait_us / LT_US_PER_MS + 1);
-}
-
-void
-lt_dispatch_refuse (lt_dispatch_t *dispatch)
-{
-  lt_request_t *request = dispatch->request;
-  if (dispatch->timed_out
-      || lt_node_now_us (request->node) >= request->deadline_us)
-    refuse (request, LT_REFUSE_DEADLINE);
-  else if (!request->byte_sent)
-    refuse_no_upstream (dispatch);
-  else
-    refuse (request, LT_REFUSE_UPSTREAM_FAILED);
-}
-
 static void
 start_retry_timer (lt_dispatch_t *dispatch, int64_t delay_us)
 {
@@ -550,9 +497,9 @@
 {
   lt_pools_t *pools = filter->node->pools;
   if (pools->vtable->config (pools) == NULL)
-    return refuse (request, LT_REFUSE_NO_CONFIG);
+    return lt_dispatch_refuse_with (request, LT_REFUSE_NO_CONFIG);
   if (lt_node_now_us (filter->node) >= request->deadline_us)
-    return refuse (request, LT_REFUSE_DEADLINE);
+    return lt_dispatch_refuse_with (request, LT_REFUSE_DEADLINE);
   if (lt_node_may_cut (filter->node, request->deadline_us))
     return lt_request_refuse_stopping (request);
   lt_dispatch_t *dispatch = lt_alloc (sizeof (*dispatch));
@@ -561,7 +508,7 @@
   lt_outgoing_target (request, &dispatch->target);
   init_retry (dispatch);
   if (!start_attempt (dispatch))
-    return refuse_no_upstream (dispatch);
+    return lt_dispatch_refuse_no_upstream (dispatch);
   start_hedge_timer (dispatch);
   return LT_FILTER_WAIT;
 }
