--- a/packages/node/src/dispatch_answer.c
+++ b/packages/node/src/dispatch_answer.c
@@ -6,7 +6,7 @@
   STATUS_OK_FIRST = 200,
   STATUS_OK_LAST = 299,
   STATUS_MISDIRECTED = 421,
-  /* A longer warm-up is not believed: it would keep requests away.  */
+  /* A longer warm-up is ignored: it would keep requests away.  */
   WARM_UP_MAX_MS = 3600 * 1000,
   MILLI = 1000
 };
--- a/packages/node/src/room_controller.c
+++ b/packages/node/src/room_controller.c
@@ -21,8 +21,8 @@
   HEADER_BYTES = 2048,
   /* The first requests that wait, after none did for this long, are logged. */
   LOG_PAUSE_US = 5 * LT_US_PER_S,
-  /* With 20 VMs in each failure domain, each VM hears of the region's other
-     one about four times a second.  */
+  /* With 20 VMs in each failure domain, each VM receives reports of the
+     region's other one about four times a second.  */
   REPORT_INTERVAL_US = 250 * LT_US_PER_MS,
   LOAD_MILLI_MAX = 100000
 };
@@ -321,9 +321,9 @@
 }
 
 void
-lt_room_controller_hear (lt_room_controller_t *c, str_t vm_id,
-                         const lt_wire_upstream_updates_t *updates,
-                         int64_t now_us)
+lt_room_controller_note_peer (lt_room_controller_t *c, str_t vm_id,
+                              const lt_wire_upstream_updates_t *updates,
+                              int64_t now_us)
 {
   uint64_t domain = 0;
   lt_distance_t distance
@@ -334,7 +334,7 @@
         take_loads (c, distance, domain, updates, now_us);
       return;
     }
-  lt_room_hear (c->room, lt_hash64 (vm_id), now_us);
+  lt_room_note_peer (c->room, lt_hash64 (vm_id), now_us);
   wake (c, REPORT_DELAY_S);
 }
 
--- a/packages/node/src/room_controller.h
+++ b/packages/node/src/room_controller.h
@@ -32,9 +32,10 @@
                                          lt_attempt_outcome_t outcome,
                                          int64_t latency_us);
   /** Records a report of VM_ID.  */
-  void lt_room_controller_hear (lt_room_controller_t *controller, str_t vm_id,
-                                const lt_wire_upstream_updates_t *updates,
-                                int64_t now_us);
+  void lt_room_controller_note_peer (lt_room_controller_t *controller,
+                                     str_t vm_id,
+                                     const lt_wire_upstream_updates_t *updates,
+                                     int64_t now_us);
 
 #ifdef __cplusplus
 }
--- a/packages/node/src/upstream_updates.c
+++ b/packages/node/src/upstream_updates.c
@@ -109,8 +109,8 @@
 {
   uint64_t peer = lt_hash64 (message->sender);
   if (c->base.node->room_controller != NULL)
-    lt_room_controller_hear (c->base.node->room_controller, message->sender,
-                             updates, now_us);
+    lt_room_controller_note_peer (c->base.node->room_controller,
+                                  message->sender, updates, now_us);
   for (uint32_t i = 0; i < updates->count; i++)
     {
       const lt_wire_upstream_update_t *item = &updates->items[i];
--- a/packages/policy/include/lt/policy/memory_budget.h
+++ b/packages/policy/include/lt/policy/memory_budget.h
@@ -9,7 +9,7 @@
     in order of arrival, and small bodies do not wait for large ones.
 
     Nothing is dropped while no body waits.  When one has waited for the
-    patience time, the client that made the least progress is dropped, if it
+    drop wait, the client that made the least progress is dropped, if it
     made less than a small part of its body's size for the stall time.  When
     every large body that holds memory waits for more, the one that has
    received the fewest bytes is dropped.  A body that waits until its own
@@ -30,14 +30,14 @@
     int64_t total_bytes;
     int64_t reserved_bytes; /**< Of the total, for small bodies only. */
     int64_t small_bytes;    /**< Largest size of a small body. */
-    int64_t patience_us;    /**< Wait of a body before others are dropped. */
+    int64_t drop_wait_us;   /**< Wait of a body before others are dropped. */
     int64_t stall_us;       /**< Time in which a client must make progress. */
   } lt_memory_budget_options_t;
 
 #define LT_MEMORY_BUDGET_OPTIONS_DEFAULT                                      \
   {                                                                           \
     .total_bytes = 64 * 1024 * 1024, .reserved_bytes = 8 * 1024 * 1024,       \
-    .small_bytes = 64 * 1024, .patience_us = 500000, .stall_us = 2000000      \
+    .small_bytes = 64 * 1024, .drop_wait_us = 500000, .stall_us = 2000000     \
   }
 
   typedef enum lt_memory_state
--- a/packages/policy/include/lt/policy/room.h
+++ b/packages/policy/include/lt/policy/room.h
@@ -207,7 +207,7 @@
                       lt_distance_t distance, bool rejected,
                       int64_t latency_us, int64_t now_us);
   /** Records a report of the VM PEER of this failure domain.  */
-  void lt_room_hear (lt_room_t *room, uint64_t peer, int64_t now_us);
+  void lt_room_note_peer (lt_room_t *room, uint64_t peer, int64_t now_us);
   /** Records that the load of SERVICE in the failure domain DOMAIN, another
       one at DISTANCE, is LOAD_MILLI requests per 1,000 slots.  */
   void lt_room_set_load (lt_room_t *room, uint64_t service,
--- a/packages/policy/src/memory_budget.c
+++ b/packages/policy/src/memory_budget.c
@@ -336,9 +336,10 @@
 }
 
 static bool
-has_waited (const lt_memory_entry_t *list, int64_t patience_us, int64_t now_us)
+has_waited (const lt_memory_entry_t *list, int64_t drop_wait_us,
+            int64_t now_us)
 {
-  return list != NULL && now_us - list->waits_since_us >= patience_us;
+  return list != NULL && now_us - list->waits_since_us >= drop_wait_us;
 }
 
 lt_memory_entry_t *
@@ -347,7 +348,7 @@
 {
   lt_memory_entry_t *lists[]
       = { budget->small, budget->growing, budget->arriving };
-  int64_t patience_us = budget->options.patience_us;
+  int64_t drop_wait_us = budget->options.drop_wait_us;
   bool waited = false;
   if (budget->waiting == 0)
     return NULL;
@@ -357,7 +358,7 @@
       lt_memory_entry_t *late = find_timed_out (lists[i], now_us);
       if (late != NULL)
         return late;
-      waited = waited || has_waited (lists[i], patience_us, now_us);
+      waited = waited || has_waited (lists[i], drop_wait_us, now_us);
     }
   if (!waited)
     return NULL;
--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -125,7 +125,7 @@
 }
 
 void
-lt_room_hear (lt_room_t *room, uint64_t peer, int64_t now_us)
+lt_room_note_peer (lt_room_t *room, uint64_t peer, int64_t now_us)
 {
   uint32_t at = 0;
   while (at < room->peer_count && room->peers[at].id != peer)
--- a/packages/policy/test/test_room.cc
+++ b/packages/policy/test/test_room.cc
@@ -45,7 +45,7 @@
   {
     view.vms = count;
     for (uint64_t peer = 1; peer < count; peer++)
-      lt_room_hear (room, peer, now);
+      lt_room_note_peer (room, peer, now);
   }
 
   void
--- a/packages/policy/test/test_room_fleet.cc
+++ b/packages/policy/test/test_room_fleet.cc
@@ -259,7 +259,7 @@
   EXPECT_EQ (0, result[0].rejected + result[1].rejected + result[2].rejected);
 }
 
-// A VM that hears of no other and is not heard keeps to its part, and its
+// A VM that neither receives nor sends messages keeps to its part, and its
 // urgent requests are served.
 TEST (RoomFleet, VmThatIsCutOff)
 {
