Log upstreams that say in a response that they leave

No line or counter named an answer that says that the upstream leaves, so the hypotheses (not read, or read too late) could not be told apart. The header is now read from every response at its header: of requests, failures, rejections, responses that are thrown away. A 421 counts for the upstream that it names, since the address may have passed to another. Each upstream process is logged once, with its state in the register; a counter has first and repeated answers, a gauge the processes known.

--- a/packages/node/include/lt/node/dialect.h
+++ b/packages/node/include/lt/node/dialect.h
@@ -25,6 +25,9 @@
     /** Set by an upstream: the requests a second, a decimal number, that it
         takes from all VMs together while it says so.  */
     str_t rate_limit;
+    /** Set to "1" by an upstream that leaves, on all its responses.  */
+    str_t leaving;
+    str_t instance;     /**< Set by an upstream: its name. */
     str_t warm_up_left; /**< Set by an upstream: milliseconds for which it
                            stays cold. */
     str_t run_state;    /**< Set on refusals: whether the request ran. */
--- a/packages/node/src/dispatch_answer.c
+++ b/packages/node/src/dispatch_answer.c
@@ -1,5 +1,6 @@
 #include "dispatch_internal.h"
 #include "lt/base/log.h"
+#include "pools.h"
 
 enum
 {
@@ -115,6 +116,46 @@
   return left_us > 0 ? attempt->header_us + left_us : 0;
 }
 
+/* Returns the upstream that sent the response, or LT_NO_INDEX if it is not
+   known: the address of the attempt may have passed to another upstream.  */
+static uint32_t
+find_responder (const attempt_t *attempt, const lt_header_list_t *headers)
+{
+  const lt_dialect_t *dialect = attempt->dispatch->request->node->dialect;
+  str_t name = dialect->instance.len == 0
+                   ? str_make (NULL, 0)
+                   : lt_header_list_get (headers, dialect->instance);
+  if (name.data != NULL)
+    return lt_snapshot_find_upstream (attempt->config->snapshot,
+                                      str_trim (name));
+  return attempt->status == STATUS_MISDIRECTED ? LT_NO_INDEX
+                                               : attempt->upstream;
+}
+
+void
+lt_dispatch_read_leaving (const attempt_t *attempt,
+                          const lt_header_list_t *headers)
+{
+  const lt_request_t *request = attempt->dispatch->request;
+  lt_pools_t *pools = request->node->pools;
+  const lt_snapshot_t *snapshot = attempt->config->snapshot;
+  str_t name = request->node->dialect->leaving;
+  str_t text = name.len == 0 ? str_make (NULL, 0)
+                             : lt_header_list_get (headers, name);
+  if (text.data == NULL || pools->vtable->on_leaving == NULL)
+    return;
+  uint32_t upstream = find_responder (attempt, headers);
+  if (!str_equal (str_trim (text), STR_LIT ("1")))
+    lt_log (LT_LOG_WARN, "dispatch",
+            "msg=\"unreadable departure of an upstream\" request=%s "
+            "upstream=%.*s",
+            request->request_id,
+            STR_ARG (snapshot->upstreams[attempt->upstream].name));
+  else if (upstream != LT_NO_INDEX)
+    pools->vtable->on_leaving (pools, snapshot, upstream, attempt->status,
+                               request->request_id);
+}
+
 bool
 lt_dispatch_status_implies_not_run (int status)
 {
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -105,6 +105,10 @@
     lt_observation_event_t has it.  */
 int64_t lt_dispatch_read_warm_until (const attempt_t *attempt,
                                      const lt_header_list_t *headers);
+/** Tells the pools when the response with HEADERS says that the upstream
+    leaves.  */
+void lt_dispatch_read_leaving (const attempt_t *attempt,
+                               const lt_header_list_t *headers);
 /** Returns whether callers may take STATUS to mean that the request did not
     run.  The dispatcher does not forward such a response of an upstream but
     retries or refuses the request.  */
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -154,6 +154,7 @@
   lt_dispatch_check_response (attempt, headers);
   attempt->rate_milli_per_s = lt_dispatch_read_rate (attempt, headers);
   attempt->warm_until_us = lt_dispatch_read_warm_until (attempt, headers);
+  lt_dispatch_read_leaving (attempt, headers);
   if (attempt->not_run || attempt->wrong_response)
     return false;
   if (is_failure_status (status))
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -64,6 +64,10 @@
         attempt.  May be NULL.  */
     void (*on_refused) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
                         uint32_t service, int64_t now_us);
+    /** Called when UPSTREAM, an index into SNAPSHOT, said that it leaves, in a
+        response with STATUS to REQUEST_ID.  May be NULL.  */
+    void (*on_leaving) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                        uint32_t upstream, int status, const char *request_id);
     /** Called when an attempt on UPSTREAM, an index into SNAPSHOT, begins or
         ends.  */
     void (*begin) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -167,9 +167,19 @@
                           attempt, outcome, latency_us);
 }
 
+static void
+pools_on_leaving (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                  uint32_t upstream, int status, const char *request_id)
+{
+  lt_upstream_departures_note (controller_of_pools (pools),
+                               &snapshot->upstreams[upstream], status,
+                               request_id);
+}
+
 static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
                                                 .pick = pools_pick,
                                                 .on_refused = pools_refuse,
+                                                .on_leaving = pools_on_leaving,
                                                 .wait_us = pools_wait_us,
                                                 .load = pools_load,
                                                 .connect_ms = pools_connect_ms,
@@ -408,6 +418,7 @@
   c->limited->value = limited;
   c->evacuated->value = evacuated;
   set_cold_count (c, cold);
+  lt_upstream_departures_tick (c, now_us);
 }
 
 static json_t *
@@ -444,6 +455,7 @@
   lt_snapshot_ref_release (c->config);
   lt_choice_destroy (c->choice);
   lt_upstream_places_destroy (c->places);
+  lt_departures_destroy (c->departures);
   free (c->upstreams);
   free (c->updates);
   free (c);
@@ -485,6 +497,7 @@
   c->choice = lt_choice_create (&options, &node->rng);
   c->places = lt_upstream_places_create (node);
   lt_upstream_updates_init (c);
+  lt_upstream_departures_init (c);
   c->sent = lt_metrics_counter (node->metrics, name, help, "event=\"sent\"");
   c->received
       = lt_metrics_counter (node->metrics, name, help, "event=\"received\"");
--- a/packages/node/src/upstream_internal.h
+++ b/packages/node/src/upstream_internal.h
@@ -8,6 +8,7 @@
 #include "lt/node/node.h"
 #include "lt/node/upstream_controller.h"
 #include "lt/policy/choice.h"
+#include "lt/policy/departures.h"
 #include "lt/wire/message.h"
 #include "pools.h"
 #include "upstream_places.h"
@@ -22,6 +23,17 @@
   bool changed;
 } pending_update_t;
 
+#define UPSTREAM_DEPARTURE_TABLE(X)                                           \
+  X (UPSTREAM_DEPARTURE_OWN, "own")                                           \
+  X (UPSTREAM_DEPARTURE_REPEATED, "repeated")
+
+#define UPSTREAM_DEPARTURE_ENUM(name, text) name,
+typedef enum upstream_departure_event
+{
+  UPSTREAM_DEPARTURE_TABLE (UPSTREAM_DEPARTURE_ENUM) UPSTREAM_DEPARTURE_EVENTS
+} upstream_departure_event_t;
+#undef UPSTREAM_DEPARTURE_ENUM
+
 struct lt_upstream_controller
 {
   lt_controller_t base;
@@ -39,6 +51,9 @@
   lt_gauge_t *limited;
   lt_gauge_t *evacuated;
   lt_gauge_t *cold;
+  lt_departures_t *departures;
+  lt_counter_t *departed[UPSTREAM_DEPARTURE_EVENTS];
+  lt_gauge_t *departing;
   uint32_t limited_count; /* Upstreams that name a rate, at most. */
   lt_upstream_places_t *places;
   int64_t gauge_updated_us; /* Last update of the gauges. */
@@ -54,6 +69,14 @@
                            int64_t rate_milli_per_s, const char *source,
                            int64_t now_us);
 
+/** Creates the memory of upstreams that leave, and its metrics.  */
+void lt_upstream_departures_init (lt_upstream_controller_t *c);
+/** See on_leaving of lt_pools_vtable_t.  */
+void lt_upstream_departures_note (lt_upstream_controller_t *c,
+                                  const lt_upstream_t *upstream, int status,
+                                  const char *request_id);
+void lt_upstream_departures_tick (lt_upstream_controller_t *c, int64_t now_us);
+
 /** Prepares the timer of updates.  */
 void lt_upstream_updates_init (lt_upstream_controller_t *c);
 /** Schedules an update on UPSTREAM and returns it for changes, or NULL when
--- a/tools/check-words.sh
+++ b/tools/check-words.sh
@@ -4,7 +4,7 @@
 set -eu
 cd "$(dirname "$0")/.."
 words='Attempt-Id|Deadline-Ms|Expect-Instance|Instance-Id|Not-Executed'
-words="$words|Server-Seal|rows-(get|tx|feed|parts)|blob-(put|get|drop|list)"
+words="$words|Server-(Seal|Leaving)|rows-(get|tx|feed|parts)|blob-(put|get|drop|list)"
 words="$words|LAVENDERTRACK_SETTINGS|trafficSplit|targetLatencyMs"
 words="$words|warmupLeftMs|maxAttempts|apiKeys|ratePerS|timeoutMs"
 words="$words|healthPath|maxConns|warmupS|warmupPerS|Warmup-Ms|allowedRegions|waitMs|hasMore|tombstone|[Tt]enant"
