Send nothing to upstreams that say in a response that they leave

What callers saw: requests reached an upstream long after one of its answers had told the VM that it leaves.

Cause: nothing decided by that header; a VM went on until the register said so, which it does not while the store is silent, cut off from the upstream or back from an older copy. Class: a statement that is received and not used, while a second channel is waited for.

They get nothing from the moment the header has been read, in every choice (first attempts, retries, hedges, trials), without a floor; the register cannot bring them back, and a later process of the name or address is not concerned.

--- a/packages/node/src/drain_controller.c
+++ b/packages/node/src/drain_controller.c
@@ -14,9 +14,7 @@
 
 enum
 {
-  CHANGES_MAX = 64,
-  WIRE_SERVING = 0,
-  WIRE_DRAINING = 1
+  CHANGES_MAX = 64
 };
 
 #define UPDATE_INTERVAL_US (1 * LT_US_PER_S)
@@ -169,7 +167,7 @@
   if (node->membership == NULL)
     return;
   lt_wire_drain_t message = { .upstream = upstream,
-                              .state = WIRE_DRAINING,
+                              .state = LT_WIRE_DRAIN_DRAINING,
                               .version = self->config->snapshot->version };
   lt_buf_t payload = { 0 };
   lt_wire_drain_encode (&message, &payload);
@@ -207,7 +205,7 @@
   lt_drain_controller_t *self = (lt_drain_controller_t *)base;
   lt_wire_drain_t drain;
   if (lt_wire_drain_decode (message->payload, &drain) != 0
-      || drain.state == WIRE_SERVING || self->config == NULL)
+      || drain.state == LT_WIRE_DRAIN_SERVING || self->config == NULL)
     return;
   if (!lt_drain_on_peer_announcement (self->drain, lt_hash64 (drain.upstream),
                                       now_us))
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -350,6 +350,17 @@
             "msg=\"cold upstreams\" count=%u before=%u", count, before);
 }
 
+static void
+on_message (lt_controller_t *base, const lt_peer_message_t *message,
+            int64_t now_us)
+{
+  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
+  if (message->type == LT_MESSAGE_DRAIN)
+    lt_upstream_departures_receive (c, message, now_us);
+  else
+    lt_upstream_updates_receive (c, message, now_us);
+}
+
 static void
 on_config (lt_controller_t *base, const lt_snapshot_t *old,
            const lt_snapshot_t *current, int64_t now_us)
@@ -372,7 +383,8 @@
         .service = u->service,
         .distance = distance_to (node, u),
         .slots = u->slots,
-        .leaving = u->drained || u->evacuated,
+        .leaving
+        = u->drained || u->evacuated || lt_upstream_is_departing (c, u),
         .warm_until_us = u->warm_until_us,
         .warm_rate_milli_per_s
         = current->services[u->service].warm_up_rate_milli_per_s,
@@ -441,7 +453,8 @@
               view.gray_probability, "no_path", view.unreachable_probability,
               "rejected", view.rejected_share, "in_flight", view.own_in_flight,
               "peers_in_flight", view.peers_in_flight, "rate_milli_per_s",
-              (json_int_t)view.rate_milli_per_s, "leaving", (int)u->drained,
+              (json_int_t)view.rate_milli_per_s, "leaving",
+              (int)(u->drained || lt_upstream_is_departing (c, u)),
               "evacuated", (int)u->evacuated, "cold", (int)view.cold));
     }
   return list;
@@ -463,9 +476,10 @@
 
 static const lt_controller_vtable_t vtable
     = { .name = "upstreams",
-        .message_types = LT_MESSAGE_TYPE_BIT (LT_MESSAGE_UPSTREAM_UPDATES),
+        .message_types = LT_MESSAGE_TYPE_BIT (LT_MESSAGE_UPSTREAM_UPDATES)
+                         | LT_MESSAGE_TYPE_BIT (LT_MESSAGE_DRAIN),
         .tick = tick,
-        .on_message = lt_upstream_updates_receive,
+        .on_message = on_message,
         .on_config = on_config,
         .on_attempt_end = on_observation,
         .status = status,
--- a/packages/node/src/upstream_internal.h
+++ b/packages/node/src/upstream_internal.h
@@ -9,6 +9,7 @@
 #include "lt/node/upstream_controller.h"
 #include "lt/policy/choice.h"
 #include "lt/policy/departures.h"
+#include "lt/wire/frame.h"
 #include "lt/wire/message.h"
 #include "pools.h"
 #include "upstream_places.h"
@@ -25,7 +26,10 @@
 
 #define UPSTREAM_DEPARTURE_TABLE(X)                                           \
   X (UPSTREAM_DEPARTURE_OWN, "own")                                           \
-  X (UPSTREAM_DEPARTURE_REPEATED, "repeated")
+  X (UPSTREAM_DEPARTURE_REPEATED, "repeated")                                 \
+  X (UPSTREAM_DEPARTURE_PEER, "peer")                                         \
+  X (UPSTREAM_DEPARTURE_SENT, "sent")                                         \
+  X (UPSTREAM_DEPARTURE_MALFORMED, "malformed")
 
 #define UPSTREAM_DEPARTURE_ENUM(name, text) name,
 typedef enum upstream_departure_event
@@ -75,8 +79,20 @@
 void lt_upstream_departures_note (lt_upstream_controller_t *c,
                                   const lt_upstream_t *upstream, int status,
                                   const char *request_id);
+/** Takes over the departure in a message of another VM.  */
+void lt_upstream_departures_receive (lt_upstream_controller_t *c,
+                                     const lt_peer_message_t *message,
+                                     int64_t now_us);
+/** Returns whether UPSTREAM has said that it leaves.  */
+bool lt_upstream_is_departing (const lt_upstream_controller_t *c,
+                               const lt_upstream_t *upstream);
 void lt_upstream_departures_tick (lt_upstream_controller_t *c, int64_t now_us);
 
+/** Sends a message with PAYLOAD to the VMs of the failure domain if IN_DOMAIN,
+    else to the other VMs of the region.  Returns to how many.  */
+uint32_t lt_upstream_send_near (lt_upstream_controller_t *c,
+                                lt_message_type_t type, str_t payload,
+                                bool in_domain);
 /** Prepares the timer of updates.  */
 void lt_upstream_updates_init (lt_upstream_controller_t *c);
 /** Schedules an update on UPSTREAM and returns it for changes, or NULL when
@@ -91,7 +107,7 @@
 /** Sends all pending updates to the VMs of the failure domain.  */
 void lt_upstream_updates_flush (lt_upstream_controller_t *c);
 /** Takes over the updates in a message of another VM.  */
-void lt_upstream_updates_receive (lt_controller_t *base,
+void lt_upstream_updates_receive (lt_upstream_controller_t *c,
                                   const lt_peer_message_t *message,
                                   int64_t now_us);
 
--- a/packages/node/src/upstream_updates.c
+++ b/packages/node/src/upstream_updates.c
@@ -32,25 +32,33 @@
   return &c->updates[index];
 }
 
+uint32_t
+lt_upstream_send_near (lt_upstream_controller_t *c, lt_message_type_t type,
+                       str_t payload, bool in_domain)
+{
+  lt_node_t *node = c->base.node;
+  str_t ids[NEAR_VMS_MAX];
+  uint32_t sent = 0;
+  if (node->directory == NULL || node->directory->others_near == NULL)
+    return 0;
+  size_t count
+      = node->directory->others_near (node, in_domain, ids, NEAR_VMS_MAX);
+  for (size_t i = 0; i < count; i++)
+    sent += lt_node_send (node, ids[i], (uint16_t)type, 0, payload) == 0;
+  return sent;
+}
+
 void
 lt_upstream_updates_send (lt_upstream_controller_t *c,
                           const lt_wire_upstream_updates_t *updates,
                           bool in_domain)
 {
-  lt_node_t *node = c->base.node;
-  str_t ids[NEAR_VMS_MAX];
-  if (updates->count == 0 || node->directory == NULL
-      || node->directory->others_near == NULL)
+  if (updates->count == 0)
     return;
   lt_buf_t payload = { 0 };
   lt_wire_upstream_updates_encode (updates, &payload);
-  size_t count
-      = node->directory->others_near (node, in_domain, ids, NEAR_VMS_MAX);
-  for (size_t i = 0; i < count; i++)
-    if (lt_node_send (node, ids[i], LT_MESSAGE_UPSTREAM_UPDATES, 0,
-                      lt_buf_str (&payload))
-        == 0)
-      c->sent->value++;
+  c->sent->value += lt_upstream_send_near (c, LT_MESSAGE_UPSTREAM_UPDATES,
+                                           lt_buf_str (&payload), in_domain);
   lt_buf_destroy (&payload);
 }
 
@@ -128,10 +136,9 @@
 }
 
 void
-lt_upstream_updates_receive (lt_controller_t *base,
+lt_upstream_updates_receive (lt_upstream_controller_t *c,
                              const lt_peer_message_t *message, int64_t now_us)
 {
-  lt_upstream_controller_t *c = (lt_upstream_controller_t *)base;
   lt_wire_upstream_updates_t updates;
   if (lt_wire_upstream_updates_decode (message->payload, &updates) != 0)
     {
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -244,6 +244,9 @@
       WARM_UNTIL_US.  Returns whether it is cold and was not thought to be. */
   bool lt_choice_set_cold (lt_choice_t *choice, uint64_t id,
                            int64_t warm_until_us, int64_t now_us);
+  /** The upstream gets no new requests until lt_choice_configure says
+      otherwise.  */
+  void lt_choice_set_leaving (lt_choice_t *choice, uint64_t id);
   /** Records GOOD successes and BAD failures that another VM reported.  */
   void lt_choice_observe_peer (lt_choice_t *choice, uint64_t id, uint32_t good,
                                uint32_t bad, int64_t now_us);
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -127,6 +127,14 @@
   state->updated_us = now_us;
 }
 
+void
+lt_choice_set_leaving (lt_choice_t *choice, uint64_t id)
+{
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
+  if (estimate != NULL)
+    estimate->upstream.leaving = true;
+}
+
 void
 lt_choice_configure (lt_choice_t *choice,
                      const lt_choice_upstream_t *upstreams, uint32_t count,
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -138,11 +138,20 @@
   int lt_wire_snapshot_data_decode (str_t payload,
                                     lt_wire_snapshot_data_t *message);
 
+  typedef enum lt_wire_drain_state
+  {
+    LT_WIRE_DRAIN_SERVING,
+    LT_WIRE_DRAIN_DRAINING,
+    LT_WIRE_DRAIN_STOPPED
+  } lt_wire_drain_state_t;
+
   /** Payload of drain: an upstream changes its state.  */
   typedef struct lt_wire_drain
   {
     str_t upstream;
-    uint32_t state; /**< 0: serving, 1: draining, 2: stopped. */
+    uint32_t state; /**< See lt_wire_drain_state_t. */
+    /** Of the sender's snapshot; in a hosted fleet the incarnation of the
+        upstream's process.  */
     int64_t version;
   } lt_wire_drain_t;
 
