Log registry responses by an older state, and later configurations of others

The logs could not tell a VM that follows an older copy or a lagging answer of the registry from one that is current. A response with a version below one shown before the call, in the same era, is now logged once a series and counted by part. Reports of the VMs that read carry the version of the configuration in force; a VM that lacks no change of the registry and still has an older one says so. Reports without it, of earlier versions, are read as before; VMs of earlier versions take the longer report for malformed and read for themselves. No decision uses either yet.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -47,13 +47,19 @@
   INSTALL_COUNT_BITS = 20
 };
 
-static const char *
-kind_name (lt_registry_kind_t kind)
+const char *
+lt_source_kind_name (lt_registry_kind_t kind)
 {
   static const char *const names[] = { "configuration", "upstreams", "vms" };
   return names[kind];
 }
 
+int64_t
+lt_source_config_version (const lt_source_controller_t *c)
+{
+  return c->configuration == NULL ? -1 : c->configuration->source_version;
+}
+
 /* Builds a snapshot from the configuration and the upstreams and puts it in
    force, once both have been read.  */
 static void
@@ -100,8 +106,7 @@
                   const lt_registry_record_t *record)
 {
   const lt_deployment_t *deployment = record->deployment;
-  int64_t current
-      = c->configuration == NULL ? -1 : c->configuration->source_version;
+  int64_t current = lt_source_config_version (c);
   if (record->removed || deployment == NULL)
     {
       lt_log (LT_LOG_WARN, "source",
@@ -156,8 +161,7 @@
 {
   bool changed = false;
   bool full_read = !watch->complete;
-  int64_t before
-      = c->configuration == NULL ? -1 : c->configuration->source_version;
+  int64_t before = lt_source_config_version (c);
   if (full_read && watch->kind == LT_REGISTRY_UPSTREAMS)
     lt_source_unlist_all (c);
   if (full_read && watch->kind == LT_REGISTRY_CONFIG)
@@ -172,9 +176,7 @@
               || c->install_count == 0;
   if (watch->kind == LT_REGISTRY_UPSTREAMS)
     changed = lt_source_remove_departed (c, now_us) || changed;
-  int64_t after
-      = c->configuration == NULL ? -1 : c->configuration->source_version;
-  if (changed || after != before)
+  if (changed || lt_source_config_version (c) != before)
     install_snapshot (c);
 }
 
@@ -194,9 +196,9 @@
   lt_log (LT_LOG_INFO, "source",
           "msg=\"register %s\" part=%s version=%lld before=%lld records=%zu "
           "from=%.*s age_ms=%lld behind_ms=%lld era=%lld",
-          watch->complete ? "updated" : "read", kind_name (watch->kind),
-          (long long)result->version, (long long)watch->version, result->count,
-          STR_ARG (origin->vm),
+          watch->complete ? "updated" : "read",
+          lt_source_kind_name (watch->kind), (long long)result->version,
+          (long long)watch->version, result->count, STR_ARG (origin->vm),
           (long long)(origin->age_us < 0 ? -1 : origin->age_us / LT_US_PER_MS),
           (long long)(behind_us / LT_US_PER_MS),
           (long long)watch->controller->base.node->registry_era);
@@ -213,6 +215,7 @@
   log_update (watch, result, origin, now_us);
   apply_records (watch->controller, watch, result, now_us);
   watch->version = result->version;
+  watch->era = watch->controller->base.node->registry_era;
   if (full_read || result->count > 0)
     watch->changed_version = result->version;
   watch->behind = false;
@@ -261,7 +264,7 @@
     lt_source_relay_report (c, now_us);
   lt_log (LT_LOG_WARN, "source",
           "msg=\"register lost\" part=%s version=%lld error=\"%s\"",
-          kind_name (watch->kind), (long long)watch->version,
+          lt_source_kind_name (watch->kind), (long long)watch->version,
           lt_error_text (error));
 }
 
@@ -317,7 +320,7 @@
     c->watches[i].next_us = now_us;
   lt_log (LT_LOG_INFO, "source",
           "msg=\"register regained\" part=%s version=%lld",
-          kind_name (watch->kind), (long long)watch->version);
+          lt_source_kind_name (watch->kind), (long long)watch->version);
 }
 
 static bool
@@ -369,12 +372,13 @@
       watch->next_us = now_us + RETRY_MIN_MS * LT_US_PER_MS;
       return;
     }
+  lt_source_is_older_state (watch, result, now_us);
   record_response (watch, result, now_us);
   if (result->history_lost)
     {
       lt_log (LT_LOG_INFO, "source",
               "msg=\"history lost; reading all\" part=%s version=%lld",
-              kind_name (watch->kind), (long long)watch->version);
+              lt_source_kind_name (watch->kind), (long long)watch->version);
       watch->complete = false;
     }
   else
@@ -419,6 +423,10 @@
   lt_registry_t *registry = watch->controller->base.node->registry;
   watch->asked_version = watch->complete ? watch->version : 0;
   watch->asked_all = !watch->complete;
+  watch->least_version
+      = watch->era == watch->controller->base.node->registry_era
+            ? watch->version
+            : 0;
   int error = watch->complete
                   ? registry->vtable->watch (
                       registry, watch->kind, watch->version, wait_ms,
@@ -467,8 +475,7 @@
 status (lt_controller_t *base)
 {
   lt_source_controller_t *c = (lt_source_controller_t *)base;
-  int64_t version
-      = c->configuration == NULL ? -1 : c->configuration->source_version;
+  int64_t version = lt_source_config_version (c);
   return json_pack ("{s:I, s:I, s:b, s:I}", "version", (json_int_t)version,
                     "upstreams", (json_int_t)HASH_COUNT (c->entries), "reads",
                     (int)c->reading, "age_us",
@@ -511,10 +518,14 @@
       c->watches[i].controller = c;
       c->watches[i].kind = (lt_registry_kind_t)i;
       snprintf (labels, sizeof (labels), "part=\"%s\"",
-                kind_name ((lt_registry_kind_t)i));
+                lt_source_kind_name ((lt_registry_kind_t)i));
       c->failures[i] = lt_metrics_counter (
           node->metrics, "lavendertrack_register_failures_total",
           "Calls to the hosting platform's register that failed.", labels);
+      c->older[i] = lt_metrics_counter (
+          node->metrics, "lavendertrack_register_older_total",
+          "Responses of the register that are older than earlier ones.",
+          labels);
     }
   c->version_gauge
       = lt_metrics_gauge (node->metrics, "lavendertrack_configuration_version",
--- a/packages/node/src/source_era.c
+++ b/packages/node/src/source_era.c
@@ -54,6 +54,29 @@
   return !watch->asked_all && !watch->complete;
 }
 
+bool
+lt_source_is_older_state (record_watch_t *watch,
+                          const lt_registry_result_t *result, int64_t now_us)
+{
+  lt_source_controller_t *c = watch->controller;
+  if (result->history_lost || result->version >= watch->least_version)
+    {
+      watch->older_since_us = 0;
+      return false;
+    }
+  c->older[watch->kind]->value++;
+  if (watch->older_since_us != 0)
+    return true;
+  watch->older_since_us = now_us;
+  lt_log (LT_LOG_WARN, "source",
+          "msg=\"register responds by an older state\" part=%s version=%lld "
+          "before=%lld era=%lld",
+          lt_source_kind_name (watch->kind), (long long)result->version,
+          (long long)watch->least_version,
+          (long long)c->base.node->registry_era);
+  return true;
+}
+
 bool
 lt_source_is_older (const lt_source_controller_t *c,
                     const upstream_entry_t *entry,
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -41,6 +41,10 @@
   int64_t version;
   int64_t changed_version;  /* Changes after it are not known to exist. */
   int64_t asked_version;    /* Of the call in flight. */
+  int64_t era;              /* Of VERSION. */
+  int64_t least_version;    /* That a response to the call in flight can have,
+                               unless the registry answers by an older state. */
+  int64_t older_since_us;   /* When it began to do so; 0: it does not. */
   bool asked_all;           /* The call in flight reads all records. */
   bool complete;            /* Completely read; now watched. */
   bool in_flight;           /* A call is in flight. */
@@ -114,7 +118,9 @@
   int64_t clock_due_us;    /* When the registry's clock is read again. */
   bool reading;            /* Reads the registry for its domain. */
   int64_t peers_listed_us; /* When the relay's peers were last set. */
+  int64_t later_config;    /* Latest configuration that another VM reported. */
   lt_counter_t *failures[2];
+  lt_counter_t *older[2];
   lt_counter_t *relayed[SOURCE_RELAY_EVENTS];
   lt_gauge_t *version_gauge;
   lt_gauge_t *age_gauge;
@@ -122,6 +128,7 @@
 
 /* source_controller.c */
 
+const char *lt_source_kind_name (lt_registry_kind_t kind);
 /** Returns how long ago the registry had last responded to WATCH; -1:
     never.  */
 int64_t lt_source_age_us (const record_watch_t *watch, int64_t now_us);
@@ -129,6 +136,8 @@
 void lt_source_apply (record_watch_t *watch,
                       const lt_registry_result_t *result,
                       const source_origin_t *origin, int64_t now_us);
+/** Returns the version of the configuration in force; -1: none.  */
+int64_t lt_source_config_version (const lt_source_controller_t *c);
 bool lt_source_is_healthy (const lt_source_controller_t *c);
 /** Returns when the registry had last responded to both watches; 0: never.  */
 int64_t lt_source_verified_us (const lt_source_controller_t *c);
@@ -139,6 +148,11 @@
     lists changes although all records are to be read.  */
 bool lt_source_is_outdated (const record_watch_t *watch,
                             const lt_registry_result_t *result);
+/** Returns whether RESULT is older than a state that the registry had shown
+    before the call of WATCH began, and keeps record of it.  */
+bool lt_source_is_older_state (record_watch_t *watch,
+                               const lt_registry_result_t *result,
+                               int64_t now_us);
 /** Returns whether RECORD is older than what is known of ENTRY.  */
 bool lt_source_is_older (const lt_source_controller_t *c,
                          const upstream_entry_t *entry,
--- a/packages/node/src/source_relay.c
+++ b/packages/node/src/source_relay.c
@@ -52,7 +52,9 @@
       = { .sent_us = now_us,
           .serving = lt_source_is_healthy (c) && !c->base.node->draining,
           .outage_age_us = outage_age_us (c, now_us),
-          .era = c->base.node->registry_era };
+          .era = c->base.node->registry_era,
+          .config_version
+          = c->configuration == NULL ? 0 : lt_source_config_version (c) };
   for (int i = 0; i < LT_WIRE_REGISTRY_KINDS; i++)
     report.parts[i] = (lt_wire_registry_part_t){
       .version = c->watches[i].version,
@@ -138,6 +140,24 @@
   return era == c->base.node->registry_era;
 }
 
+/* Logs once that a VM which reads the registry has a later configuration than
+   this one, although this one lacks no change that the registry reported.  */
+static void
+note_config_version (lt_source_controller_t *c, str_t vm, int64_t version)
+{
+  const record_watch_t *watch = &c->watches[LT_REGISTRY_CONFIG];
+  int64_t own = lt_source_config_version (c);
+  if (version <= own || version <= c->later_config || !watch->complete
+      || watch->behind)
+    return;
+  c->later_config = version;
+  lt_log (LT_LOG_WARN, "source",
+          "msg=\"another VM has a later configuration\" version=%lld "
+          "own=%lld vm=%.*s register=%lld era=%lld",
+          (long long)version, (long long)own, STR_ARG (vm),
+          (long long)watch->version, (long long)c->base.node->registry_era);
+}
+
 static void
 on_report (lt_source_controller_t *c, const lt_peer_message_t *message,
            int64_t now_us)
@@ -168,6 +188,7 @@
                   verified_us + report.parts[i].verified_us
                       - summary.verified_us,
                   now_us);
+  note_config_version (c, message->sender, report.config_version);
 }
 
 typedef struct decoded_records
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -280,6 +280,8 @@
     int64_t outage_age_us; /**< Since the end of the last outage; -1: none. */
     int64_t era;           /**< Era of the versions; 0: unknown. */
     lt_wire_registry_part_t parts[LT_WIRE_REGISTRY_KINDS];
+    int64_t config_version; /**< Of the configuration in force; 0: unknown, as
+                               in reports of earlier versions. */
   } lt_wire_registry_report_t;
 
   void
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -19,7 +19,8 @@
   SNAPSHOT_GET_FIELDS = 2,
   SNAPSHOT_DATA_FIELDS = 4,
   DRAIN_FIELDS = 3,
-  REGISTRY_REPORT_FIELDS = 4 + 3 * LT_WIRE_REGISTRY_KINDS,
+  REGISTRY_REPORT_FIELDS_BEFORE = 4 + 3 * LT_WIRE_REGISTRY_KINDS,
+  REGISTRY_REPORT_FIELDS = REGISTRY_REPORT_FIELDS_BEFORE + 1,
   REGISTRY_RECORDS_FIELDS = 6,
   QUARANTINE_FIELDS = 5,
   UPDATE_FIELDS = 4,
@@ -489,6 +490,7 @@
       lt_pack_i64 (out, message->parts[i].changed_version);
       lt_pack_i64 (out, message->parts[i].verified_us);
     }
+  lt_pack_i64 (out, message->config_version);
 }
 
 int
@@ -497,7 +499,8 @@
 {
   lt_unpack_t in;
   lt_unpack_init (&in, payload);
-  lt_unpack_array (&in, REGISTRY_REPORT_FIELDS, REGISTRY_REPORT_FIELDS);
+  uint32_t fields = lt_unpack_array (&in, REGISTRY_REPORT_FIELDS_BEFORE,
+                                     REGISTRY_REPORT_FIELDS);
   message->sent_us = unpack_non_negative (&in);
   message->serving = lt_unpack_bool (&in);
   message->outage_age_us = lt_unpack_i64 (&in, -1, INT64_MAX);
@@ -508,6 +511,8 @@
       message->parts[i].changed_version = unpack_non_negative (&in);
       message->parts[i].verified_us = unpack_non_negative (&in);
     }
+  message->config_version
+      = fields == REGISTRY_REPORT_FIELDS ? unpack_non_negative (&in) : 0;
   return lt_unpack_end (&in);
 }
 
