--- a/packages/node/test/source_fixture.h
+++ b/packages/node/test/source_fixture.h
@@ -235,6 +235,24 @@
     FAIL () << "no call of kind " << kind;
   }
 
+  // Responds to the oldest call of KIND, a watch, that its history is lost.
+  void
+  lose_history (lt_registry_kind_t kind)
+  {
+    for (size_t i = 0; i < registry.calls.size (); i++)
+      {
+        Call call = registry.calls[i];
+        if (call.kind != kind)
+          continue;
+        registry.calls.erase (registry.calls.begin () + (ptrdiff_t)i);
+        lt_registry_result_t result = {};
+        result.history_lost = true;
+        call.done (call.user, &result);
+        return;
+      }
+    FAIL () << "no call of kind " << kind;
+  }
+
   // The complete reads at the start, at version 100.
   void
   read_all ()
--- a/packages/node/test/test_source_relay.cc
+++ b/packages/node/test/test_source_relay.cc
@@ -299,3 +299,79 @@
   EXPECT_GE (calls, 4u);
   EXPECT_LE (calls, 14u);
 }
+
+// Guards against a response by an older state of the registry that counts as
+// proof that nothing was missed: no other VM then reads for the domain.
+TEST_F (SourceRelay, ResponsesByAnOlderStateProveNothing)
+{
+  others = { "vm-3" }; // This VM reads.
+  read_all ();
+  pass (2000);
+  respond (LT_REGISTRY_CONFIG, 100, {});
+  respond (LT_REGISTRY_UPSTREAMS, 100, {});
+  peers.sent.clear ();
+  int64_t proven_us = clock.now_us;
+  pass (300);
+  respond (LT_REGISTRY_CONFIG, 90, {});
+  respond (LT_REGISTRY_UPSTREAMS, 90, {});
+  ASSERT_FALSE (peers.sent.empty ());
+  for (const Sent &sent : peers.sent)
+    {
+      lt_wire_registry_report_t report;
+      ASSERT_EQ (LT_MESSAGE_REGISTRY_REPORT, sent.type);
+      ASSERT_EQ (0, lt_wire_registry_report_decode (
+                        str_make (sent.payload.data (), sent.payload.size ()),
+                        &report));
+      EXPECT_FALSE (report.serving);
+      EXPECT_LE (report.parts[LT_REGISTRY_CONFIG].verified_us, proven_us);
+      EXPECT_LE (report.parts[LT_REGISTRY_UPSTREAMS].verified_us, proven_us);
+    }
+  pass (1000);
+  EXPECT_EQ (2u, registry.calls.size ()); // It goes on to ask.
+}
+
+// Guards against a complete read of an older state that brings back an
+// upstream that left and takes away one that was added.
+TEST_F (SourceRelay, CompleteReadsOfAnOlderStateChangeNothing)
+{
+  others = {};
+  read_all ();
+  pass (1000);
+  respond (
+      LT_REGISTRY_UPSTREAMS, 110,
+      { upstream_record ("u-1", 105, true), upstream_record ("u-3", 106) });
+  pass (1000);
+  lose_history (LT_REGISTRY_UPSTREAMS);
+  respond (LT_REGISTRY_UPSTREAMS, 100,
+           { upstream_record ("u-1", 60), upstream_record ("u-2", 61) });
+  EXPECT_FALSE (has_upstream ("u-1"));
+  EXPECT_TRUE (has_upstream ("u-3"));
+  pass (1000);
+  respond (LT_REGISTRY_UPSTREAMS, 111,
+           { upstream_record ("u-2", 111), upstream_record ("u-3", 106) });
+  EXPECT_FALSE (has_upstream ("u-1"));
+  EXPECT_TRUE (has_upstream ("u-2"));
+  EXPECT_TRUE (has_upstream ("u-3"));
+}
+
+// Guards against a VM that never follows a registry which came back from an
+// older copy without naming a new era.
+TEST_F (SourceRelay, OlderStatesThatStayAreFollowed)
+{
+  others = {};
+  read_all ();
+  const int64_t kVersion = 80;
+  for (int i = 0; i < 200 && !has_upstream ("u-9"); i++)
+    {
+      pass (100);
+      for (size_t open = registry.calls.size (); open > 0; open--)
+        {
+          Call call = registry.calls[0];
+          std::vector<lt_registry_record_t> records;
+          if (call.kind == LT_REGISTRY_UPSTREAMS && call.version < kVersion)
+            records.push_back (upstream_record ("u-9", 79));
+          respond (call.kind, kVersion, records);
+        }
+    }
+  EXPECT_TRUE (has_upstream ("u-9"));
+}
