Do not take an older state of the registry for news of it

What callers could see: refusals by an older configuration and requests to upstreams that had left, on a VM that counted as current.

Cause: a response to a watch with a version below the one that was asked for was dropped as outdated, yet dated the VM's knowledge as current, so that no other VM read for the domain; a complete read of an older state replaced the newer one, with upstreams that had left. A registry that came back from an older copy without naming a new era was never followed. Class: evidence that shows the contrary is taken for proof.

After 5 s of such responses the registry is taken to have come back from a copy, as if it had named a new era; evacuations and departed upstreams are compared accordingly.

--- a/packages/node/src/source_era.c
+++ b/packages/node/src/source_era.c
@@ -6,8 +6,13 @@
 enum
 {
   DEPARTED_MAX = 8192,
+  /* Era of what is known from before the registry came back.  */
+  ERA_BEFORE = -1,
   /* VMs read the records again within this time, one after the other.  */
-  READ_SPREAD_MS = 200
+  READ_SPREAD_MS = 200,
+  /* Responses by an older state that go on for longer mean that the registry
+     came back from an older copy without naming a new era.  */
+  OLDER_STATE_MS = 5000
 };
 
 static void
@@ -21,6 +26,35 @@
                                             READ_SPREAD_MS * LT_US_PER_MS);
 }
 
+/* The registry came back from an older copy: all is read again, and versions
+   are not compared with those known so far.  */
+static void
+follow_copy (lt_source_controller_t *c, int64_t before)
+{
+  int64_t now_us = lt_node_now_us (c->base.node);
+  lt_log (LT_LOG_WARN, "source",
+          "msg=\"register restored from an older copy; reading all\" era=%lld "
+          "before=%lld configuration=%lld upstreams=%lld",
+          (long long)c->base.node->registry_era, (long long)before,
+          (long long)c->watches[LT_REGISTRY_CONFIG].version,
+          (long long)c->watches[LT_REGISTRY_UPSTREAMS].version);
+  c->era_since_us = now_us;
+  c->recovered_us = now_us;
+  for (upstream_entry_t *e = c->entries; e != NULL; e = e->hh.next)
+    e->era = ERA_BEFORE;
+  for (departed_upstream_t *d = c->departed; d != NULL; d = d->hh.next)
+    d->era = ERA_BEFORE;
+  for (evacuation_t *e = c->evacuations; e != NULL; e = e->hh.next)
+    e->era = ERA_BEFORE;
+  for (int i = 0; i < 2; i++)
+    {
+      c->watches[i].era = ERA_BEFORE;
+      c->watches[i].older_since_us = 0;
+      c->watches[i].least_version = 0;
+      read_all_again (c, &c->watches[i], now_us);
+    }
+}
+
 void
 lt_source_controller_note_era (lt_node_t *node, int64_t era)
 {
@@ -29,19 +63,8 @@
   if (era <= before)
     return;
   node->registry_era = era;
-  if (before == 0 || c == NULL)
-    return;
-  int64_t now_us = lt_node_now_us (node);
-  c->era_since_us = now_us;
-  c->recovered_us = now_us;
-  lt_log (LT_LOG_WARN, "source",
-          "msg=\"register restored from an older copy; reading all\" era=%lld "
-          "before=%lld configuration=%lld upstreams=%lld",
-          (long long)era, (long long)before,
-          (long long)c->watches[LT_REGISTRY_CONFIG].version,
-          (long long)c->watches[LT_REGISTRY_UPSTREAMS].version);
-  for (int i = 0; i < 2; i++)
-    read_all_again (c, &c->watches[i], now_us);
+  if (before != 0 && c != NULL)
+    follow_copy (c, before);
 }
 
 bool
@@ -65,6 +88,9 @@
       return false;
     }
   c->older[watch->kind]->value++;
+  if (watch->older_since_us != 0
+      && now_us - watch->older_since_us >= OLDER_STATE_MS * LT_US_PER_MS)
+    follow_copy (c, c->base.node->registry_era);
   if (watch->older_since_us != 0)
     return true;
   watch->older_since_us = now_us;
