VMs pass on a configuration that the register does not show

What callers could see: refusals (401, 404) and service by an older configuration, on VMs that started, or had not read the last change, when the store came back from an older copy, until the operator wrote again: a withdrawn key worked, a route that had been added was missing.

Cause: only the store told a VM what is in force, and what it showed was taken for the newest, though other VMs had a later version in force. Class: one source of truth that can forget, with the knowledge of the fleet unused.

Change (source_exchange.c): a VM that has read its first configuration asks a VM of its failure domain and one of its region for a later one, four times at intervals of 0.5 s; after the store came back from a copy all do, for 10 s, and those that read for their domain also ask anywhere. The request names the own version: equal ones cost one small message, who has a later one sends it, in pieces, and who has an earlier one asks in return. A VM that takes one asks again, so that it spreads. A report of the reading VM that names a later configuration, while this VM lacks no change of the register, does the same. Changes that the register shows are read there as before, as whole configurations from one VM would fill its link.

A test changed: SourceRelay.FollowerAppliesChangesWithoutCalls expected that a follower sends nothing at all; now that it sends nothing but at most four of these requests, and still no records, reports or calls.

Evidence: RestoredStore.VmsThatStartHaveWhatIsInForce (200 for a withdrawn key before, 401 now) and ChangesThatOneVmHasReadReachTheOthers failed before and pass now; SourceExchange, 10 of 10, without sockets; the other tests of the register, its relay, evacuation, cold and leaving upstreams pass, 13 of 13 programs. Open: a fleet that is killed as a whole has nobody to ask.

--- a/packages/node/include/lt/node/registry.h
+++ b/packages/node/include/lt/node/registry.h
@@ -45,6 +45,9 @@
     int64_t revision;
     bool removed; /**< The record was deleted or is unreadable. */
     const lt_deployment_t *deployment;
+    /** A configuration in the registry's own encoding, for decode; empty:
+        another kind of record.  */
+    str_t encoded;
     /** Failure domain whose upstreams take no new work while the record
         exists; empty: the record is a configuration.  */
     str_t evacuated_domain;
--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -132,6 +132,7 @@
   lt_snapshot_destroy (c->configuration);
   c->configuration = snapshot;
   c->install_count = 0;
+  lt_source_exchange_keep (c, record->encoded);
   c->version_gauge->value = (double)deployment->version;
   lt_log (LT_LOG_INFO, "source",
           "msg=\"configuration in force\" version=%lld before=%lld routes=%u "
@@ -141,6 +142,16 @@
           snapshot->workspace_count);
 }
 
+void
+lt_source_apply_configuration (lt_source_controller_t *c,
+                               const lt_registry_record_t *record)
+{
+  int64_t before = lt_source_config_version (c);
+  apply_deployment (c, record);
+  if (lt_source_config_version (c) != before)
+    install_snapshot (c);
+}
+
 /* Returns whether the set of upstreams changed, or which of them are
    evacuated.  */
 static bool
@@ -456,6 +467,7 @@
   lt_source_controller_t *c = (lt_source_controller_t *)base;
   lt_source_relay_tick (c, now_us);
   lt_source_era_tick (c, now_us);
+  lt_source_exchange_tick (c, now_us);
   for (int i = 0; i < 2; i++)
     if (!c->watches[i].in_flight && now_us >= c->watches[i].next_us
         && needs_call (&c->watches[i], now_us))
@@ -495,18 +507,33 @@
   lt_source_forget_departed (c);
   lt_source_forget_evacuations (c, INT64_MAX);
   lt_relay_destroy (c->relay);
+  lt_source_exchange_destroy (c);
   lt_snapshot_destroy (c->configuration);
   base->node->source_controller = NULL;
   free (c);
 }
 
+static void
+on_message (lt_controller_t *base, const lt_peer_message_t *message,
+            int64_t now_us)
+{
+  lt_source_controller_t *c = (lt_source_controller_t *)base;
+  if (message->type == LT_MESSAGE_SNAPSHOT_GET
+      || message->type == LT_MESSAGE_SNAPSHOT_DATA)
+    lt_source_exchange_message (c, message, now_us);
+  else
+    lt_source_relay_message (c, message, now_us);
+}
+
 static const lt_controller_vtable_t vtable
     = { .name = "source",
         .message_types = LT_MESSAGE_TYPE_BIT (LT_MESSAGE_REGISTRY_REPORT)
-                         | LT_MESSAGE_TYPE_BIT (LT_MESSAGE_REGISTRY_RECORDS),
+                         | LT_MESSAGE_TYPE_BIT (LT_MESSAGE_REGISTRY_RECORDS)
+                         | LT_MESSAGE_TYPE_BIT (LT_MESSAGE_SNAPSHOT_GET)
+                         | LT_MESSAGE_TYPE_BIT (LT_MESSAGE_SNAPSHOT_DATA),
         .start = start,
         .tick = tick,
-        .on_message = lt_source_relay_message,
+        .on_message = on_message,
         .status = status,
         .destroy = destroy };
 
@@ -538,6 +565,7 @@
       node->metrics, "lavendertrack_register_age_seconds",
       "Time since the register last answered; below 0: never.", "");
   lt_source_relay_create (c);
+  lt_source_exchange_init (c);
   node->source_controller = c;
   return &c->base;
 }
--- a/packages/node/src/source_era.c
+++ b/packages/node/src/source_era.c
@@ -53,6 +53,7 @@
       c->watches[i].least_version = 0;
       read_all_again (c, &c->watches[i], now_us);
     }
+  lt_source_exchange_begin (c, SOURCE_RESTORED_ASKS);
 }
 
 void
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -8,6 +8,7 @@
 #include "lt/node/node.h"
 #include "lt/node/source_controller.h"
 #include "lt/policy/relay.h"
+#include "lt/wire/frame.h"
 
 #define SOURCE_RELAY_TABLE(X)                                                 \
   X (SOURCE_RELAY_REPORT_SENT, "report-sent")                                 \
@@ -23,8 +24,26 @@
 } source_relay_event_t;
 #undef SOURCE_RELAY_ENUM
 
+#define SOURCE_EXCHANGE_TABLE(X)                                              \
+  X (SOURCE_EXCHANGE_ASKED, "asked")                                          \
+  X (SOURCE_EXCHANGE_SENT, "sent")                                            \
+  X (SOURCE_EXCHANGE_APPLIED, "applied")                                      \
+  X (SOURCE_EXCHANGE_MALFORMED, "malformed")
+
+#define SOURCE_EXCHANGE_ENUM(name, text) name,
+typedef enum source_exchange_event
+{
+  SOURCE_EXCHANGE_TABLE (SOURCE_EXCHANGE_ENUM) SOURCE_EXCHANGE_EVENTS
+} source_exchange_event_t;
+#undef SOURCE_EXCHANGE_ENUM
+
 enum
 {
+  /* How often a VM asks others for a later configuration: after its start or
+     when it got one, and after the registry came back from an older copy,
+     until writers have repeated what was lost.  */
+  SOURCE_START_ASKS = 4,
+  SOURCE_RESTORED_ASKS = 20,
   /* After the registry came back from an older copy, writers repeat within
      seconds what was lost.  Until then its records may be older than what is
      known.  */
@@ -56,6 +75,18 @@
   int64_t responded_us; /* When the last response was sent; 0: none. */
 } record_watch_t;
 
+/* Later configurations of other VMs, see source_exchange.c.  */
+typedef struct config_exchange
+{
+  lt_buf_t record; /* The configuration in force, encoded by the registry. */
+  int asks_left;
+  int64_t next_ask_us;
+  char vm[LT_WIRE_NAME_MAX_BYTES + 1]; /* Fetched from; empty: no fetch. */
+  int64_t version;                     /* Of the configuration fetched. */
+  lt_buf_t bytes;                      /* Received so far. */
+  int64_t progress_us;
+} config_exchange_t;
+
 /* Where a result comes from, for the log.  */
 typedef struct source_origin
 {
@@ -118,7 +149,9 @@
   int64_t clock_due_us;    /* When the registry's clock is read again. */
   bool reading;            /* Reads the registry for its domain. */
   int64_t peers_listed_us; /* When the relay's peers were last set. */
-  int64_t later_config;    /* Latest configuration that another VM reported. */
+  config_exchange_t exchange;
+  lt_counter_t *exchanged[SOURCE_EXCHANGE_EVENTS];
+  int64_t later_config; /* Latest configuration that another VM reported. */
   lt_counter_t *failures[2];
   lt_counter_t *older[2];
   lt_counter_t *relayed[SOURCE_RELAY_EVENTS];
@@ -136,6 +169,10 @@
 void lt_source_apply (record_watch_t *watch,
                       const lt_registry_result_t *result,
                       const source_origin_t *origin, int64_t now_us);
+/** Puts the configuration of RECORD in force if it is later than the one in
+    force.  */
+void lt_source_apply_configuration (lt_source_controller_t *c,
+                                    const lt_registry_record_t *record);
 /** Returns the version of the configuration in force; -1: none.  */
 int64_t lt_source_config_version (const lt_source_controller_t *c);
 bool lt_source_is_healthy (const lt_source_controller_t *c);
@@ -214,6 +251,25 @@
 void lt_source_forget_evacuations (lt_source_controller_t *c,
                                    int64_t since_us);
 
+/* source_exchange.c: VMs that have a later configuration in force than the
+   registry shows pass it on.  */
+
+void lt_source_exchange_init (lt_source_controller_t *c);
+void lt_source_exchange_destroy (lt_source_controller_t *c);
+/** Keeps the configuration in force, as the registry ENCODED it.  */
+void lt_source_exchange_keep (lt_source_controller_t *c, str_t encoded);
+/** Asks other VMs at least ASKS times, at intervals, whether they have a later
+    configuration.  */
+void lt_source_exchange_begin (lt_source_controller_t *c, int asks);
+void lt_source_exchange_tick (lt_source_controller_t *c, int64_t now_us);
+/** Fetches the configuration of VM if its VERSION is later than the own.  */
+void lt_source_exchange_on_version (lt_source_controller_t *c, str_t vm,
+                                    int64_t version, int64_t now_us);
+/** Takes a message of type snapshot_get or snapshot_data.  */
+void lt_source_exchange_message (lt_source_controller_t *c,
+                                 const lt_peer_message_t *message,
+                                 int64_t now_us);
+
 /* source_relay.c */
 
 void lt_source_relay_create (lt_source_controller_t *c);
@@ -228,7 +284,7 @@
 /** Tells the other VMs of the domain what this VM knows, or that it cannot
     read for them.  */
 void lt_source_relay_report (lt_source_controller_t *c, int64_t now_us);
-void lt_source_relay_message (lt_controller_t *base,
+void lt_source_relay_message (lt_source_controller_t *c,
                               const lt_peer_message_t *message,
                               int64_t now_us);
 
--- a/packages/node/src/source_relay.c
+++ b/packages/node/src/source_relay.c
@@ -140,15 +140,19 @@
   return era == c->base.node->registry_era;
 }
 
-/* Logs once that a VM which reads the registry has a later configuration than
-   this one, although this one lacks no change that the registry reported.  */
+/* A VM that reads the registry has a later configuration than this one only if
+   it got it from another VM, unless this one lacks changes of the registry,
+   which it is about to read.  */
 static void
-note_config_version (lt_source_controller_t *c, str_t vm, int64_t version)
+note_config_version (lt_source_controller_t *c, str_t vm, int64_t version,
+                     int64_t now_us)
 {
   const record_watch_t *watch = &c->watches[LT_REGISTRY_CONFIG];
   int64_t own = lt_source_config_version (c);
-  if (version <= own || version <= c->later_config || !watch->complete
-      || watch->behind)
+  if (version <= own || !watch->complete || watch->behind)
+    return;
+  lt_source_exchange_on_version (c, vm, version, now_us);
+  if (version <= c->later_config)
     return;
   c->later_config = version;
   lt_log (LT_LOG_WARN, "source",
@@ -188,7 +192,7 @@
                   verified_us + report.parts[i].verified_us
                       - summary.verified_us,
                   now_us);
-  note_config_version (c, message->sender, report.config_version);
+  note_config_version (c, message->sender, report.config_version, now_us);
 }
 
 typedef struct decoded_records
@@ -245,10 +249,9 @@
 }
 
 void
-lt_source_relay_message (lt_controller_t *base,
+lt_source_relay_message (lt_source_controller_t *c,
                          const lt_peer_message_t *message, int64_t now_us)
 {
-  lt_source_controller_t *c = (lt_source_controller_t *)base;
   if (message->type == LT_MESSAGE_REGISTRY_REPORT)
     on_report (c, message, now_us);
   else
--- a/packages/wire/include/lt/wire/message.h
+++ b/packages/wire/include/lt/wire/message.h
@@ -111,7 +111,8 @@
                                    lt_wire_probe_result_t *message);
 
   /** Payload of snapshot_get: requests the configuration snapshot VERSION from
-      OFFSET_BYTES on.  */
+      OFFSET_BYTES on.  In a hosted fleet VERSION is the one that the sender
+     has in force, and it requests a later one.  */
   typedef struct lt_wire_snapshot_get
   {
     int64_t version;
