Open a new connection to the store after silence or a time-out

What callers saw: "refused with 404 as an older version says; version 24 was acked more than 2500 ms before", and requests handled by the older version.

Cause: all open connections fall silent, and a change is made within a second after. The call in flight waits up to 2.3 s for an answer that never comes. The next call went to another connection that had been kept, as silent as the first, for 2.3 s more; VMs that took over reading began with connections that were idle since their start; and those beyond the third of a domain repeated a failed call only after up to 1.8 s. Together more than 3 s, after which the VM is expected to be current. Class: an open connection is taken for a working one.

The first repetition of a failed call is quick on each VM. The call in flight still waits 2.3 s, since a slow store needs it.

--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -260,7 +260,9 @@
     wait_ms *= 2;
   if (wait_ms > RETRY_MAX_MS)
     wait_ms = RETRY_MAX_MS;
-  if (watch->complete && !watch->behind && !lt_relay_retries_fast (c->relay))
+  /* A first failure may be that of a connection only.  */
+  if (watch->complete && !watch->behind && watch->failures > 0
+      && !lt_relay_retries_fast (c->relay))
     wait_ms = SLOW_RETRY_MS;
   wait_ms = wait_ms / 2
             + (int64_t)lt_rng_below (&c->base.node->rng, (uint64_t)wait_ms);
--- a/packages/store/include/lt/store/http_client.h
+++ b/packages/store/include/lt/store/http_client.h
@@ -27,6 +27,11 @@
     int64_t silence_ms;
     int64_t connect_ms; /**< Timeout for connecting; 0: only the request
                            timeout applies. */
+    /** A connection may fall silent without a reset, and a request on it waits
+        until its timeout.  If there was no response for this long, or the last
+        request timed out, the next one opens a new connection; 0: kept ones
+        are used.  */
+    int64_t reuse_ms;
   } http_client_options_t;
 
   typedef struct http_request
--- a/packages/store/src/http_client.c
+++ b/packages/store/src/http_client.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
+#include "lt/base/clock.h"
 #include "lt/base/error.h"
 #include "lt/store/curl_loop.h"
 
@@ -28,6 +29,9 @@
   char *credentials;
   int64_t silence_ms;
   int64_t connect_ms;
+  int64_t reuse_ms;
+  int64_t responded_us; /* Last complete response; 0: none. */
+  bool timed_out;       /* The last request to end timed out. */
   transfer_t *transfers;
 };
 
@@ -107,9 +111,12 @@
 static void
 on_ended (void *user, CURL *easy, CURLcode code)
 {
-  (void)user;
+  http_client_t *client = user;
   transfer_t *transfer = NULL;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &transfer);
+  client->timed_out = code == CURLE_OPERATION_TIMEDOUT;
+  if (code == CURLE_OK)
+    client->responded_us = lt_clock_now_us (lt_clock_system ());
   transfer_end (transfer, error_from_curl (code));
   transfer_free (transfer);
 }
@@ -163,8 +170,8 @@
   /* Without a seek callback libcurl cannot rewind the body, so it cannot
      resend a request once body bytes have been sent.  A request without a
      body is kept from being resent only by a new connection.  */
-  curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT,
-                    transfer->body.len == 0 ? 1L : 0L);
+  if (transfer->body.len == 0)
+    curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
   curl_easy_setopt (easy, CURLOPT_READFUNCTION, read_body);
   curl_easy_setopt (easy, CURLOPT_READDATA, transfer);
   curl_easy_setopt (easy, post ? CURLOPT_POST : CURLOPT_UPLOAD, 1L);
@@ -221,10 +228,25 @@
   return CURL_SOCKOPT_OK;
 }
 
+static bool
+needs_new_connection (const http_client_t *client)
+{
+  int64_t now_us = lt_clock_now_us (lt_clock_system ());
+  return client->reuse_ms > 0
+         && (client->timed_out
+             || now_us - client->responded_us
+                    > client->reuse_ms * LT_US_PER_MS);
+}
+
 static void
 set_connection_limits (transfer_t *transfer)
 {
   http_client_t *client = transfer->client;
+  if (needs_new_connection (client))
+    curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+  if (client->reuse_ms > 0)
+    curl_easy_setopt (transfer->easy, CURLOPT_MAXAGE_CONN,
+                      (long)(client->reuse_ms / 1000 + 1));
   if (client->connect_ms > 0)
     curl_easy_setopt (transfer->easy, CURLOPT_CONNECTTIMEOUT_MS,
                       (long)client->connect_ms);
@@ -283,6 +305,7 @@
   self->region = str_dup (options->region);
   self->silence_ms = options->silence_ms;
   self->connect_ms = options->connect_ms;
+  self->reuse_ms = options->reuse_ms;
   curl_multi_setopt (lt_curl_loop_multi (self->curl),
                      CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)CONNECTIONS_MAX);
   *client = self;
