--- a/packages/node/src/source_controller.c
+++ b/packages/node/src/source_controller.c
@@ -385,7 +385,7 @@
       watch->next_us = now_us + RETRY_MIN_MS * LT_US_PER_MS;
       return;
     }
-  if (lt_source_is_older_state (watch, result, now_us))
+  if (lt_source_detect_older_state (watch, result, now_us))
     {
       record_failure (watch, -LT_ESTALE, now_us);
       return;
--- a/packages/node/src/source_era.c
+++ b/packages/node/src/source_era.c
@@ -79,8 +79,9 @@
 }
 
 bool
-lt_source_is_older_state (record_watch_t *watch,
-                          const lt_registry_result_t *result, int64_t now_us)
+lt_source_detect_older_state (record_watch_t *watch,
+                              const lt_registry_result_t *result,
+                              int64_t now_us)
 {
   lt_source_controller_t *c = watch->controller;
   if (result->history_lost || result->version >= watch->least_version)
--- a/packages/node/src/source_internal.h
+++ b/packages/node/src/source_internal.h
@@ -187,9 +187,9 @@
                             const lt_registry_result_t *result);
 /** Returns whether RESULT is older than a state that the registry had shown
     before the call of WATCH began, and keeps record of it.  */
-bool lt_source_is_older_state (record_watch_t *watch,
-                               const lt_registry_result_t *result,
-                               int64_t now_us);
+bool lt_source_detect_older_state (record_watch_t *watch,
+                                   const lt_registry_result_t *result,
+                                   int64_t now_us);
 /** Returns whether RECORD is older than what is known of ENTRY.  */
 bool lt_source_is_older (const lt_source_controller_t *c,
                          const upstream_entry_t *entry,
--- a/packages/node/test/source_fixture.h
+++ b/packages/node/test/source_fixture.h
@@ -211,11 +211,9 @@
     return calls.size ();
   }
 
-  // Answers the oldest call of KIND.
+  // Completes the oldest call of KIND with RESULT.
   void
-  respond (lt_registry_kind_t kind, int64_t version,
-           const std::vector<lt_registry_record_t> &records,
-           const char *encoded = "")
+  complete_call (lt_registry_kind_t kind, const lt_registry_result_t &result)
   {
     for (size_t i = 0; i < registry.calls.size (); i++)
       {
@@ -223,34 +221,34 @@
         if (call.kind != kind)
           continue;
         registry.calls.erase (registry.calls.begin () + (ptrdiff_t)i);
-        lt_registry_result_t result = {};
-        result.version = version;
-        result.records = records.data ();
-        result.count = records.size ();
-        result.encoded = str_from (encoded);
-        result.clock_us = clock.now_us + registry_ahead_us;
         call.done (call.user, &result);
         return;
       }
     FAIL () << "no call of kind " << kind;
   }
 
+  // Answers the oldest call of KIND.
+  void
+  respond (lt_registry_kind_t kind, int64_t version,
+           const std::vector<lt_registry_record_t> &records,
+           const char *encoded = "")
+  {
+    lt_registry_result_t result = {};
+    result.version = version;
+    result.records = records.data ();
+    result.count = records.size ();
+    result.encoded = str_from (encoded);
+    result.clock_us = clock.now_us + registry_ahead_us;
+    complete_call (kind, result);
+  }
+
   // Responds to the oldest call of KIND, a watch, that its history is lost.
   void
   lose_history (lt_registry_kind_t kind)
   {
-    for (size_t i = 0; i < registry.calls.size (); i++)
-      {
-        Call call = registry.calls[i];
-        if (call.kind != kind)
-          continue;
-        registry.calls.erase (registry.calls.begin () + (ptrdiff_t)i);
-        lt_registry_result_t result = {};
-        result.history_lost = true;
-        call.done (call.user, &result);
-        return;
-      }
-    FAIL () << "no call of kind " << kind;
+    lt_registry_result_t result = {};
+    result.history_lost = true;
+    complete_call (kind, result);
   }
 
   // The complete reads at the start, at version 100.
--- a/packages/node/test/test_source_exchange.cc
+++ b/packages/node/test/test_source_exchange.cc
@@ -93,8 +93,8 @@
   EXPECT_GE (sent_count (LT_MESSAGE_SNAPSHOT_GET), 10u);
 }
 
-// A VM without others, or before it has a configuration, asks nobody.
-TEST_F (SourceExchange, AsksNobodyBeforeItHasAConfiguration)
+// Before it has a configuration a VM does not ask for a later one.
+TEST_F (SourceExchange, DoesNotAskBeforeItHasAConfiguration)
 {
   follow (3000);
   EXPECT_EQ (0u, sent_count (LT_MESSAGE_SNAPSHOT_GET));
--- a/packages/store/include/lt/store/http_client.h
+++ b/packages/store/include/lt/store/http_client.h
@@ -6,6 +6,7 @@
 
 #include <ev.h>
 
+#include "lt/base/clock.h"
 #include "lt/base/str.h"
 #include "lt/store/store.h"
 
@@ -19,6 +20,7 @@
   typedef struct http_client_options
   {
     struct ev_loop *loop;
+    lt_clock_t *clock; /**< For reuse_ms; NULL: the system's. */
     str_t region;
     str_t access_key;
     str_t secret_key;
--- a/packages/store/src/http_client.c
+++ b/packages/store/src/http_client.c
@@ -10,7 +10,6 @@
 #include <sys/socket.h>
 #include <utlist.h>
 
-#include "lt/base/clock.h"
 #include "lt/base/error.h"
 #include "lt/store/curl_loop.h"
 
@@ -25,6 +24,7 @@
 struct http_client
 {
   lt_curl_loop_t *curl;
+  lt_clock_t *clock;
   char *region;
   char *credentials;
   int64_t silence_ms;
@@ -116,7 +116,7 @@
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &transfer);
   client->timed_out = code == CURLE_OPERATION_TIMEDOUT;
   if (code == CURLE_OK)
-    client->responded_us = lt_clock_now_us (lt_clock_system ());
+    client->responded_us = lt_clock_now_us (client->clock);
   transfer_end (transfer, error_from_curl (code));
   transfer_free (transfer);
 }
@@ -231,7 +231,7 @@
 static bool
 needs_new_connection (const http_client_t *client)
 {
-  int64_t now_us = lt_clock_now_us (lt_clock_system ());
+  int64_t now_us = lt_clock_now_us (client->clock);
   return client->reuse_ms > 0
          && (client->timed_out
              || now_us - client->responded_us
@@ -305,6 +305,7 @@
   self->region = str_dup (options->region);
   self->silence_ms = options->silence_ms;
   self->connect_ms = options->connect_ms;
+  self->clock = options->clock == NULL ? lt_clock_system () : options->clock;
   self->reuse_ms = options->reuse_ms;
   curl_multi_setopt (lt_curl_loop_multi (self->curl),
                      CURLMOPT_MAX_TOTAL_CONNECTIONS, (long)CONNECTIONS_MAX);
