Move the header list to package base

Cause: the HTTP client of package store needs it for the reader of response heads that follows, and may not use package node. Change: lt_header_t and lt_header_list_t move unchanged from node/request.h and node/src/header_list.c to lt/base/header_list.h.

--- a/packages/node/src/header_list.c
+++ b/packages/base/src/header_list.c
@@ -1,6 +1,6 @@
-#include <stdlib.h>
+#include "lt/base/header_list.h"
 
-#include "lt/node/request.h"
+#include <stdlib.h>
 
 void
 lt_header_list_add (lt_header_list_t *list, str_t name, str_t value)
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -3,6 +3,7 @@
 #ifndef LT_NODE_REQUEST_H
 #define LT_NODE_REQUEST_H
 
+#include "lt/base/header_list.h"
 #include "lt/base/str.h"
 #include "lt/config/snapshot.h"
 #include "lt/node/filter.h"
@@ -16,27 +17,6 @@
 #define LT_FILTER_MAX 16
 #define LT_REQUEST_ID_MAX 64
 
-  typedef struct lt_header
-  {
-    str_t name;
-    str_t value;
-  } lt_header_t;
-
-  typedef struct lt_header_list
-  {
-    lt_header_t *items;
-    size_t count;
-    size_t cap;
-  } lt_header_list_t;
-
-  /** Adds copies of NAME and VALUE.  */
-  void lt_header_list_add (lt_header_list_t *list, str_t name, str_t value);
-  /** Returns the value of the first header NAME, compared without case, or an
-      empty string with NULL data.  LIST owns the value.  */
-  str_t lt_header_list_get (const lt_header_list_t *list, str_t name);
-  size_t lt_header_list_count (const lt_header_list_t *list, str_t name);
-  void lt_header_list_destroy (lt_header_list_t *list);
-
   /** The response to the caller.  */
   typedef struct lt_response
   {
