Discard bytes behind a 101 that nobody asked for

Cause: libcurl ends HTTP at any 101 and passes on the rest as a body; upstream_client.c took the 101 for an interim response, and on_body_data appended to the response's buffer without a final head. The retry's body followed there. Ruled out: discard_response, which clears the buffer as it should once a head was accepted; here none was. Change: lt_response_head_t reads the heads of a response, rejects a 101, and says when the final head is complete; body bytes before that are rejected. Such an attempt ends as malformed (outcome, retry failure and fault in the log). This works because nothing reaches the dispatcher before the final head.

--- a/packages/node/bench/bench_proxy.c
+++ b/packages/node/bench/bench_proxy.c
@@ -75,10 +75,9 @@
 static void send_request (bench_t *bench, bool through_proxy, int64_t due_us);
 
 static bool
-on_header (void *owner, int status, lt_header_list_t *headers)
+on_header (void *owner, const lt_response_head_t *head)
 {
-  (void)headers;
-  ((call_t *)owner)->status = status;
+  ((call_t *)owner)->status = head->status;
   return true;
 }
 
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -95,6 +95,7 @@
     LT_ATTEMPT_TIMEOUT,
     LT_ATTEMPT_TRUNCATED,      /**< Connection closed within the body. */
     LT_ATTEMPT_WRONG_RESPONSE, /**< Response to another request. */
+    LT_ATTEMPT_MALFORMED,      /**< The response violates HTTP. */
     LT_ATTEMPT_MISDIRECTED,    /**< 421: another upstream has the address. */
     LT_ATTEMPT_CANCELED        /**< By the caller or a hedge; says nothing
                                    about the upstream. */
--- a/packages/node/src/cost_controller.c
+++ b/packages/node/src/cost_controller.c
@@ -51,6 +51,7 @@
     case LT_ATTEMPT_SHED:
     case LT_ATTEMPT_TRUNCATED:
     case LT_ATTEMPT_WRONG_RESPONSE:
+    case LT_ATTEMPT_MALFORMED:
     case LT_ATTEMPT_MISDIRECTED:
       break;
     }
--- a/packages/node/src/dispatch_answer.c
+++ b/packages/node/src/dispatch_answer.c
@@ -166,8 +166,9 @@
 outcome_name (lt_attempt_outcome_t outcome)
 {
   static const char *const names[]
-      = { "ok",      "failed",    "reset",    "refused",     "shed",
-          "timeout", "truncated", "mixed-up", "misdirected", "canceled" };
+      = { "ok",        "failed",      "reset",     "refused",
+          "shed",      "timeout",     "truncated", "mixed-up",
+          "malformed", "misdirected", "canceled" };
   return names[outcome];
 }
 
@@ -186,11 +187,12 @@
   lt_log (LT_LOG_INFO, "dispatch",
           "msg=\"attempt failed\" request=%s attempt=%u upstream=%.*s "
           "address=%.*s outcome=%s status=%d sent=%d ms=%lld config=%lld "
-          "fingerprint=%s",
+          "fingerprint=%s fault=\"%s\"",
           request->request_id,
           (unsigned)(attempt - attempt->dispatch->attempts) + 1,
           STR_ARG (upstream->name), STR_ARG (upstream->address),
           outcome_name (outcome), attempt->status, attempt->byte_sent,
           (long long)((now_us - attempt->started_us) / LT_US_PER_MS),
-          (long long)snapshot->source_version, fingerprint);
+          (long long)snapshot->source_version, fingerprint,
+          attempt->fault == NULL ? "" : attempt->fault);
 }
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -31,6 +31,7 @@
   int64_t warm_until_us;    /* The same. */
   bool byte_sent;
   bool connection_lost; /* See lt_transfer_result_t. */
+  const char *fault;    /* The same. */
   bool closing;         /* The upstream closes the connection. */
   bool paused;          /* Until the caller has read part of the body. */
   bool not_run;         /* The upstream reported that it did not run. */
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -217,6 +217,8 @@
       return LT_RETRY_TIMEOUT;
     case LT_TRANSFER_TRUNCATED:
       return LT_RETRY_TRUNCATED;
+    case LT_TRANSFER_MALFORMED:
+      return LT_RETRY_MALFORMED;
     case LT_TRANSFER_RESET:
     case LT_TRANSFER_ABORTED:
     case LT_TRANSFER_COMPLETE:
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -116,7 +116,7 @@
 }
 
 static void
-use_response (attempt_t *attempt, int status, lt_header_list_t *headers)
+use_response (attempt_t *attempt, const lt_response_head_t *head)
 {
   lt_dispatch_t *dispatch = attempt->dispatch;
   lt_request_t *request = dispatch->request;
@@ -126,8 +126,8 @@
   ev_timer_stop (loop, &dispatch->retry_timer);
   ev_timer_stop (loop, &dispatch->hedge_timer);
   cancel_others (dispatch, attempt);
-  response->status = status;
-  lt_outgoing_response_headers (request->node->dialect, headers,
+  response->status = head->status;
+  lt_outgoing_response_headers (request->node->dialect, &head->headers,
                                 &response->headers, &response->length);
   if (buffers_responses (dispatch))
     return;
@@ -135,10 +135,12 @@
 }
 
 static bool
-on_header (void *owner, int status, lt_header_list_t *headers)
+on_header (void *owner, const lt_response_head_t *head)
 {
   attempt_t *attempt = owner;
   lt_dispatch_t *dispatch = attempt->dispatch;
+  const lt_header_list_t *headers = &head->headers;
+  int status = head->status;
   attempt->status = status;
   attempt->header_us = lt_node_now_us (dispatch->request->node);
   attempt->closing = lt_headers_connection_close (headers);
@@ -169,7 +171,7 @@
   if (dispatch->request->node->dialect->not_run.len > 0
       && lt_dispatch_status_implies_not_run (status))
     return false;
-  use_response (attempt, status, headers);
+  use_response (attempt, head);
   return true;
 }
 
@@ -224,6 +226,8 @@
       return LT_ATTEMPT_TRUNCATED;
     case LT_TRANSFER_TIMEOUT:
       return LT_ATTEMPT_TIMEOUT;
+    case LT_TRANSFER_MALFORMED:
+      return LT_ATTEMPT_MALFORMED;
     case LT_TRANSFER_COMPLETE:
     case LT_TRANSFER_ABORTED:
       break;
@@ -341,6 +345,7 @@
   attempt_t *attempt = owner;
   lt_dispatch_t *dispatch = attempt->dispatch;
   attempt->connection_lost = result->connection_lost;
+  attempt->fault = result->fault;
   close_attempt (attempt, attempt_outcome (attempt, result));
   dispatch->timed_out = result->end == LT_TRANSFER_TIMEOUT;
   dispatch->last_reset = result->end == LT_TRANSFER_RESET;
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -171,6 +171,7 @@
     case LT_ATTEMPT_FAILED:
     case LT_ATTEMPT_TRUNCATED:
     case LT_ATTEMPT_WRONG_RESPONSE:
+    case LT_ATTEMPT_MALFORMED:
       return LT_HEALTH_FAILED;
     case LT_ATTEMPT_OK:
     case LT_ATTEMPT_MISDIRECTED:
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -11,10 +11,7 @@
 enum
 {
   CONNECT_TIMEOUT_MS = 1000,
-  IDLE_HANDLES_MAX = 256,
-  /* Limit on all headers of a response, with those of informational responses
-     before it.  */
-  RESPONSE_HEADERS_MAX_BYTES = 256 * 1024
+  IDLE_HANDLES_MAX = 256
 };
 
 struct lt_transfer
@@ -26,14 +23,13 @@
   const lt_transfer_vtable_t *vtable;
   void *owner; /* NULL once cancelled. */
   struct curl_slist *header_lines;
-  lt_header_list_t response_headers;
-  size_t header_bytes;
+  lt_response_head_t head;
   bool chunked;
   lt_chunked_body_t chunked_body;
   int send_count; /* Number of times the request was about to be sent. */
   int64_t timeout_ms;
   bool has_connect_timeout; /* The owner set one below timeout_ms. */
-  bool header_done;
+  const char *fault; /* Why the response is malformed; NULL: it is not. */
   bool aborted;
   bool free_pending; /* Cancelled in a callback; freed after it. */
 };
@@ -74,7 +70,7 @@
   else
     curl_easy_cleanup (transfer->easy);
   curl_slist_free_all (transfer->header_lines);
-  lt_header_list_destroy (&transfer->response_headers);
+  lt_response_head_destroy (&transfer->head);
   free (transfer);
 }
 
@@ -117,19 +113,27 @@
          && total_us < (curl_off_t)transfer->timeout_ms * 1000;
 }
 
+static bool
+has_final_head (const lt_transfer_t *transfer)
+{
+  return transfer->head.state == LT_RESPONSE_HEAD_COMPLETE;
+}
+
 static lt_transfer_end_t
 transfer_end (const lt_transfer_t *transfer, CURLcode code)
 {
+  if (transfer->fault != NULL)
+    return LT_TRANSFER_MALFORMED;
   if (transfer->aborted)
     return LT_TRANSFER_ABORTED;
   /* libcurl reports success when a connection is closed within the header.  */
-  if (code == CURLE_OK && transfer->header_done)
+  if (code == CURLE_OK && has_final_head (transfer))
     return LT_TRANSFER_COMPLETE;
   if (transfer->send_count == 0
       && (code != CURLE_OPERATION_TIMEDOUT
           || only_connect_timed_out (transfer)))
     return LT_TRANSFER_REFUSED;
-  if (transfer->header_done)
+  if (has_final_head (transfer))
     return LT_TRANSFER_TRUNCATED;
   if (code == CURLE_OPERATION_TIMEDOUT)
     return LT_TRANSFER_TIMEOUT;
@@ -140,7 +144,8 @@
 finish_transfer (lt_transfer_t *transfer, CURLcode code)
 {
   lt_transfer_result_t result = { .end = transfer_end (transfer, code),
-                                  .byte_sent = transfer->send_count > 0 };
+                                  .byte_sent = transfer->send_count > 0,
+                                  .fault = transfer->fault };
   result.connection_lost = result.end == LT_TRANSFER_RESET
                            || (result.end == LT_TRANSFER_TRUNCATED
                                && code != CURLE_OPERATION_TIMEDOUT);
@@ -178,8 +183,9 @@
 detect_coding (lt_transfer_t *transfer)
 {
   static const str_t name = STR_CONST ("Transfer-Encoding");
-  size_t count = lt_header_list_count (&transfer->response_headers, name);
-  str_t coding = lt_header_list_get (&transfer->response_headers, name);
+  const lt_header_list_t *headers = &transfer->head.headers;
+  size_t count = lt_header_list_count (headers, name);
+  str_t coding = lt_header_list_get (headers, name);
   transfer->chunked = count > 0;
   return count == 0
          || (count == 1
@@ -187,20 +193,18 @@
 }
 
 static bool
-deliver_header (lt_transfer_t *transfer)
+deliver_head (lt_transfer_t *transfer)
 {
-  long status = 0;
-  curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-  if (status < 200)
+  if (transfer->owner == NULL)
+    return false;
+  if (!detect_coding (transfer))
     {
-      lt_header_list_destroy (&transfer->response_headers);
-      return true;
+      transfer->fault = "transfer coding";
+      return false;
     }
-  transfer->header_done = true;
-  if (transfer->owner == NULL || !detect_coding (transfer))
-    return false;
-  return transfer->vtable->on_header (transfer->owner, (int)status,
-                                      &transfer->response_headers);
+  transfer->aborted
+      = !transfer->vtable->on_header (transfer->owner, &transfer->head);
+  return !transfer->aborted;
 }
 
 static size_t
@@ -208,28 +212,14 @@
 {
   lt_transfer_t *transfer = cls;
   size_t total = size * count;
-  str_t line = str_trim (str_make (data, total));
-  transfer->header_bytes += total;
-  if (transfer->header_bytes > RESPONSE_HEADERS_MAX_BYTES)
-    return 0;
-  if (transfer->header_done)
+  if (has_final_head (transfer))
     return total; /* A trailer field. */
-  if (line.len == 0)
+  if (lt_response_head_read (&transfer->head, str_make (data, total)) != 0)
     {
-      if (deliver_header (transfer))
-        return total;
-      transfer->aborted = true;
+      transfer->fault = transfer->head.fault;
       return 0;
     }
-  str_t value;
-  str_t name = str_split (line, ':', &value);
-  if (value.data == NULL || str_starts_with (line, STR_LIT ("HTTP/")))
-    {
-      lt_header_list_destroy (&transfer->response_headers);
-      return total;
-    }
-  lt_header_list_add (&transfer->response_headers, name, str_trim (value));
-  return total;
+  return !has_final_head (transfer) || deliver_head (transfer) ? total : 0;
 }
 
 /* Passes on the part of a chunked body in DATA.  Returns the number of bytes
@@ -241,7 +231,10 @@
   lt_buf_t part = { 0 };
   size_t handled = data.len;
   if (lt_chunked_body_decode (&transfer->chunked_body, data, &part) != 0)
-    handled = 0;
+    {
+      transfer->fault = "chunked body";
+      handled = 0;
+    }
   else if (part.len > 0
            && !transfer->vtable->on_body (transfer->owner, lt_buf_str (&part)))
     {
@@ -260,6 +253,11 @@
   size_t total = size * count;
   if (transfer->owner == NULL)
     return 0;
+  if (!has_final_head (transfer))
+    {
+      transfer->fault = "body without a head";
+      return 0;
+    }
   if (transfer->chunked)
     return pass_chunked (transfer, str_make (data, total));
   if (transfer->vtable->on_body (transfer->owner, str_make (data, total)))
--- a/packages/node/src/upstream_client.h
+++ b/packages/node/src/upstream_client.h
@@ -4,6 +4,7 @@
 #define LT_NODE_UPSTREAM_CLIENT_H
 
 #include "lt/node/request.h"
+#include "lt/store/response_head.h"
 
 #ifdef __cplusplus
 extern "C"
@@ -22,7 +23,8 @@
     LT_TRANSFER_RESET,     /**< Closed before the response header. */
     LT_TRANSFER_TRUNCATED, /**< Closed or timed out within the body. */
     LT_TRANSFER_TIMEOUT,
-    LT_TRANSFER_ABORTED /**< The owner stopped it from a callback. */
+    LT_TRANSFER_MALFORMED, /**< The response violates HTTP. */
+    LT_TRANSFER_ABORTED    /**< The owner stopped it from a callback. */
   } lt_transfer_end_t;
 
   typedef struct lt_transfer_result
@@ -32,15 +34,16 @@
     bool connection_lost; /**< The upstream ended the connection after the
                              request was sent and before its response was
                              complete. */
+    const char *fault;    /**< What makes the response malformed, or NULL. */
   } lt_transfer_result_t;
 
   /** Callbacks to the owner of a transfer.  The owner must not cancel the same
       transfer from within a callback; it returns false instead.  */
   typedef struct lt_transfer_vtable
   {
-    /** Called with the final response header; the owner may take over the
-        contents of HEADERS and empty the list.  Returns false to abort.  */
-    bool (*on_header) (void *owner, int status, lt_header_list_t *headers);
+    /** Called with the final head, before any of the body.  Returns false to
+        abort.  */
+    bool (*on_header) (void *owner, const lt_response_head_t *head);
     /** Called with a part of the body.  Returns false to pause until
         lt_transfer_unpause; the same data is then passed again.  */
     bool (*on_body) (void *owner, str_t data);
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -199,6 +199,7 @@
     case LT_ATTEMPT_RESET:
     case LT_ATTEMPT_TRUNCATED:
     case LT_ATTEMPT_WRONG_RESPONSE:
+    case LT_ATTEMPT_MALFORMED:
     case LT_ATTEMPT_TIMEOUT:
       *evidence = LT_CHOICE_FAILURE;
       return true;
--- a/packages/node/src/upstream_probe.c
+++ b/packages/node/src/upstream_probe.c
@@ -27,11 +27,11 @@
 }
 
 static bool
-on_header (void *owner, int status, lt_header_list_t *headers)
+on_header (void *owner, const lt_response_head_t *head)
 {
   lt_upstream_probe_t *probe = owner;
-  probe->status = status;
-  probe->closing = lt_headers_connection_close (headers);
+  probe->status = head->status;
+  probe->closing = lt_headers_connection_close (&head->headers);
   return true;
 }
 
--- a/packages/policy/include/lt/policy/retry.h
+++ b/packages/policy/include/lt/policy/retry.h
@@ -25,7 +25,8 @@
   X (LT_RETRY_SHED, "shed")                                                   \
   X (LT_RETRY_TRUNCATED, "response-truncated")                                \
   X (LT_RETRY_NOT_RUN, "not-run")                                             \
-  X (LT_RETRY_WRONG_RESPONSE, "response-not-its-own")
+  X (LT_RETRY_WRONG_RESPONSE, "response-not-its-own")                         \
+  X (LT_RETRY_MALFORMED, "response-malformed")
 
 /** Why an attempt was, or was not, repeated: enumerator, name.  */
 #define LT_RETRY_REASON_TABLE(X)                                              \
