Keep closed connections until callers have received the response

Cause: lt_linger_add kept a closed connection only if unread input waited at that moment. Otherwise the socket was closed with the response in its buffer, and the kernel resets such a connection at the next bytes that arrive. The same holds for kept connections that close_idle shuts down while the caller still reads, and for responses in the buffer when the process ends. Ruled out: a response that libmicrohttpd had not written; it keeps the request open until then, and 30,000 bytes fit into the buffer. Change: connections linger also while output is not acknowledged (SIOCOUTQ), for up to 10 s; close_idle leaves them open and looks again at each tick; the process waits for them until 1 s before the end of its stop. Connections that are reset on purpose do not linger. This works because the input of a kept socket is read, so that nothing resets it, until nothing of the response can be lost.

--- a/packages/node/src/caller_internal.h
+++ b/packages/node/src/caller_internal.h
@@ -21,6 +21,7 @@
   struct caller_connection *next;
   int fd;
   bool read_closed;         /* By this server, see close_idle. */
+  bool reset;               /* Its response is not delivered further. */
   int open_exchanges;       /* Requests that are being received or served. */
   exchange_t *exchange;     /* The last one while it is open, or NULL. */
   int64_t since_us;         /* When it was accepted. */
--- a/packages/node/src/caller_linger.c
+++ b/packages/node/src/caller_linger.c
@@ -2,8 +2,10 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utlist.h>
@@ -21,7 +23,8 @@
      processor time for nothing.  */
   DISCARD_MAX_BYTES = 8 * 1024 * 1024,
   /* Each holds a descriptor.  */
-  LINGERING_MAX = 512
+  LINGERING_MAX = 512,
+  CHECK_MS = 100
 };
 
 struct lt_lingering
@@ -30,8 +33,9 @@
   lt_lingering_t *next;
   lt_linger_t *linger;
   ev_io readable;
-  ev_timer end;
+  ev_timer check;
   int64_t discarded_bytes;
+  int64_t lingered_ms;
 };
 
 static void
@@ -39,7 +43,7 @@
 {
   lt_linger_t *linger = connection->linger;
   ev_io_stop (linger->loop, &connection->readable);
-  ev_timer_stop (linger->loop, &connection->end);
+  ev_timer_stop (linger->loop, &connection->check);
   close (connection->readable.fd);
   DL_DELETE (linger->connections, connection);
   linger->count--;
@@ -74,11 +78,24 @@
 }
 
 static void
-on_end (struct ev_loop *loop, ev_timer *timer, int events)
+on_check (struct ev_loop *loop, ev_timer *timer, int events)
 {
   (void)loop;
   (void)events;
-  lingering_close (timer->data);
+  lt_lingering_t *connection = timer->data;
+  connection->lingered_ms += CHECK_MS;
+  if (connection->lingered_ms
+      >= (lt_socket_has_unread_output (connection->readable.fd)
+              ? LT_LINGER_UNREAD_MS
+              : LT_LINGER_MS))
+    lingering_close (connection);
+}
+
+bool
+lt_socket_has_unread_output (int fd)
+{
+  int bytes = 0;
+  return ioctl (fd, SIOCOUTQ, &bytes) == 0 && bytes > 0;
 }
 
 bool
@@ -91,8 +108,12 @@
 void
 lt_linger_add (lt_linger_t *linger, int fd)
 {
-  if (linger->count >= LINGERING_MAX || !lt_socket_has_input (fd))
+  if (!lt_socket_has_input (fd) && !lt_socket_has_unread_output (fd))
     return;
+  if (linger->count >= LINGERING_MAX)
+    /* The head has had the most time.
+       NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
+    lingering_close (linger->connections);
   int copy = fcntl (fd, F_DUPFD_CLOEXEC, 0);
   if (copy < 0)
     {
@@ -104,15 +125,27 @@
   lt_lingering_t *connection = lt_alloc (sizeof (*connection));
   connection->linger = linger;
   ev_io_init (&connection->readable, on_readable, copy, EV_READ);
-  ev_timer_init (&connection->end, on_end, LT_LINGER_MS / 1e3, 0.);
+  ev_timer_init (&connection->check, on_check, CHECK_MS / 1e3, CHECK_MS / 1e3);
   connection->readable.data = connection;
-  connection->end.data = connection;
+  connection->check.data = connection;
   ev_io_start (linger->loop, &connection->readable);
-  ev_timer_start (linger->loop, &connection->end);
+  ev_timer_start (linger->loop, &connection->check);
   DL_APPEND (linger->connections, connection);
   linger->count++;
 }
 
+bool
+lt_linger_has_unread (const lt_linger_t *linger)
+{
+  const lt_lingering_t *connection;
+  DL_FOREACH (linger->connections, connection)
+  {
+    if (lt_socket_has_unread_output (connection->readable.fd))
+      return true;
+  }
+  return false;
+}
+
 void
 lt_linger_end (lt_linger_t *linger)
 {
--- a/packages/node/src/caller_linger.h
+++ b/packages/node/src/caller_linger.h
@@ -1,7 +1,9 @@
 /** @file
-    Connections that this VM has closed while the caller still sends.  Closing
-    a socket with unread bytes resets it, and the reset discards the end of
-    the response; so the input is read and dropped for a while.  */
+    Connections that this VM has closed while the caller still reads a response
+    or sends.  A socket that is closed resets the connection when it has unread
+    bytes or the caller sends more, and the reset discards what the caller has
+    not received of the response (RFC 9112, section 9.6).  So only the sending
+    side is closed, and the input is read and dropped for a while.  */
 #ifndef LT_NODE_CALLER_LINGER_H
 #define LT_NODE_CALLER_LINGER_H
 
@@ -13,8 +15,10 @@
 {
 #endif
 
-/** The caller has this long to read the response and close.  */
+/** A caller that has received the whole response has this long to close.  */
 #define LT_LINGER_MS 2000
+/** A caller has this long to receive the response.  */
+#define LT_LINGER_UNREAD_MS 10000
 
   typedef struct lt_lingering lt_lingering_t;
 
@@ -27,10 +31,15 @@
 
   /** Returns whether received bytes of FD are not read yet.  */
   bool lt_socket_has_input (int fd);
-  /** Called before FD is closed: if it has unread input, keeps a duplicate of
-      it open until the caller closes, for at most LT_LINGER_MS and 8 MiB of
-      input; not if many are kept already.  */
+  /** Returns whether the peer has not acknowledged all bytes written to FD. */
+  bool lt_socket_has_unread_output (int fd);
+  /** Called before FD is closed: if it has unread input, or output that the
+      caller has not acknowledged, keeps a duplicate of it open until the
+     caller closes, for at most the times above and 8 MiB of input.  Closes the
+     oldest one if many are kept.  */
   void lt_linger_add (lt_linger_t *linger, int fd);
+  /** Returns whether a caller has not received a response whole.  */
+  bool lt_linger_has_unread (const lt_linger_t *linger);
   /** Closes all.  */
   void lt_linger_end (lt_linger_t *linger);
 
--- a/packages/node/src/caller_memory.c
+++ b/packages/node/src/caller_memory.c
@@ -256,6 +256,7 @@
       setsockopt (exchange->caller->fd, SOL_SOCKET, SO_LINGER, &reset,
                   sizeof (reset));
       shutdown (exchange->caller->fd, SHUT_RDWR);
+      exchange->caller->reset = true;
     }
   lt_exchange_resume (exchange);
 }
--- a/packages/node/src/caller_server.c
+++ b/packages/node/src/caller_server.c
@@ -312,7 +312,8 @@
       return;
     }
   caller_connection_t *caller = *socket_context;
-  lt_linger_add (&server->linger, caller->fd);
+  if (!caller->reset)
+    lt_linger_add (&server->linger, caller->fd);
   DL_DELETE (server->connections, caller);
   /* At its limit libmicrohttpd does not accept, and tries again only when it
      runs; without an event of a connection that would be never.  */
@@ -328,15 +329,18 @@
    next one was not read.  The first request of a connection may be on its
    way.  A request that has arrived is served.  The kernel still passes on the
    bytes of one that arrives later; it is dropped (see on_target), since the
-   end of input behind it would look like its caller leaving.  */
+   end of input behind it would look like its caller leaving.  A request that
+   arrives when both sides are closed resets the connection, so the caller must
+   have received the last response before.  */
 static void
 close_idle (lt_caller_server_t *server)
 {
   caller_connection_t *caller;
   DL_FOREACH (server->connections, caller)
   {
-    if (caller->open_exchanges > 0 || caller->input_us == 0
-        || lt_socket_has_input (caller->fd))
+    if (caller->read_closed || caller->open_exchanges > 0
+        || caller->input_us == 0 || lt_socket_has_input (caller->fd)
+        || lt_socket_has_unread_output (caller->fd))
       continue;
     caller->read_closed = true;
     shutdown (caller->fd, SHUT_RD);
@@ -490,6 +494,18 @@
          + (info == NULL ? 0 : (int)info->num_connections);
 }
 
+bool
+lt_caller_server_has_unread (const lt_caller_server_t *server)
+{
+  const caller_connection_t *caller;
+  DL_FOREACH (server->connections, caller)
+  {
+    if (lt_socket_has_unread_output (caller->fd))
+      return true;
+  }
+  return lt_linger_has_unread (&server->linger);
+}
+
 /* libmicrohttpd ends the process when it stops with suspended connections.  */
 static void
 resume_all (lt_caller_server_t *server)
@@ -505,6 +521,8 @@
 void
 lt_caller_server_tick (lt_caller_server_t *server, int64_t now_us)
 {
+  if (server->quiesced)
+    close_idle (server);
   lt_caller_memory_tick (server, now_us);
 }
 
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -45,6 +45,8 @@
 /* Connections whose request is not read yet do not count as in flight, so
    the drain waits this long for open connections after the listener closes. */
 #define CONNECTION_WAIT_US (1 * LT_US_PER_S)
+/* Time before the end of a stop for what follows the last response.  */
+#define UNREAD_MARGIN_US (1 * LT_US_PER_S)
 
 struct lt_daemon
 {
@@ -96,6 +98,20 @@
          * LT_US_PER_MS;
 }
 
+/* Returns whether the process stays for its callers' connections: for a while,
+   or until the end of the stop if a caller has not received its response.  A
+   caller that sends on a connection of a process that has ended loses it.  */
+static bool
+waits_for_callers (const lt_daemon_t *daemon, int64_t now_us)
+{
+  const lt_node_t *node = &daemon->node;
+  if (now_us - node->drain_accepts_until_us < CONNECTION_WAIT_US)
+    return lt_caller_server_connections (daemon->callers) > 0;
+  return (node->drain_ends_us == 0
+          || now_us < node->drain_ends_us - UNREAD_MARGIN_US)
+         && lt_caller_server_has_unread (daemon->callers);
+}
+
 /* The VM keeps serving during the grace time, in which the load balancer
    removes it; then it stops accepting, and exits when nothing is in flight. */
 static void
@@ -105,11 +121,7 @@
   if (now_us < node->drain_accepts_until_us)
     return;
   lt_caller_server_quiesce (daemon->callers);
-  bool waits_for_connections
-      = now_us - node->drain_accepts_until_us < CONNECTION_WAIT_US;
-  if (node->in_flight > 0
-      || (waits_for_connections
-          && lt_caller_server_connections (daemon->callers) > 0))
+  if (node->in_flight > 0 || waits_for_callers (daemon, now_us))
     return;
   if (controllers_stopped (node, now_us))
     ev_break (node->loop, EVBREAK_ALL);
