Filter the headers of a response in time linear in their number

Cause: named_by_connection searched all headers for Connection once for each header, on the event loop; the number of lines had no limit. Ruled out: the other work for a head (libcurl, the header list, libmicrohttpd). Change: the options of all Connection headers are sorted once and each header is looked up among them, for responses and requests; a response's heads have at most 1,000 lines, more are malformed. This works because no step compares headers with each other any more.

--- a/packages/base/include/lt/base/str.h
+++ b/packages/base/include/lt/base/str.h
@@ -41,6 +41,8 @@
   bool str_equal_nocase (str_t a, str_t b);
   /** Orders by bytes, then by length; returns <0, 0 or >0.  */
   int str_compare (str_t a, str_t b);
+  /** The same without regard to the case of ASCII letters.  */
+  int str_compare_nocase (str_t a, str_t b);
   bool str_starts_with (str_t s, str_t prefix);
   /** Returns the offset of the first NEEDLE in S, or -1.  */
   ptrdiff_t str_find (str_t s, str_t needle);
--- a/packages/base/src/str.c
+++ b/packages/base/src/str.c
@@ -76,6 +76,19 @@
   return (a.len > b.len) - (a.len < b.len);
 }
 
+int
+str_compare_nocase (str_t a, str_t b)
+{
+  size_t len = a.len < b.len ? a.len : b.len;
+  for (size_t i = 0; i < len; i++)
+    {
+      int order = ascii_lower (a.data[i]) - ascii_lower (b.data[i]);
+      if (order != 0)
+        return order;
+    }
+  return (a.len > b.len) - (a.len < b.len);
+}
+
 bool
 str_starts_with (str_t s, str_t prefix)
 {
--- a/packages/node/src/outgoing.c
+++ b/packages/node/src/outgoing.c
@@ -1,5 +1,7 @@
 #include "outgoing.h"
 
+#include <stdlib.h>
+
 #include "lt/node/node.h"
 
 /* Hop-by-hop headers: RFC 9110, section 7.6.1, and RFC 9112.  */
@@ -27,23 +29,62 @@
 #define LISTED(name, names)                                                   \
   listed (name, names, sizeof (names) / sizeof ((names)[0]))
 
-/* Returns whether a Connection header names NAME.  */
-static bool
-named_by_connection (const lt_header_list_t *headers, str_t name)
+/* The options of all Connection headers of a message, sorted without regard to
+   case.  The sender chooses how many there are, so they are not searched one
+   by one for each header.  */
+typedef struct connection_options
 {
-  for (size_t i = 0; i < headers->count; i++)
+  str_t *items; /* Parts of the headers' values. */
+  size_t count;
+  size_t cap;
+} connection_options_t;
+
+static int
+compare_options (const void *a, const void *b)
+{
+  return str_compare_nocase (*(const str_t *)a, *(const str_t *)b);
+}
+
+static void
+add_options (connection_options_t *options, str_t value)
+{
+  str_t rest = value;
+  while (rest.data != NULL)
     {
-      if (!str_equal_nocase (headers->items[i].name, STR_LIT ("Connection")))
+      str_t option = str_trim (str_split (rest, ',', &rest));
+      if (option.len == 0)
         continue;
-      str_t rest = headers->items[i].value;
-      while (rest.data != NULL)
+      if (options->count == options->cap)
         {
-          str_t option = str_trim (str_split (rest, ',', &rest));
-          if (str_equal_nocase (option, name))
-            return true;
+          options->cap = options->cap == 0 ? 8 : options->cap * 2;
+          options->items = lt_realloc (
+              options->items, options->cap * sizeof (options->items[0]));
         }
+      options->items[options->count++] = option;
     }
-  return false;
+}
+
+static connection_options_t
+list_connection_options (const lt_header_list_t *headers)
+{
+  connection_options_t options = { 0 };
+  for (size_t i = 0; i < headers->count; i++)
+    if (str_equal_nocase (headers->items[i].name, STR_LIT ("Connection")))
+      add_options (&options, headers->items[i].value);
+  if (options.count > 1)
+    qsort (options.items, options.count, sizeof (options.items[0]),
+           compare_options);
+  return options;
+}
+
+/* Returns whether a Connection header names NAME.  */
+static bool
+is_connection_option (const connection_options_t *options, str_t name)
+{
+  return options->count > 0
+         && bsearch (&name, options->items, options->count,
+                     sizeof (options->items[0]), compare_options)
+                != NULL;
 }
 
 /* Returns whether the proxy removes the caller's header NAME.  Treats '_' as
@@ -90,15 +131,18 @@
   str_t key = str_from (request->key);
   const lt_dialect_t *dialect = request->node->dialect;
   const lt_header_list_t *in = &request->headers;
+  connection_options_t options = list_connection_options (in);
   for (size_t i = 0; i < in->count; i++)
     {
       const lt_header_t *header = &in->items[i];
       if (LISTED (header->name, hop_by_hop)
           || is_replaced (dialect, header->name)
-          || named_by_connection (in, header->name) || holds_key (header, key))
+          || is_connection_option (&options, header->name)
+          || holds_key (header, key))
         continue;
       lt_header_list_add (out, header->name, header->value);
     }
+  free (options.items);
   if (request->workspace != LT_NO_INDEX)
     lt_header_list_add (
         out, dialect->workspace,
@@ -135,6 +179,7 @@
   /* RFC 9112, section 6.3: a transfer coding overrides the length.  */
   if (lt_header_list_count (headers, STR_LIT ("Transfer-Encoding")) > 0)
     *length = -1;
+  connection_options_t options = list_connection_options (headers);
   for (size_t i = 0; i < headers->count; i++)
     {
       const lt_header_t *header = &headers->items[i];
@@ -142,8 +187,9 @@
           || LISTED (header->name, replaced_in_response)
           || str_equal_nocase (header->name, dialect->request_id)
           || str_equal_nocase (header->name, dialect->run_state)
-          || named_by_connection (headers, header->name))
+          || is_connection_option (&options, header->name))
         continue;
       lt_header_list_add (out, header->name, header->value);
     }
+  free (options.items);
 }
--- a/packages/store/include/lt/store/response_head.h
+++ b/packages/store/include/lt/store/response_head.h
@@ -13,8 +13,10 @@
 {
 #endif
 
-/** Limit on all heads of a response, with those of interim responses.  */
+/** Limits on all heads of a response, with those of interim responses.  A line
+    costs memory beside its bytes.  */
 #define LT_RESPONSE_HEAD_MAX_BYTES (256 * 1024)
+#define LT_RESPONSE_HEAD_MAX_LINES 1000
 
   typedef enum lt_response_head_state
   {
@@ -30,6 +32,7 @@
     int status; /**< Of the latest status line. */
     lt_header_list_t headers;
     size_t bytes;      /**< Read so far, interim heads included. */
+    size_t lines;      /**< The same. */
     const char *fault; /**< What is wrong, for the log; NULL: nothing. */
   } lt_response_head_t;
 
--- a/packages/store/src/response_head.c
+++ b/packages/store/src/response_head.c
@@ -81,6 +81,8 @@
   head->bytes += line.len;
   if (head->bytes > LT_RESPONSE_HEAD_MAX_BYTES)
     return reject (head, -LT_ETOOBIG, "size of the head");
+  if (++head->lines > LT_RESPONSE_HEAD_MAX_LINES)
+    return reject (head, -LT_ETOOBIG, "lines of the head");
   str_t text = str_trim (line);
   if (head->state == LT_RESPONSE_HEAD_STATUS)
     return read_status_line (head, text);
