Use a libcurl handle for one transfer only

Callers saw: nothing yet; found by the tests of spoilt heads. A response whose first line is folded ended the process with all its requests. Cause: libcurl 7.88.1 appends a folded line to the header before it; for the first line that is the last header that the handle read in an earlier response, freed since. curl_easy_reset does not clear the pointer, and upstream_client.c used handles again. Ruled out: rejecting the line in the header callback; libcurl stores it before it calls back (trial, still crashed). Change: each transfer creates and frees its handle. This works because the pointer is zero in a new handle. Evidence: ResponseHeads.FoldedFirstLinesDoNotEndTheProcess ended 3 of 3 processes on the code before (address sanitizer: heap-use-after-free in curl_multi_socket_action); 3 of 3 pass after, and 1 of 1 with sanitizers.

--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -10,8 +10,7 @@
 
 enum
 {
-  CONNECT_TIMEOUT_MS = 1000,
-  IDLE_HANDLES_MAX = 256
+  CONNECT_TIMEOUT_MS = 1000
 };
 
 struct lt_transfer
@@ -46,8 +45,6 @@
   lt_curl_loop_t *curl;
   lt_transfer_t *transfers;
   freed_body_t *freed_bodies;
-  CURL *idle[IDLE_HANDLES_MAX];
-  int idle_count;
   bool any_free_pending;
 };
 
@@ -62,13 +59,10 @@
   if (transfer->next != NULL)
     transfer->next->prev = transfer->prev;
   curl_multi_remove_handle (lt_curl_loop_multi (client->curl), transfer->easy);
-  if (client->idle_count < IDLE_HANDLES_MAX)
-    {
-      curl_easy_reset (transfer->easy);
-      client->idle[client->idle_count++] = transfer->easy;
-    }
-  else
-    curl_easy_cleanup (transfer->easy);
+  /* A used handle keeps a pointer to a header of its last response, and
+     libcurl before 8.0 writes there when a response begins with a folded
+     line.  */
+  curl_easy_cleanup (transfer->easy);
   curl_slist_free_all (transfer->header_lines);
   lt_response_head_destroy (&transfer->head);
   free (transfer);
@@ -391,8 +385,7 @@
                          const lt_transfer_options_t *options,
                          const lt_transfer_vtable_t *vtable, void *owner)
 {
-  CURL *easy = client->idle_count > 0 ? client->idle[--client->idle_count]
-                                      : curl_easy_init ();
+  CURL *easy = curl_easy_init ();
   if (easy == NULL)
     return NULL;
   lt_transfer_t *transfer = lt_alloc (sizeof (*transfer));
@@ -480,8 +473,6 @@
        NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
     transfer_free (client->transfers);
   free_bodies (client);
-  for (int i = 0; i < client->idle_count; i++)
-    curl_easy_cleanup (client->idle[i]);
   lt_curl_loop_destroy (client->curl);
   free (client);
 }
