Read the heads of responses strictly, and once

Cause: the head was read twice, by libcurl, which frames the body leniently, and by on_header_line, which trimmed names, took a line without a colon for the start of another head and dropped the headers before it. Change: lt_response_head_read holds status line, names, values, lengths and codings to RFC 9112 and gives status, length and coding of the body; a body that libcurl ended elsewhere is truncated; what libcurl itself finds wrong is malformed, too. Odd but legal heads pass (equal lengths, empty values, bare line feeds, HTTP/1.0, statuses that are not registered). This works because both readers can differ only in heads that are rejected.

--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -127,8 +127,9 @@
   ev_timer_stop (loop, &dispatch->hedge_timer);
   cancel_others (dispatch, attempt);
   response->status = head->status;
+  response->length = head->length;
   lt_outgoing_response_headers (request->node->dialect, &head->headers,
-                                &response->headers, &response->length);
+                                &response->headers);
   if (buffers_responses (dispatch))
     return;
   response->header_ready = true;
--- a/packages/node/src/outgoing.c
+++ b/packages/node/src/outgoing.c
@@ -170,15 +170,8 @@
 void
 lt_outgoing_response_headers (const lt_dialect_t *dialect,
                               const lt_header_list_t *headers,
-                              lt_header_list_t *out, int64_t *length)
+                              lt_header_list_t *out)
 {
-  *length = -1;
-  str_t text = lt_header_list_get (headers, STR_LIT ("Content-Length"));
-  if (text.data != NULL && str_to_i64 (str_trim (text), length) != 0)
-    *length = -1;
-  /* RFC 9112, section 6.3: a transfer coding overrides the length.  */
-  if (lt_header_list_count (headers, STR_LIT ("Transfer-Encoding")) > 0)
-    *length = -1;
   connection_options_t options = list_connection_options (headers);
   for (size_t i = 0; i < headers->count; i++)
     {
--- a/packages/node/src/outgoing.h
+++ b/packages/node/src/outgoing.h
@@ -22,11 +22,10 @@
       dialect says so.  */
   void lt_outgoing_target (const lt_request_t *request, lt_buf_t *out);
   /** Appends an upstream's response headers to OUT, without hop-by-hop headers
-      and those that the proxy sets itself.  Sets *LENGTH to Content-Length, or
-      to -1 when there is no valid one.  */
+      and those that the proxy sets itself.  */
   void lt_outgoing_response_headers (const lt_dialect_t *dialect,
                                      const lt_header_list_t *headers,
-                                     lt_header_list_t *out, int64_t *length);
+                                     lt_header_list_t *out);
 
 #ifdef __cplusplus
 }
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -23,7 +23,8 @@
   void *owner; /* NULL once cancelled. */
   struct curl_slist *header_lines;
   lt_response_head_t head;
-  bool chunked;
+  bool to_head_method;
+  int64_t body_bytes; /* Received, in the transfer coding. */
   lt_chunked_body_t chunked_body;
   int send_count; /* Number of times the request was about to be sent. */
   int64_t timeout_ms;
@@ -113,6 +114,25 @@
   return transfer->head.state == LT_RESPONSE_HEAD_COMPLETE;
 }
 
+/* Returns whether libcurl found the end of the body where its head says that
+   it is.  */
+static bool
+is_body_whole (const lt_transfer_t *transfer)
+{
+  const lt_response_head_t *head = &transfer->head;
+  return head->length < 0 || head->length == transfer->body_bytes
+         || !lt_response_head_has_body (head, transfer->to_head_method);
+}
+
+/* Returns what libcurl found wrong with a response, or NULL.  */
+static const char *
+find_fault (CURLcode code)
+{
+  return code == CURLE_WEIRD_SERVER_REPLY || code == CURLE_UNSUPPORTED_PROTOCOL
+             ? curl_easy_strerror (code)
+             : NULL;
+}
+
 static lt_transfer_end_t
 transfer_end (const lt_transfer_t *transfer, CURLcode code)
 {
@@ -122,7 +142,8 @@
     return LT_TRANSFER_ABORTED;
   /* libcurl reports success when a connection is closed within the header.  */
   if (code == CURLE_OK && has_final_head (transfer))
-    return LT_TRANSFER_COMPLETE;
+    return is_body_whole (transfer) ? LT_TRANSFER_COMPLETE
+                                    : LT_TRANSFER_TRUNCATED;
   if (transfer->send_count == 0
       && (code != CURLE_OPERATION_TIMEDOUT
           || only_connect_timed_out (transfer)))
@@ -137,6 +158,8 @@
 static void
 finish_transfer (lt_transfer_t *transfer, CURLcode code)
 {
+  if (transfer->fault == NULL && transfer->send_count > 0)
+    transfer->fault = find_fault (code);
   lt_transfer_result_t result = { .end = transfer_end (transfer, code),
                                   .byte_sent = transfer->send_count > 0,
                                   .fault = transfer->fault };
@@ -171,31 +194,11 @@
 static const lt_curl_loop_vtable_t curl_vtable
     = { .progressed = on_worked, .ended = on_ended };
 
-/* Returns whether the transfer coding of the response can be decoded.  Others
-   than "chunked" are never requested.  */
-static bool
-detect_coding (lt_transfer_t *transfer)
-{
-  static const str_t name = STR_CONST ("Transfer-Encoding");
-  const lt_header_list_t *headers = &transfer->head.headers;
-  size_t count = lt_header_list_count (headers, name);
-  str_t coding = lt_header_list_get (headers, name);
-  transfer->chunked = count > 0;
-  return count == 0
-         || (count == 1
-             && str_equal_nocase (str_trim (coding), STR_LIT ("chunked")));
-}
-
 static bool
 deliver_head (lt_transfer_t *transfer)
 {
   if (transfer->owner == NULL)
     return false;
-  if (!detect_coding (transfer))
-    {
-      transfer->fault = "transfer coding";
-      return false;
-    }
   transfer->aborted
       = !transfer->vtable->on_header (transfer->owner, &transfer->head);
   return !transfer->aborted;
@@ -252,11 +255,15 @@
       transfer->fault = "body without a head";
       return 0;
     }
-  if (transfer->chunked)
-    return pass_chunked (transfer, str_make (data, total));
-  if (transfer->vtable->on_body (transfer->owner, str_make (data, total)))
-    return total;
-  return CURL_WRITEFUNC_PAUSE;
+  size_t handled = total;
+  if (transfer->head.chunked)
+    handled = pass_chunked (transfer, str_make (data, total));
+  else if (!transfer->vtable->on_body (transfer->owner,
+                                       str_make (data, total)))
+    handled = CURL_WRITEFUNC_PAUSE;
+  if (handled == total)
+    transfer->body_bytes += (int64_t)total;
+  return handled;
 }
 
 /* libcurl may retry a request by itself.  The second send is aborted here,
@@ -338,7 +345,8 @@
                  STR_ARG (options->target));
   curl_easy_setopt (easy, CURLOPT_URL, url.data);
   lt_buf_destroy (&url);
-  if (str_equal (options->method, STR_LIT ("HEAD")))
+  transfer->to_head_method = str_equal (options->method, STR_LIT ("HEAD"));
+  if (transfer->to_head_method)
     curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
   else if (options->body.len > 0
            || str_equal (options->method, STR_LIT ("POST"))
--- a/packages/store/include/lt/store/response_head.h
+++ b/packages/store/include/lt/store/response_head.h
@@ -1,8 +1,9 @@
 /** @file
     Reader of the heads of HTTP/1.1 responses (RFC 9112, sections 2 to 6).
-    libcurl accepts more than the grammar allows, so the lines that it passes
-    on are checked here, and nothing of a response is used before its whole
-    final head has been.  */
+    libcurl accepts more than the grammar allows and frames the body by it, so
+    the lines that it passes on are checked here, and nothing of a response is
+    used before its whole final head has been.  What readers of HTTP understand
+    in different ways is rejected.  */
 #ifndef LT_STORE_RESPONSE_HEAD_H
 #define LT_STORE_RESPONSE_HEAD_H
 
@@ -29,7 +30,10 @@
   typedef struct lt_response_head
   {
     lt_response_head_state_t state;
-    int status; /**< Of the latest status line. */
+    int status; /**< Of the latest status line, 100 to 599. */
+    bool http_1_0;
+    bool chunked;   /**< The body has the chunked transfer coding. */
+    int64_t length; /**< Content-Length in bytes; -1: absent. */
     lt_header_list_t headers;
     size_t bytes;      /**< Read so far, interim heads included. */
     size_t lines;      /**< The same. */
@@ -41,6 +45,10 @@
       not allow here or -LT_ETOOBIG, after which HEAD must not be used but for
       its fault.  */
   int lt_response_head_read (lt_response_head_t *head, str_t line);
+  /** Returns whether a body may follow the complete HEAD.  TO_HEAD_METHOD: it
+      responds to a HEAD request.  */
+  bool lt_response_head_has_body (const lt_response_head_t *head,
+                                  bool to_head_method);
   /** Releases the memory and leaves HEAD zero.  */
   void lt_response_head_destroy (lt_response_head_t *head);
 
--- a/packages/store/src/response_head.c
+++ b/packages/store/src/response_head.c
@@ -5,8 +5,12 @@
 enum
 {
   STATUS_DIGITS = 3,
+  STATUS_FIRST = 100,
   STATUS_SWITCHING_PROTOCOLS = 101,
-  STATUS_FINAL_FIRST = 200
+  STATUS_FINAL_FIRST = 200,
+  STATUS_LAST = 599,
+  CONTROL_LAST = 0x1f,
+  DELETE = 0x7f
 };
 
 static int
@@ -16,12 +20,55 @@
   return error;
 }
 
-/* Returns the three digits at the start of TEXT as a number, or -1.  */
+/* Returns whether TEXT may stand in a reason phrase or a field's value:
+   visible characters, blanks, tabs and bytes above 127.  */
+static bool
+is_field_text (str_t text)
+{
+  for (size_t i = 0; i < text.len; i++)
+    {
+      unsigned char c = (unsigned char)text.data[i];
+      if ((c <= CONTROL_LAST && c != '\t') || c == DELETE)
+        return false;
+    }
+  return true;
+}
+
+/* RFC 9110, section 5.6.2.  */
+static bool
+is_token (str_t text)
+{
+  static const str_t marks = STR_CONST ("!#$%&'*+-.^_`|~");
+  for (size_t i = 0; i < text.len; i++)
+    {
+      char c = text.data[i];
+      bool alphanumeric = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+                          || (c >= '0' && c <= '9');
+      if (!alphanumeric && str_find (marks, str_make (&c, 1)) < 0)
+        return false;
+    }
+  return text.len > 0;
+}
+
+/* Takes the line end off *LINE.  Returns whether there was one.  */
+static bool
+strip_line_end (str_t *line)
+{
+  if (line->len == 0 || line->data[line->len - 1] != '\n')
+    return false;
+  line->len--;
+  if (line->len > 0 && line->data[line->len - 1] == '\r')
+    line->len--;
+  return true;
+}
+
+/* Returns the status that TEXT begins with, or -1 if it is none.  */
 static int
 parse_status (str_t text)
 {
   int status = 0;
-  if (text.len < STATUS_DIGITS)
+  if (text.len < STATUS_DIGITS
+      || (text.len > STATUS_DIGITS && text.data[STATUS_DIGITS] != ' '))
     return -1;
   for (int i = 0; i < STATUS_DIGITS; i++)
     {
@@ -29,7 +76,7 @@
         return -1;
       status = status * 10 + (text.data[i] - '0');
     }
-  return status;
+  return status >= STATUS_FIRST && status <= STATUS_LAST ? status : -1;
 }
 
 static int
@@ -37,8 +84,11 @@
 {
   str_t rest;
   str_t version = str_split (line, ' ', &rest);
+  head->http_1_0 = str_equal (version, STR_LIT ("HTTP/1.0"));
+  if (!head->http_1_0 && !str_equal (version, STR_LIT ("HTTP/1.1")))
+    return reject (head, -LT_EPROTO, "version");
   head->status = parse_status (rest);
-  if (!str_starts_with (version, STR_LIT ("HTTP/")) || head->status < 0)
+  if (head->status < 0 || !is_field_text (rest))
     return reject (head, -LT_EPROTO, "status line");
   /* No request asks for an upgrade, and what follows this head would not be
      HTTP.  */
@@ -48,23 +98,76 @@
   return 0;
 }
 
+/* libcurl takes a folded line for one of its own; so it is rejected, as RFC
+   9112, section 5.2, allows.  */
 static int
 read_field (lt_response_head_t *head, str_t line)
 {
   str_t value;
   str_t name = str_split (line, ':', &value);
+  if (line.data[0] == ' ' || line.data[0] == '\t')
+    return reject (head, -LT_EPROTO, "folded line");
   if (value.data == NULL)
+    return reject (head, -LT_EPROTO, "line without a colon");
+  if (!is_token (name))
+    return reject (head, -LT_EPROTO, "name of a field");
+  if (!is_field_text (value))
+    return reject (head, -LT_EPROTO, "value of a field");
+  lt_header_list_add (&head->headers, name, str_trim (value));
+  return 0;
+}
+
+/* Reads the number, or list of equal numbers, of a Content-Length into
+ *LENGTH, which is negative or the number of an earlier one.  */
+static bool
+parse_length (str_t text, int64_t *length)
+{
+  str_t rest = text;
+  while (rest.data != NULL)
     {
-      lt_header_list_destroy (&head->headers);
-      return 0;
+      int64_t number = 0;
+      str_t item = str_trim (str_split (rest, ',', &rest));
+      if (str_to_i64 (item, &number) != 0 || item.data[0] == '-'
+          || (*length >= 0 && number != *length))
+        return false;
+      *length = number;
     }
-  lt_header_list_add (&head->headers, name, str_trim (value));
+  return true;
+}
+
+/* Determines how the end of the body is found (RFC 9112, section 6.3).  */
+static int
+read_framing (lt_response_head_t *head)
+{
+  const lt_header_list_t *headers = &head->headers;
+  str_t coding = STR_LIT ("Transfer-Encoding");
+  size_t codings = lt_header_list_count (headers, coding);
+  head->length = -1;
+  for (size_t i = 0; i < headers->count; i++)
+    if (str_equal_nocase (headers->items[i].name, STR_LIT ("Content-Length"))
+        && !parse_length (headers->items[i].value, &head->length))
+      return reject (head, -LT_EPROTO, "length");
+  if (head->status < STATUS_FINAL_FIRST && (codings > 0 || head->length >= 0))
+    return reject (head, -LT_EPROTO, "body of an interim response");
+  if (codings == 0)
+    return 0;
+  /* No other coding is requested.  */
+  if (codings > 1 || head->http_1_0
+      || !str_equal_nocase (lt_header_list_get (headers, coding),
+                            STR_LIT ("chunked")))
+    return reject (head, -LT_EPROTO, "transfer coding");
+  if (head->length >= 0)
+    return reject (head, -LT_EPROTO, "length beside a transfer coding");
+  head->chunked = true;
   return 0;
 }
 
 static int
 end_head (lt_response_head_t *head)
 {
+  int error = read_framing (head);
+  if (error != 0)
+    return error;
   if (head->status >= STATUS_FINAL_FIRST)
     {
       head->state = LT_RESPONSE_HEAD_COMPLETE;
@@ -83,10 +186,18 @@
     return reject (head, -LT_ETOOBIG, "size of the head");
   if (++head->lines > LT_RESPONSE_HEAD_MAX_LINES)
     return reject (head, -LT_ETOOBIG, "lines of the head");
-  str_t text = str_trim (line);
+  if (!strip_line_end (&line))
+    return reject (head, -LT_EPROTO, "end of a line");
   if (head->state == LT_RESPONSE_HEAD_STATUS)
-    return read_status_line (head, text);
-  return text.len == 0 ? end_head (head) : read_field (head, text);
+    return read_status_line (head, line);
+  return line.len == 0 ? end_head (head) : read_field (head, line);
+}
+
+bool
+lt_response_head_has_body (const lt_response_head_t *head, bool to_head_method)
+{
+  return !to_head_method && head->status >= STATUS_FINAL_FIRST
+         && head->status != 204 && head->status != 304;
 }
 
 void
