Decode the framing of chunked responses strictly

Callers saw: nothing reported; a sealed success with a body that was cut short when an upstream spoilt the size line of a chunk ("0x4" ended the body). Cause: the same as for heads, in another place: chunked_body.c and libcurl skipped what stands behind the digits of a size, and took any line behind the last chunk for a trailer field. Change: only blanks, then an extension or the end of the line follow a size; no control bytes; trailers are fields; a body without its last chunk is truncated. This works because what libcurl skips is now an error.

--- a/packages/base/include/lt/base/header_list.h
+++ b/packages/base/include/lt/base/header_list.h
@@ -24,6 +24,12 @@
     size_t cap;
   } lt_header_list_t;
 
+  /** Returns whether C may stand in the name of a field (RFC 9110, section
+      5.6.2).  */
+  bool lt_is_token_char (char c);
+  /** Returns whether C may stand in the value of a field: visible characters,
+      blanks, tabs and bytes above 127.  */
+  bool lt_is_field_char (char c);
   /** Adds copies of NAME and VALUE.  */
   void lt_header_list_add (lt_header_list_t *list, str_t name, str_t value);
   /** Returns the value of the first header NAME, compared without case, or an
--- a/packages/base/src/header_list.c
+++ b/packages/base/src/header_list.c
@@ -1,6 +1,28 @@
 #include "lt/base/header_list.h"
 
 #include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  CONTROL_LAST = 0x1f,
+  DELETE = 0x7f
+};
+
+bool
+lt_is_token_char (char c)
+{
+  bool alphanumeric = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
+                      || (c >= '0' && c <= '9');
+  return alphanumeric || (c != '\0' && strchr ("!#$%&'*+-.^_`|~", c) != NULL);
+}
+
+bool
+lt_is_field_char (char c)
+{
+  unsigned char byte = (unsigned char)c;
+  return c == '\t' || (byte > CONTROL_LAST && byte != DELETE);
+}
 
 void
 lt_header_list_add (lt_header_list_t *list, str_t name, str_t value)
--- a/packages/node/src/chunked_body.c
+++ b/packages/node/src/chunked_body.c
@@ -1,6 +1,7 @@
 #include "chunked_body.h"
 
 #include "lt/base/error.h"
+#include "lt/base/header_list.h"
 
 enum
 {
@@ -16,6 +17,15 @@
   body->line_bytes = 0;
 }
 
+/* Only blanks may stand between the size and an extension.  */
+static int
+decode_after_size (lt_chunked_body_t *body, char c)
+{
+  if (c == ';')
+    body->state = LT_CHUNKED_EXTENSION;
+  return c == ';' || c == ' ' || c == '\t' ? 0 : -LT_EPROTO;
+}
+
 static int
 decode_size (lt_chunked_body_t *body, char c)
 {
@@ -29,30 +39,53 @@
     }
   if (body->digits == 0)
     return -LT_EPROTO;
-  if (c == '\n')
-    end_size_line (body);
-  else
-    body->state = LT_CHUNKED_EXTENSION;
-  return 0;
+  body->state = LT_CHUNKED_SIZE_BLANK;
+  return decode_after_size (body, c);
 }
 
 static int
-decode_data_end (lt_chunked_body_t *body, char c)
+decode_trailer (lt_chunked_body_t *body, char c)
 {
-  if (c == '\n')
-    body->state = LT_CHUNKED_SIZE;
-  return c == '\n' || c == '\r' ? 0 : -LT_EPROTO;
+  body->line_bytes++;
+  if (body->state == LT_CHUNKED_TRAILER_VALUE)
+    return lt_is_field_char (c) ? 0 : -LT_EPROTO;
+  if (c == ':' && body->line_bytes > 1)
+    body->state = LT_CHUNKED_TRAILER_VALUE;
+  return c == ':' || lt_is_token_char (c) ? 0 : -LT_EPROTO;
 }
 
-static void
-decode_trailer (lt_chunked_body_t *body, char c)
+/* Called at the end of a line.  */
+static int
+end_line (lt_chunked_body_t *body)
 {
-  if (c == '\n' && body->line_bytes == 0)
-    body->state = LT_CHUNKED_END;
-  else if (c == '\n')
-    body->line_bytes = 0;
-  else if (c != '\r')
-    body->line_bytes++;
+  switch (body->state)
+    {
+    case LT_CHUNKED_SIZE:
+      if (body->digits == 0)
+        return -LT_EPROTO;
+      end_size_line (body);
+      return 0;
+    case LT_CHUNKED_SIZE_BLANK:
+    case LT_CHUNKED_EXTENSION:
+      end_size_line (body);
+      return 0;
+    case LT_CHUNKED_DATA_END:
+      body->state = LT_CHUNKED_SIZE;
+      return 0;
+    case LT_CHUNKED_TRAILER:
+      if (body->line_bytes > 0)
+        return -LT_EPROTO;
+      body->state = LT_CHUNKED_END;
+      return 0;
+    case LT_CHUNKED_TRAILER_VALUE:
+      body->state = LT_CHUNKED_TRAILER;
+      body->line_bytes = 0;
+      return 0;
+    case LT_CHUNKED_DATA:
+    case LT_CHUNKED_END:
+      break;
+    }
+  return 0;
 }
 
 /* Decodes a byte that is not part of the body.  */
@@ -64,19 +97,31 @@
       > LT_CHUNKED_FRAMING_BASE_BYTES
             + LT_CHUNKED_FRAMING_PER_BYTE * body->body_bytes)
     return -LT_EPROTO;
+  if (c == '\n')
+    {
+      body->line_ends = false;
+      return end_line (body);
+    }
+  if (body->line_ends)
+    return -LT_EPROTO;
+  if (c == '\r')
+    {
+      body->line_ends = true;
+      return 0;
+    }
   switch (body->state)
     {
     case LT_CHUNKED_SIZE:
       return decode_size (body, c);
+    case LT_CHUNKED_SIZE_BLANK:
+      return decode_after_size (body, c);
     case LT_CHUNKED_EXTENSION:
-      if (c == '\n')
-        end_size_line (body);
-      return 0;
-    case LT_CHUNKED_DATA_END:
-      return decode_data_end (body, c);
+      return lt_is_field_char (c) ? 0 : -LT_EPROTO;
     case LT_CHUNKED_TRAILER:
-      decode_trailer (body, c);
-      return 0;
+    case LT_CHUNKED_TRAILER_VALUE:
+      return decode_trailer (body, c);
+    case LT_CHUNKED_DATA_END:
+      return -LT_EPROTO;
     case LT_CHUNKED_DATA:
     case LT_CHUNKED_END:
       break;
--- a/packages/node/src/chunked_body.h
+++ b/packages/node/src/chunked_body.h
@@ -1,7 +1,7 @@
 /** @file
     Decoder of the chunked transfer coding (RFC 9112, section 7.1) with a limit
     on the bytes that frame the body.  libcurl accepts chunk extensions and
-    trailers of any length.  */
+    trailers of any length, and any text behind the size of a chunk.  */
 #ifndef LT_NODE_CHUNKED_BODY_H
 #define LT_NODE_CHUNKED_BODY_H
 
@@ -21,11 +21,14 @@
 
   typedef enum lt_chunked_state
   {
-    LT_CHUNKED_SIZE,      /**< In the size of a chunk. */
-    LT_CHUNKED_EXTENSION, /**< After it, up to the end of the line. */
+    LT_CHUNKED_SIZE,       /**< In the size of a chunk. */
+    LT_CHUNKED_SIZE_BLANK, /**< In blanks after it. */
+    LT_CHUNKED_EXTENSION,  /**< After it, up to the end of the line. */
     LT_CHUNKED_DATA,
-    LT_CHUNKED_DATA_END, /**< In the line end after the data. */
-    LT_CHUNKED_TRAILER,
+    LT_CHUNKED_DATA_END,      /**< Before the line end after the data. */
+    LT_CHUNKED_TRAILER,       /**< At the start of a trailer line, or in the
+                                 name of its field. */
+    LT_CHUNKED_TRAILER_VALUE, /**< After its colon. */
     LT_CHUNKED_END
   } lt_chunked_state_t;
 
@@ -36,6 +39,7 @@
     lt_chunked_state_t state;
     int64_t size;       /**< Bytes of the current chunk not yet decoded. */
     int digits;         /**< Of the current size. */
+    bool line_ends;     /**< Only the line feed of a line is missing. */
     int64_t line_bytes; /**< Of the current trailer line. */
     int64_t body_bytes;
     int64_t framing_bytes;
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -120,8 +120,11 @@
 is_body_whole (const lt_transfer_t *transfer)
 {
   const lt_response_head_t *head = &transfer->head;
-  return head->length < 0 || head->length == transfer->body_bytes
-         || !lt_response_head_has_body (head, transfer->to_head_method);
+  if (!lt_response_head_has_body (head, transfer->to_head_method))
+    return true;
+  if (head->chunked)
+    return transfer->chunked_body.state == LT_CHUNKED_END;
+  return head->length < 0 || head->length == transfer->body_bytes;
 }
 
 /* Returns what libcurl found wrong with a response, or NULL.  */
--- a/packages/node/test/test_chunked_body.cc
+++ b/packages/node/test/test_chunked_body.cc
@@ -77,6 +77,18 @@
     EXPECT_EQ (-LT_EPROTO, decode (text, 7).error) << text.substr (0, 20);
 }
 
+// Text that libcurl skips made a chunk the last one ("0x4"), or a body end
+// within what its upstream sent.
+TEST (ChunkedBody, RejectsWhatIsNoFraming)
+{
+  for (const char *text :
+       { "0x4\r\n", "4 4\r\n", "4,\r\n", "4\x01\r\n", "4\r\r\n", "4\r4\r\n",
+         "4; a\x01\r\n", "1\r\na\r\r\n", "1\r\na\rb", "0\r\nno field\r\n",
+         "0\r\n: 1\r\n", "0\r\n X: 1\r\n", "0\r\nX : 1\r\n",
+         "0\r\nX: \x01\r\n", "0\r\nX\r\n" })
+    EXPECT_EQ (-LT_EPROTO, decode (text, 1).error) << text;
+}
+
 // Chunks of a byte each have more framing than body and are proper.
 TEST (ChunkedBody, AcceptsSmallChunks)
 {
--- a/packages/store/src/response_head.c
+++ b/packages/store/src/response_head.c
@@ -8,9 +8,7 @@
   STATUS_FIRST = 100,
   STATUS_SWITCHING_PROTOCOLS = 101,
   STATUS_FINAL_FIRST = 200,
-  STATUS_LAST = 599,
-  CONTROL_LAST = 0x1f,
-  DELETE = 0x7f
+  STATUS_LAST = 599
 };
 
 static int
@@ -20,33 +18,22 @@
   return error;
 }
 
-/* Returns whether TEXT may stand in a reason phrase or a field's value:
-   visible characters, blanks, tabs and bytes above 127.  */
+/* Returns whether TEXT may be a reason phrase or the value of a field.  */
 static bool
 is_field_text (str_t text)
 {
   for (size_t i = 0; i < text.len; i++)
-    {
-      unsigned char c = (unsigned char)text.data[i];
-      if ((c <= CONTROL_LAST && c != '\t') || c == DELETE)
-        return false;
-    }
+    if (!lt_is_field_char (text.data[i]))
+      return false;
   return true;
 }
 
-/* RFC 9110, section 5.6.2.  */
 static bool
 is_token (str_t text)
 {
-  static const str_t marks = STR_CONST ("!#$%&'*+-.^_`|~");
   for (size_t i = 0; i < text.len; i++)
-    {
-      char c = text.data[i];
-      bool alphanumeric = (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z')
-                          || (c >= '0' && c <= '9');
-      if (!alphanumeric && str_find (marks, str_make (&c, 1)) < 0)
-        return false;
-    }
+    if (!lt_is_token_char (text.data[i]))
+      return false;
   return text.len > 0;
 }
 
