Take no response of the store without a whole, sound head

Callers saw: nothing reported. A write to the table service whose response was cut within its head counted as done; a spoilt length gave a part of a body. Cause: libcurl reports success when a connection is closed within a head, and reads lengths leniently; http_client.c asked for nothing more. Change: the client reads heads by lt_response_head_read and takes status, header and length from it; everything else is -LT_EIO, which means an unknown outcome. This works because no result is made without a complete final head. Evidence: HttpClient.ResponsesCutWithinTheirHeadAreErrors (cuts from 17 bytes on) and .SpoiltHeadsAreErrors (5 of 10) failed on the code before, .SoundResponsesAreTaken passed; all pass. test_contract 14 pass.

--- a/packages/store/src/http_client.c
+++ b/packages/store/src/http_client.c
@@ -11,7 +11,9 @@
 #include <utlist.h>
 
 #include "lt/base/error.h"
+#include "lt/base/log.h"
 #include "lt/store/curl_loop.h"
+#include "lt/store/response_head.h"
 
 enum
 {
@@ -44,6 +46,8 @@
   struct curl_slist *headers;
   lt_buf_t body;
   size_t body_read;
+  lt_response_head_t head;
+  const char *fault; /* Why the response is malformed; NULL: it is not. */
   lt_buf_t response;
   const char *response_header;
   http_done_t done;
@@ -60,6 +64,7 @@
   curl_slist_free_all (transfer->headers);
   lt_buf_destroy (&transfer->body);
   lt_buf_destroy (&transfer->response);
+  lt_response_head_destroy (&transfer->head);
   free (transfer);
 }
 
@@ -79,16 +84,26 @@
     }
 }
 
-static str_t
-find_response_header (const transfer_t *transfer)
+static bool
+has_final_head (const transfer_t *transfer)
+{
+  return transfer->head.state == LT_RESPONSE_HEAD_COMPLETE;
+}
+
+/* Returns 0 if CODE and the head of the response say that it is whole. libcurl
+   reports success also when a connection is closed within the head, and may
+   find another length in it.  */
+static int
+check_response (const transfer_t *transfer, CURLcode code)
 {
-  struct curl_header *header = NULL;
-  if (transfer->response_header == NULL
-      || curl_easy_header (transfer->easy, transfer->response_header, 0,
-                           CURLH_HEADER, -1, &header)
-             != CURLHE_OK)
-    return str_make (NULL, 0);
-  return str_from (header->value);
+  const lt_response_head_t *head = &transfer->head;
+  if (code != CURLE_OK)
+    return error_from_curl (code);
+  if (!has_final_head (transfer)
+      || (lt_response_head_has_body (head, false) && head->length >= 0
+          && head->length != (int64_t)transfer->response.len))
+    return -LT_EIO;
+  return 0;
 }
 
 static void
@@ -97,10 +112,11 @@
   http_response_t response = { .error = error };
   if (error == 0)
     {
-      curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE,
-                         &response.status);
+      response.status = transfer->head.status;
       response.body = lt_buf_str (&transfer->response);
-      response.header = find_response_header (transfer);
+      if (transfer->response_header != NULL)
+        response.header = lt_header_list_get (
+            &transfer->head.headers, str_from (transfer->response_header));
     }
   http_done_t done = transfer->done;
   transfer->done = NULL;
@@ -115,9 +131,13 @@
   transfer_t *transfer = NULL;
   curl_easy_getinfo (easy, CURLINFO_PRIVATE, &transfer);
   client->timed_out = code == CURLE_OPERATION_TIMEDOUT;
-  if (code == CURLE_OK)
+  if (transfer->fault != NULL)
+    lt_log (LT_LOG_WARN, "store", "msg=\"malformed response\" fault=\"%s\"",
+            transfer->fault);
+  int error = check_response (transfer, code);
+  if (error == 0)
     client->responded_us = lt_clock_now_us (client->clock);
-  transfer_end (transfer, error_from_curl (code));
+  transfer_end (transfer, error);
   transfer_free (transfer);
 }
 
@@ -135,10 +155,28 @@
   return len;
 }
 
+static size_t
+read_head_line (char *data, size_t size, size_t count, void *user)
+{
+  transfer_t *transfer = user;
+  size_t total = size * count;
+  if (has_final_head (transfer))
+    return total; /* A trailer field. */
+  if (lt_response_head_read (&transfer->head, str_make (data, total)) == 0)
+    return total;
+  transfer->fault = transfer->head.fault;
+  return 0;
+}
+
 static size_t
 write_response (char *data, size_t size, size_t count, void *user)
 {
   transfer_t *transfer = user;
+  if (!has_final_head (transfer))
+    {
+      transfer->fault = "body without a head";
+      return 0;
+    }
   if (transfer->response.len + size * count > RESPONSE_MAX_BYTES)
     return 0;
   lt_buf_append (&transfer->response, data, size * count);
@@ -274,6 +312,8 @@
   curl_easy_setopt (easy, CURLOPT_PROXY, "");
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)request->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, read_head_line);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, transfer);
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, write_response);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
   set_connection_limits (transfer);
