--- a/review/standin-3/rig.h
+++ b/review/standin-3/rig.h
@@ -453,7 +453,36 @@
     return version;
   }
 
-  std::atomic<int> mode{ 200 }; // 503: does nothing and says so; 0: silent.
+  // The store goes away, and comes back from a copy taken before.
+  void
+  copy ()
+  {
+    std::lock_guard<std::mutex> hold (mutex);
+    copied_rows = rows;
+    copied_version = version;
+  }
+
+  void
+  leave ()
+  {
+    std::lock_guard<std::mutex> hold (mutex);
+    mode = 2;
+    changed.notify_all ();
+  }
+
+  void
+  come_back ()
+  {
+    std::lock_guard<std::mutex> hold (mutex);
+    rows = copied_rows;
+    version = copied_version;
+    era++;
+    mode = 200;
+  }
+
+  // 503: does nothing and says so; 0: silent; 2: closes each connection.
+  std::atomic<int> mode{ 200 };
+  std::atomic<int64_t> era{ 1 };
 
 private:
   struct Row
@@ -499,11 +528,13 @@
            + ",\"nowMs\":" + std::to_string (now_ms ()) + "}";
   }
 
-  static std::string
-  answer (int status, const std::string &text)
+  std::string
+  answer (int status, const std::string &text) const
   {
-    return response (
-        status, "Content-Type: application/json\r\nStore-Era: 1\r\n", text);
+    return response (status,
+                     "Content-Type: application/json\r\nStore-Era: "
+                         + std::to_string (era) + "\r\n",
+                     text);
   }
 
   std::string
@@ -528,6 +559,10 @@
     int64_t until = now_ms () + atoll (parameter (target, "waitMs").c_str ());
     for (;;)
       {
+        if (mode == 2)
+          return "";
+        if (after > version)
+          return answer (410, "{}");
         std::map<int64_t, std::string> found;
         for (const auto &row : rows[table])
           if (row.second.version > after)
@@ -607,6 +642,8 @@
     while (stream->read (&message, now_ms () + 600000))
       {
         std::string target = message.word (1);
+        if (mode == 2)
+          return;
         if (mode == 503)
           stream->write (answer (503, "{}"));
         else if (mode == 0)
@@ -614,7 +651,12 @@
         else if (message.word (0) == "POST")
           stream->write (transact (message.body));
         else if (target.find ("rows-feed") != std::string::npos)
-          stream->write (feed (target));
+          {
+            std::string changes = feed (target);
+            if (changes.empty ())
+              return;
+            stream->write (changes);
+          }
         else
           stream->write (get (target));
         message = Message ();
@@ -625,6 +667,8 @@
   std::condition_variable changed;
   std::map<std::string, std::map<std::string, Row>> rows;
   int64_t version = 100;
+  std::map<std::string, std::map<std::string, Row>> copied_rows;
+  int64_t copied_version = 0;
   Listener listener;
 };
 
