--- a/packages/policy/src/room.c
+++ b/packages/policy/src/room.c
@@ -5,13 +5,13 @@
 #include "lt/base/clock.h"
 #include "lt/base/error.h"
 #include "lt/base/str.h"
+#include "lt/policy/service_time.h"
 #include "room_queue.h"
 #include "room_service.h"
 
 enum
 {
   PEERS_MAX = 256,
-  ROUTES = 256, /* A power of two. */
   /* Requests that a level may be owed, at most.  */
   OWED_MAX = 2,
   /* Requests that may be sent after a pause, at least.  */
@@ -25,13 +25,6 @@
    time that it has by this factor: estimates vary.  */
 #define WAIT_TOLERANCE 1.5
 
-/* The mean service time of a route.  Routes with the same slot share it.  */
-typedef struct route_time
-{
-  uint64_t route;
-  double mean_us;
-} route_time_t;
-
 typedef struct peer
 {
   uint64_t id;
@@ -43,7 +36,7 @@
   lt_room_options_t options;
   lt_room_service_t *services;
   lt_room_queue_t queue;
-  route_time_t routes[ROUTES];
+  lt_service_times_t times;
   peer_t peers[PEERS_MAX];
   uint32_t peer_count;
 };
@@ -118,10 +111,8 @@
 static double
 service_time_us (const lt_room_t *room, uint64_t route)
 {
-  const route_time_t *time = &room->routes[route % ROUTES];
-  return time->route == route && time->mean_us > 0
-             ? time->mean_us
-             : (double)room->options.initial_service_us;
+  double mean_us = lt_service_times_mean_us (&room->times, route);
+  return mean_us > 0 ? mean_us : (double)room->options.initial_service_us;
 }
 
 void
@@ -535,12 +526,8 @@
   /* A slot that this VM's own request frees is this VM's to fill.  */
   if (distance == LT_DISTANCE_SAME_DOMAIN && !rejected)
     service->credit += 1;
-  if (latency_us < 0)
-    return;
-  route_time_t *time = &room->routes[route % ROUTES];
-  if (time->route != route || time->mean_us <= 0)
-    *time = (route_time_t){ route, (double)latency_us };
-  time->mean_us += o->service_weight * ((double)latency_us - time->mean_us);
+  if (latency_us >= 0)
+    lt_service_times_add (&room->times, route, latency_us, o->service_weight);
 }
 
 void
