Keep requests that wait for a connection in a queue of the project

Cause: the bound on connections to an upstream was an option of libcurl, which keeps further transfers in its own queue. For the VM such an attempt was in progress; whether it could still end in time, and where it should go, was asked when it was handed to libcurl and not when libcurl sent it.

Change: libcurl starts every transfer at once. policy/pending bounds the requests at an upstream and keeps the others in the order of arrival; node/dispatch_queue sends them when a connection is free, with a new choice of the upstream. policy/wait_rule says what ends the wait of a request that no upstream has: its caller left, its deadline, too little time for its upstreams, the end of a stop, a change of what the choice was based on. node/waiting applies it to all such requests, wherever they wait; the check of the room controller is gone. An attempt begins when it is sent, so that its deadline, latency and outcome leave out the wait.

--- a/packages/node/bench/bench_proxy.c
+++ b/packages/node/bench/bench_proxy.c
@@ -21,7 +21,6 @@
 
 enum
 {
-  CONNECTIONS = 256,
   SETTLE_S = 1,
   REQUEST_TIMEOUT_MS = 5000
 };
@@ -366,7 +365,7 @@
   bench.direct = lt_alloc (sizeof (*bench.direct));
   bench.proxy = lt_alloc (sizeof (*bench.proxy));
   lt_rng_init (&bench.rng, (uint64_t)bench.options.seed);
-  lt_upstream_client_create (bench.loop, CONNECTIONS, &bench.client);
+  lt_upstream_client_create (bench.loop, &bench.client);
   lt_buf_t bearer = { 0 };
   lt_buf_printf (&bearer, "Bearer %.*s", STR_ARG (bench.options.key));
   lt_header_list_add (&bench.headers, STR_LIT ("Authorization"),
--- a/packages/node/include/lt/node/node.h
+++ b/packages/node/include/lt/node/node.h
@@ -148,6 +148,8 @@
     lt_filter_t *filters[16];
     int filter_count;
     struct lt_upstream_client *upstreams;
+    struct lt_waiting *waiting;
+    struct lt_dispatch_queue *dispatch_queue;
     struct lt_pools *pools;
     struct lt_retry *retry;
     struct lt_memory_budget *memory; /**< Of what callers can fill. */
--- a/packages/node/include/lt/node/request.h
+++ b/packages/node/include/lt/node/request.h
@@ -30,6 +30,25 @@
     bool header_sent; /**< The header was passed to the caller's connection. */
   } lt_response_t;
 
+/* Where a request waits before an upstream has it: enumerator, text for logs
+   and metrics.  */
+#define LT_WAIT_PLACE_TABLE(X)                                                \
+  X (LT_WAIT_NOWHERE, "")                                                     \
+  X (LT_WAIT_CONFIG, "config")                                                \
+  X (LT_WAIT_LIMIT, "limit")                                                  \
+  X (LT_WAIT_ADMISSION, "admission")                                          \
+  X (LT_WAIT_CLAIM, "claim")                                                  \
+  X (LT_WAIT_ROOM, "room")                                                    \
+  X (LT_WAIT_CONNECTION, "connection")                                        \
+  X (LT_WAIT_RETRY, "retry")
+
+#define LT_WAIT_PLACE_ENUM(name, text) name,
+  typedef enum lt_wait_place
+  {
+    LT_WAIT_PLACE_TABLE (LT_WAIT_PLACE_ENUM) LT_WAIT_PLACES
+  } lt_wait_place_t;
+#undef LT_WAIT_PLACE_ENUM
+
   typedef struct lt_request lt_request_t;
 
   /** Consumer of a request's response, normally the caller's connection.  */
@@ -66,7 +85,11 @@
     const lt_snapshot_t *snapshot;
     const lt_route_t *route;
     uint32_t workspace; /**< LT_NO_INDEX on open routes without a key. */
-    char *key;          /**< Presented key; wiped when the request ends. */
+    lt_wait_place_t wait_place; /**< The waiting list's, like the next 3. */
+    int64_t waiting_since_us;
+    lt_request_t *previous_waiting;
+    lt_request_t *next_waiting;
+    char *key; /**< Presented key; wiped when the request ends. */
     int64_t started_us;
     int64_t deadline_us; /**< On the monotonic clock. */
     lt_digest_t body_digest;
--- a/packages/node/src/claim_run.c
+++ b/packages/node/src/claim_run.c
@@ -3,6 +3,7 @@
 #include "claim_internal.h"
 #include "lt/base/error.h"
 #include "lt/base/log.h"
+#include "waiting.h"
 
 enum
 {
@@ -360,6 +361,7 @@
   if (run->next != NULL)
     run->next->prev = run;
   controller->runs = run;
+  lt_waiting_begin (request, LT_WAIT_CLAIM);
   lt_claim_run_event (run, LT_CLAIM_EVENT_START, LT_CLAIM_TABLE_DONE, NULL);
   return run;
 }
--- a/packages/node/src/daemon.c
+++ b/packages/node/src/daemon.c
@@ -6,6 +6,7 @@
 
 #include "bus.h"
 #include "caller_server.h"
+#include "dispatch_queue.h"
 #include "drain_controller.h"
 #include "filter_record.h"
 #include "filters.h"
@@ -34,6 +35,7 @@
 #include "room_controller.h"
 #include "sheet_file.h"
 #include "upstream_client.h"
+#include "waiting.h"
 
 #define TICK_S 0.1
 /* Hosted: after this share of the time from SIGTERM to SIGKILL no request is
@@ -308,6 +310,8 @@
   node->retry = lt_retry_create (&retry_options, &node->rng);
   lt_node_metrics_create (node);
   lt_node_memory_create (node);
+  lt_waiting_create (node);
+  lt_dispatch_queue_create (node);
   add_filters (node);
 }
 
@@ -320,8 +324,7 @@
   create_node (daemon, loop, clock, settings);
   int error = create_platform (node);
   if (error == 0)
-    error = lt_upstream_client_create (loop, settings->upstream_connections,
-                                       &node->upstreams);
+    error = lt_upstream_client_create (loop, &node->upstreams);
   if (error == 0)
     error = add_controllers (node);
   if (error == 0)
@@ -377,6 +380,8 @@
   for (int i = node->filter_count - 1; i >= 0; i--)
     node->filters[i]->vtable->destroy (node->filters[i]);
   lt_upstream_client_destroy (node->upstreams);
+  lt_dispatch_queue_destroy (node);
+  lt_waiting_destroy (node);
   lt_retry_destroy (node->retry);
   lt_memory_budget_destroy (node->memory);
   lt_platform_destroy (&node->platform);
--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -8,8 +8,10 @@
 #include "dispatch.h"
 #include "lt/node/node.h"
 #include "lt/policy/cost.h"
+#include "lt/policy/pending.h"
 #include "lt/policy/retry.h"
 #include "lt/policy/room.h"
+#include "lt/policy/wait_rule.h"
 #include "upstream_client.h"
 
 enum
@@ -23,6 +25,7 @@
   lt_transfer_t *transfer;   /* NULL when the attempt is not in progress. */
   lt_snapshot_ref_t *config; /* Snapshot that UPSTREAM is an index into. */
   uint32_t upstream;
+  uint64_t upstream_key; /* Of its connections, see lt/policy/pending.h. */
   int64_t started_us;
   int64_t header_us;
   int status;
@@ -59,6 +62,13 @@
   bool timed_out;       /* The last attempt timed out. */
   bool last_reset;      /* The last attempt's connection was reset. */
   bool refusal_pending; /* The retry timer only delays the refusal. */
+  uint32_t chosen;      /* Index in CONFIG; of the last choice. */
+  bool counted; /* As a request for its service, by an earlier choice. */
+  /* The wait for a connection; the dispatch queue's.  */
+  lt_pending_entry_t queued;
+  lt_snapshot_ref_t *queued_config;
+  uint32_t queued_upstream; /* Index in QUEUED_CONFIG. */
+  int64_t queued_since_us;
   /* Admission by priority; the room controller's.  */
   bool waiting;
   struct lt_dispatch *previous_waiting;
@@ -82,10 +92,29 @@
 /** Returns whether the route and the workspace of the request allow no region
     in common, as of the last lt_dispatch_pick.  */
 bool lt_dispatch_has_no_region (const lt_dispatch_t *dispatch);
+/** Sends the request to another upstream, or lets it wait for one.  Returns
+    false when it neither was sent nor waits.  */
+bool lt_dispatch_start (lt_dispatch_t *dispatch);
+/** As lt_dispatch_start, without admission by priority.  */
+bool lt_dispatch_start_now (lt_dispatch_t *dispatch);
 /** Sends the request to another upstream within LIMITS.  Returns 0,
-    -LT_EUNAVAILABLE when none can take it, or -LT_EFULL.  */
+    -LT_EUNAVAILABLE when none can take it, or -LT_EFULL when all that can are
+    full or the one chosen has no free connection.  */
 int lt_dispatch_try (lt_dispatch_t *dispatch,
                      const lt_choice_limits_t *limits);
+/** Returns whether the end of a planned stop could cut the request if it were
+    sent now.  One that may be repeated, and has waited for a connection, is
+    expected to take as long as those before it; others may last until their
+    deadline.  */
+bool lt_dispatch_may_be_cut (const lt_dispatch_t *dispatch);
+/** Sets the fields of STATE that tell of a wait for a connection.  */
+void lt_dispatch_describe_wait (const lt_dispatch_t *dispatch,
+                                lt_wait_state_t *state);
+/** Lets a request that waits for a connection choose an upstream again; it
+    keeps its place among those that wait.  */
+void lt_dispatch_choose_again (lt_dispatch_t *dispatch);
+/** Refuses a request that waits, as VERDICT says.  */
+void lt_dispatch_end_wait (lt_dispatch_t *dispatch, lt_wait_verdict_t verdict);
 /** Refuses a request for which no response is in use and no attempt is in
     progress.  */
 void lt_dispatch_refuse (lt_dispatch_t *dispatch);
--- a/packages/node/src/dispatch_refuse.c
+++ b/packages/node/src/dispatch_refuse.c
@@ -49,6 +49,9 @@
   if (dispatch->timed_out
       || lt_node_now_us (request->node) >= request->deadline_us)
     lt_dispatch_refuse_with (request, LT_REFUSE_DEADLINE);
+  else if (!request->byte_sent
+           && lt_node_may_cut (request->node, request->deadline_us))
+    lt_request_refuse_stopping (request);
   else if (!request->byte_sent)
     lt_dispatch_refuse_no_upstream (dispatch);
   else
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -157,6 +157,7 @@
     .allowed_regions = dispatch->allowed_regions,
     .limits = limits,
     .cost = &dispatch->cost,
+    .counted = dispatch->counted,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
--- a/packages/node/src/filter_admission.c
+++ b/packages/node/src/filter_admission.c
@@ -9,6 +9,7 @@
 #include "lt/node/request.h"
 #include "lt/policy/admission.h"
 #include "lt/policy/membership.h"
+#include "waiting.h"
 
 /** A VM may use this many times its even share of a service's slots, because
     callers are not spread evenly over VMs; upstreams shed any excess.  */
@@ -266,6 +267,7 @@
     {
       entry->state = ENTRY_QUEUED;
       count_event (filter, EVENT_QUEUED);
+      lt_waiting_begin (request, LT_WAIT_ADMISSION);
       if (!ev_is_active (&filter->expire))
         ev_timer_again (base->node->loop, &filter->expire);
       return LT_FILTER_WAIT;
--- a/packages/node/src/filter_await_config.c
+++ b/packages/node/src/filter_await_config.c
@@ -5,6 +5,7 @@
 #include "filters.h"
 #include "lt/node/node.h"
 #include "lt/node/request.h"
+#include "waiting.h"
 
 /* A starting VM reads its configuration in about 0.1 s, so a short wait is
    better for callers than a refusal.  */
@@ -69,6 +70,7 @@
   waiting->since_us = lt_node_now_us (base->node);
   request->filter_state[base->slot] = waiting;
   DL_APPEND (filter->waiting, waiting);
+  lt_waiting_begin (request, LT_WAIT_CONFIG);
   if (!ev_is_active (&filter->poll))
     {
       ev_timer_set (&filter->poll, POLL_INTERVAL_S, POLL_INTERVAL_S);
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "dispatch_internal.h"
+#include "dispatch_queue.h"
 #include "filters.h"
 #include "lt/base/error.h"
 #include "lt/base/hash.h"
@@ -12,6 +13,7 @@
 #include "pools.h"
 #include "room_controller.h"
 #include "upstream_probe.h"
+#include "waiting.h"
 
 enum
 {
@@ -21,8 +23,6 @@
   WHOLE_RESPONSE_BYTES_MAX = 1024 * 1024
 };
 
-static bool start_attempt (lt_dispatch_t *dispatch);
-
 static lt_pools_t *
 dispatch_pools (lt_dispatch_t *dispatch)
 {
@@ -30,12 +30,19 @@
 }
 
 static bool
-is_in_progress (const lt_dispatch_t *dispatch)
+has_transfer (const lt_dispatch_t *dispatch)
 {
   for (uint32_t i = 0; i < dispatch->attempt_count; i++)
     if (dispatch->attempts[i].transfer != NULL)
       return true;
-  return dispatch->waiting;
+  return false;
+}
+
+static bool
+is_in_progress (const lt_dispatch_t *dispatch)
+{
+  return dispatch->waiting || dispatch->queued.line != NULL
+         || has_transfer (dispatch);
 }
 
 static void
@@ -52,6 +59,8 @@
   request->byte_sent = dispatch->may_have_run > 0;
   lt_dispatch_end_work (attempt, outcome, end_us - attempt->started_us);
   pools->vtable->end (pools, attempt->config->snapshot, attempt->upstream);
+  lt_dispatch_queue_attempt_ended (attempt, outcome,
+                                   end_us - attempt->started_us);
   if (request->node->room_controller != NULL)
     lt_room_controller_attempt_ended (request->node->room_controller, attempt,
                                       outcome, end_us - attempt->started_us);
@@ -274,6 +283,8 @@
   ev_timer_stop (loop, &dispatch->retry_timer);
   ev_timer_set (&dispatch->retry_timer, (double)delay_us / LT_US_PER_S, 0.0);
   ev_timer_start (loop, &dispatch->retry_timer);
+  if (!is_in_progress (dispatch))
+    lt_waiting_begin (dispatch->request, LT_WAIT_RETRY);
 }
 
 /* Returns the delay before a request that may have crashed its upstream is
@@ -294,12 +305,14 @@
   lt_dispatch_t *dispatch = watcher->data;
   lt_request_t *request = dispatch->request;
   bool retries = !dispatch->refusal_pending;
+  if (!is_in_progress (dispatch))
+    lt_waiting_end (request);
   if (retries && dispatch->last_reset && lt_quarantine_refuses (request))
     {
       lt_request_refuse (request, LT_REFUSE_QUARANTINED);
       return;
     }
-  if (retries && (start_attempt (dispatch) || is_in_progress (dispatch)))
+  if (retries && (lt_dispatch_start (dispatch) || is_in_progress (dispatch)))
     return;
   lt_dispatch_refuse (dispatch);
 }
@@ -427,18 +440,35 @@
             STR_ARG (snapshot->upstreams[attempt->upstream].name));
 }
 
+static void
+start_hedge_timer (lt_dispatch_t *dispatch)
+{
+  lt_node_t *node = dispatch->request->node;
+  if (!dispatch->request->route->hedge
+      || !lt_dispatch_is_idempotent (dispatch))
+    return;
+  int64_t delay_us
+      = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
+  if (delay_us < 0)
+    return;
+  ev_timer_set (&dispatch->hedge_timer, (double)delay_us / LT_US_PER_S, 0.0);
+  ev_timer_start (node->loop, &dispatch->hedge_timer);
+}
+
 int
 lt_dispatch_try (lt_dispatch_t *dispatch, const lt_choice_limits_t *limits)
 {
   lt_pools_t *pools = dispatch_pools (dispatch);
   int64_t now_us = lt_node_now_us (dispatch->request->node);
   if (dispatch->request->caller_disconnected
-      || lt_node_may_cut (dispatch->request->node,
-                          dispatch->request->deadline_us))
+      || lt_dispatch_may_be_cut (dispatch))
     return -LT_EUNAVAILABLE;
   int64_t picked = lt_dispatch_pick (dispatch, limits);
   if (picked < 0)
     return (int)picked;
+  dispatch->chosen = (uint32_t)picked;
+  if (!lt_dispatch_queue_admits (dispatch, dispatch->chosen))
+    return -LT_EFULL;
   attempt_t *attempt = &dispatch->attempts[dispatch->attempt_count];
   *attempt = (attempt_t){ .dispatch = dispatch,
                           .config = dispatch->config,
@@ -450,19 +480,32 @@
   lt_snapshot_ref_acquire (attempt->config);
   dispatch->attempt_count++;
   record_attempt (dispatch->request, attempt);
+  lt_dispatch_queue_attempt_began (attempt);
   lt_dispatch_begin_work (attempt);
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
+  lt_waiting_end (dispatch->request);
+  if (dispatch->attempt_count == 1)
+    start_hedge_timer (dispatch);
   return 0;
 }
 
-/* Sends the request to another upstream, or lets it wait for one.  Returns
-   false when it neither was sent nor waits.  */
-static bool
-start_attempt (lt_dispatch_t *dispatch)
+bool
+lt_dispatch_start_now (lt_dispatch_t *dispatch)
+{
+  int error = lt_dispatch_try (dispatch, NULL);
+  /* A further attempt beside one in progress is not worth a wait.  */
+  if (error != -LT_EFULL || has_transfer (dispatch))
+    return error == 0;
+  lt_dispatch_queue_add (dispatch);
+  return true;
+}
+
+bool
+lt_dispatch_start (lt_dispatch_t *dispatch)
 {
   lt_room_controller_t *room = dispatch->request->node->room_controller;
   return room != NULL ? lt_room_controller_start (room, dispatch)
-                      : lt_dispatch_try (dispatch, NULL) == 0;
+                      : lt_dispatch_start_now (dispatch);
 }
 
 static void
@@ -484,21 +527,6 @@
   dispatch->hedge_timer.data = dispatch;
 }
 
-static void
-start_hedge_timer (lt_dispatch_t *dispatch)
-{
-  lt_node_t *node = dispatch->request->node;
-  if (!dispatch->request->route->hedge
-      || !lt_dispatch_is_idempotent (dispatch))
-    return;
-  int64_t delay_us
-      = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
-  if (delay_us < 0)
-    return;
-  ev_timer_set (&dispatch->hedge_timer, (double)delay_us / LT_US_PER_S, 0.0);
-  ev_timer_start (node->loop, &dispatch->hedge_timer);
-}
-
 static lt_filter_result_t
 filter_request (lt_filter_t *filter, lt_request_t *request)
 {
@@ -514,9 +542,8 @@
   dispatch->request = request;
   lt_outgoing_target (request, &dispatch->target);
   init_retry (dispatch);
-  if (!start_attempt (dispatch))
+  if (!lt_dispatch_start (dispatch))
     return lt_dispatch_refuse_no_upstream (dispatch);
-  start_hedge_timer (dispatch);
   return LT_FILTER_WAIT;
 }
 
@@ -529,8 +556,9 @@
     return;
   ev_timer_stop (request->node->loop, &dispatch->retry_timer);
   ev_timer_stop (request->node->loop, &dispatch->hedge_timer);
+  lt_dispatch_queue_leave (dispatch);
   if (request->node->room_controller != NULL)
-    lt_room_controller_leave (request->node->room_controller, dispatch);
+    lt_room_controller_leave (request->node->room_controller, dispatch, false);
   cancel_others (dispatch, NULL);
   request->dispatch = NULL;
   lt_snapshot_ref_release (dispatch->config);
--- a/packages/node/src/health_controller.c
+++ b/packages/node/src/health_controller.c
@@ -153,7 +153,9 @@
 static const lt_pools_vtable_t pools_vtable = { .config = pools_config,
                                                 .pick = pools_pick,
                                                 .begin = pools_begin,
-                                                .end = pools_end };
+                                                .end = pools_end,
+                                                .begin_wait = pools_begin,
+                                                .end_wait = pools_end };
 
 static lt_health_outcome_t
 outcome_of (lt_attempt_outcome_t outcome)
--- a/packages/node/src/limit_waiting.c
+++ b/packages/node/src/limit_waiting.c
@@ -4,6 +4,7 @@
 
 #include "lt/base/hash.h"
 #include "lt/base/str.h"
+#include "waiting.h"
 
 /** Longest wait of a request for tokens.  */
 #define WAIT_MAX_US 250000
@@ -109,6 +110,7 @@
     waiting->until_us = request->deadline_us;
   waiting_append (&controller->waiting, waiting);
   request->filter_state[slot] = waiting;
+  lt_waiting_begin (request, LT_WAIT_LIMIT);
   lt_limit_controller_count (controller, LT_LIMIT_COUNT_WAITED);
   return LT_FILTER_WAIT;
 }
--- a/packages/node/src/pools.h
+++ b/packages/node/src/pools.h
@@ -29,6 +29,7 @@
                                  restriction. */
     const struct lt_choice_limits *limits; /**< NULL: none. */
     const lt_cost_key_t *cost;             /**< Keys of its likely cost. */
+    bool counted; /**< As a request for its service, by an earlier pick. */
   } lt_pick_t;
 
   /** An attempt, for a choice by the likely cost of requests.  */
@@ -74,6 +75,12 @@
                    uint32_t upstream);
     void (*end) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
                  uint32_t upstream);
+    /** Called when a request begins or ends to wait for a connection to
+        UPSTREAM, an index into SNAPSHOT; it counts in that upstream's load. */
+    void (*begin_wait) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                        uint32_t upstream);
+    void (*end_wait) (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                      uint32_t upstream);
     /** Called before begin and end, with LATENCY_US as the time that the
         upstream took.  May be NULL: costs are not used.  */
     void (*begin_work) (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
--- a/packages/node/src/quota_controller.c
+++ b/packages/node/src/quota_controller.c
@@ -7,6 +7,7 @@
 #include "lt/base/log.h"
 #include "lt/node/request.h"
 #include "quota_internal.h"
+#include "waiting.h"
 
 enum
 {
@@ -52,6 +53,7 @@
 static void
 waiting_free (lt_quota_controller_t *c, quota_waiting_t *waiting)
 {
+  lt_waiting_end (waiting->request);
   waiting->request->filter_state[waiting->slot] = NULL;
   DL_DELETE (c->waiting, waiting); /* NOLINT(clang-analyzer-*) */
   free (waiting);
@@ -154,6 +156,7 @@
                                 .token_requested = reachable };
   request->filter_state[slot] = waiting;
   DL_APPEND (c->waiting, waiting);
+  lt_waiting_begin (request, LT_WAIT_LIMIT);
   if (self)
     {
       if (lt_quota_borrow (c, str_make (NULL, 0), waiting->number, hash,
--- a/packages/node/src/request.c
+++ b/packages/node/src/request.c
@@ -11,6 +11,7 @@
 #include "node_memory.h"
 #include "pools.h"
 #include "upstream_client.h"
+#include "waiting.h"
 
 enum
 {
@@ -52,6 +53,7 @@
   if (request->ended)
     return;
   request->ended = true;
+  lt_waiting_end (request);
   lt_node_t *node = request->node;
   lt_node_metrics_count_request (node, request);
   for (int i = request->next_filter - 1; i >= 0; i--)
@@ -141,7 +143,10 @@
   if (request->in_response_hooks)
     run_response_hooks (request);
   else
-    run_filters (request);
+    {
+      lt_waiting_end (request);
+      run_filters (request);
+    }
 }
 
 void
--- a/packages/node/src/room_controller.c
+++ b/packages/node/src/room_controller.c
@@ -13,6 +13,7 @@
 #include "room_levels.h"
 #include "room_report.h"
 #include "upstream_places.h"
+#include "waiting.h"
 
 enum
 {
@@ -208,6 +209,7 @@
   dispatch->waiting_since_us = now_us;
   service->waiting++;
   DL_APPEND2 (c->waiting, dispatch, previous_waiting, next_waiting);
+  lt_waiting_begin (dispatch->request, LT_WAIT_ROOM);
   log_waiting (service, view, now_us);
   update_gauges (c);
   wake (c, RETRY_INTERVAL_S);
@@ -222,6 +224,7 @@
   DL_DELETE2 (c->waiting, dispatch, previous_waiting, /* NOLINT */
               next_waiting);
   lt_room_cancel (c->room, dispatch->room_request.id);
+  lt_waiting_end (dispatch->request);
   update_gauges (c);
 }
 
@@ -248,7 +251,7 @@
 {
   service_t *service = find_service (c, dispatch->service_hash);
   if (service == NULL || service->levels.count < 2)
-    return lt_dispatch_try (dispatch, NULL) == 0;
+    return lt_dispatch_start_now (dispatch);
   int64_t now_us = lt_node_now_us (c->base.node);
   lt_room_view_t view = make_view (c, service, now_us);
   lt_room_answer_t answer;
@@ -280,11 +283,13 @@
 }
 
 void
-lt_room_controller_leave (lt_room_controller_t *c, lt_dispatch_t *dispatch)
+lt_room_controller_leave (lt_room_controller_t *c, lt_dispatch_t *dispatch,
+                          bool stopping)
 {
   if (!dispatch->waiting)
     return;
-  count_event (c, ROOM_EVENT_LEFT, dispatch->room_request.level);
+  count_event (c, stopping ? ROOM_EVENT_STOPPING : ROOM_EVENT_LEFT,
+               dispatch->room_request.level);
   end_waiting (c, dispatch);
 }
 
@@ -414,30 +419,6 @@
     }
 }
 
-/* Refuses the waiting requests that this VM may not complete before it stops.
-   A refusal may end other requests, so the search then begins again.  */
-static void
-refuse_stopping (lt_room_controller_t *c)
-{
-  lt_dispatch_t *dispatch = c->waiting;
-  while (dispatch != NULL)
-    {
-      lt_request_t *request = dispatch->request;
-      if (!lt_node_may_cut (c->base.node, request->deadline_us))
-        {
-          dispatch = dispatch->next_waiting;
-          continue;
-        }
-      count_event (c, ROOM_EVENT_STOPPING, dispatch->room_request.level);
-      end_waiting (c, dispatch);
-      if (request->byte_sent)
-        lt_dispatch_refuse (dispatch);
-      else
-        lt_request_refuse_stopping (request);
-      dispatch = c->waiting;
-    }
-}
-
 static void
 on_pump (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -446,7 +427,6 @@
   lt_room_controller_t *c = watcher->data;
   service_t *service;
   service_t *next;
-  refuse_stopping (c);
   HASH_ITER (hh, c->services, service, next)
   {
     if (service->waiting == 0)
--- a/packages/node/src/room_controller.h
+++ b/packages/node/src/room_controller.h
@@ -23,9 +23,10 @@
      DISPATCH then says why if it is for lack of room.  */
   bool lt_room_controller_start (lt_room_controller_t *controller,
                                  lt_dispatch_t *dispatch);
-  /** Removes a request that ends, for example because its caller left.  */
+  /** Removes a request that ends, for example because its caller left.
+      STOPPING: because this VM stops.  */
   void lt_room_controller_leave (lt_room_controller_t *controller,
-                                 lt_dispatch_t *dispatch);
+                                 lt_dispatch_t *dispatch, bool stopping);
   /** Records the end of an attempt, after the pools have recorded it.  */
   void lt_room_controller_attempt_ended (lt_room_controller_t *controller,
                                          const attempt_t *attempt,
--- a/packages/node/src/upstream_client.c
+++ b/packages/node/src/upstream_client.c
@@ -458,8 +458,7 @@
 }
 
 int
-lt_upstream_client_create (struct ev_loop *loop, int64_t connections,
-                           lt_upstream_client_t **result)
+lt_upstream_client_create (struct ev_loop *loop, lt_upstream_client_t **result)
 {
   lt_upstream_client_t *client = lt_alloc (sizeof (*client));
   int error = lt_curl_loop_create (loop, &curl_vtable, client, &client->curl);
@@ -468,8 +467,6 @@
       free (client);
       return error;
     }
-  CURLM *multi = lt_curl_loop_multi (client->curl);
-  curl_multi_setopt (multi, CURLMOPT_MAX_HOST_CONNECTIONS, (long)connections);
   *result = client;
   return 0;
 }
--- a/packages/node/src/upstream_client.h
+++ b/packages/node/src/upstream_client.h
@@ -67,11 +67,12 @@
     int64_t connect_ms; /**< Connect timeout; 0: default. */
   } lt_transfer_options_t;
 
-  int lt_upstream_client_create (struct ev_loop *loop, int64_t connections,
+  int lt_upstream_client_create (struct ev_loop *loop,
                                  lt_upstream_client_t **client);
   /** Frees CLIENT; open transfers end without callbacks.  */
   void lt_upstream_client_destroy (lt_upstream_client_t *client);
-  /** Starts a transfer.  Returns NULL when libcurl rejects it.  */
+  /** Starts a transfer at once: none waits in libcurl, which would not ask
+      its owner again.  Returns NULL when libcurl rejects it.  */
   lt_transfer_t *lt_upstream_client_send (lt_upstream_client_t *client,
                                           const lt_transfer_options_t *options,
                                           const lt_transfer_vtable_t *vtable,
--- a/packages/node/src/upstream_controller.c
+++ b/packages/node/src/upstream_controller.c
@@ -76,7 +76,8 @@
                                   .repeatable = pick->repeatable,
                                   .allowed_regions = pick->allowed_regions,
                                   .limits = pick->limits,
-                                  .cost = pick->cost };
+                                  .cost = pick->cost,
+                                  .counted = pick->counted };
   if (pools->vtable->begin_work == NULL)
     request.cost = NULL;
   return lt_choice_pick (controller_of_pools (pools)->choice, &request,
@@ -147,6 +148,16 @@
   lt_upstream_updates_mark (c, &snapshot->upstreams[upstream]);
 }
 
+static void
+pools_begin_wait (lt_pools_t *pools, const lt_snapshot_t *snapshot,
+                  uint32_t upstream)
+{
+  lt_upstream_controller_t *c = controller_of_pools (pools);
+  lt_choice_begin_wait (c->choice,
+                        lt_upstream_id (&snapshot->upstreams[upstream]));
+  lt_upstream_updates_mark (c, &snapshot->upstreams[upstream]);
+}
+
 static void
 pools_begin_work (lt_pools_t *pools, const lt_pool_attempt_t *attempt,
                   int64_t now_us)
@@ -184,7 +195,9 @@
                                                 .load = pools_load,
                                                 .connect_ms = pools_connect_ms,
                                                 .begin = pools_begin,
-                                                .end = pools_end };
+                                                .end = pools_end,
+                                                .begin_wait = pools_begin_wait,
+                                                .end_wait = pools_end };
 
 static bool
 classify_outcome (const lt_observation_event_t *event,
--- a/packages/node/src/upstream_internal.h
+++ b/packages/node/src/upstream_internal.h
@@ -63,10 +63,6 @@
   int64_t gauge_updated_us; /* Last update of the gauges. */
 };
 
-/** Returns the id of UPSTREAM for the choice and for other VMs.  It includes
-    the incarnation, so that an upstream that restarts under the same name does
-    not inherit the estimate of its predecessor.  */
-uint64_t lt_upstream_id (const lt_upstream_t *upstream);
 /** Takes over the rate that an upstream named in a response to this or another
     VM.  Returns whether it changed.  */
 bool lt_upstream_set_rate (lt_upstream_controller_t *c, uint64_t id,
--- a/packages/policy/include/lt/policy/choice.h
+++ b/packages/policy/include/lt/policy/choice.h
@@ -182,6 +182,7 @@
     const lt_choice_limits_t *limits; /**< NULL: none. */
     /** For a choice by work, which needs the option; NULL: by counts.  */
     const struct lt_cost_key *cost;
+    bool counted; /**< As a request for its service, by an earlier choice. */
   } lt_choice_request_t;
 
   /** The estimate of an upstream's state.  */
@@ -233,6 +234,9 @@
   void lt_choice_begin_attempt (lt_choice_t *choice, uint64_t id,
                                 int64_t now_us);
   void lt_choice_end_attempt (lt_choice_t *choice, uint64_t id);
+  /** Records that a request of this VM begins to wait for the upstream; it
+      counts as in flight until lt_choice_end_attempt.  */
+  void lt_choice_begin_wait (lt_choice_t *choice, uint64_t id);
   /** Records the outcome of an attempt of this VM.  */
   void lt_choice_observe (lt_choice_t *choice, uint64_t id,
                           lt_choice_evidence_t evidence, int64_t now_us);
--- a/packages/policy/src/choice.c
+++ b/packages/policy/src/choice.c
@@ -416,6 +416,14 @@
   lt_pace_take (&estimate->pace, find_place (choice, estimate), now_us);
 }
 
+void
+lt_choice_begin_wait (lt_choice_t *choice, uint64_t id)
+{
+  upstream_estimate_t *estimate = lt_choice_find (choice, id);
+  if (estimate != NULL)
+    estimate->own_in_flight++;
+}
+
 void
 lt_choice_end_attempt (lt_choice_t *choice, uint64_t id)
 {
--- a/packages/policy/src/choice_trial.c
+++ b/packages/policy/src/choice_trial.c
@@ -45,7 +45,8 @@
   if (request->tried_count > 0 || request->service >= choice->service_count)
     return -1;
   service_state_t *state = &choice->services[request->service];
-  count_request (choice, state, false, now_us);
+  if (!request->counted)
+    count_request (choice, state, false, now_us);
   if (request->repeatable)
     {
       state->repeatable_us = now_us;
