Pass over upstreams without a free connection under admission by priority

With admission by priority, a request that found the best upstream without a free connection waited for room although other upstreams were below the limits, and all requests behind it in its service waited with it. Before it waited in libcurl's queue for that upstream.

Cause: the room's limits bound the load of an upstream, and an upstream above them is left out of the choice; the bound on connections came after the choice.

Change: with limits, the choice is made again without the busy upstream, at most four times. Without limits the request waits for the best one as before, since the load that waits counts there.

--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -16,7 +16,9 @@
 
 enum
 {
-  ATTEMPTS_MAX = 6
+  ATTEMPTS_MAX = 6,
+  /* Upstreams without a free connection that a choice passes over.  */
+  BUSY_MAX = 4
 };
 
 typedef struct attempt
@@ -58,12 +60,14 @@
   lt_buf_t target;
   uint64_t service_hash;
   uint64_t workspace_hash;
-  lt_cost_key_t cost;   /* Set if the pools use costs. */
-  bool timed_out;       /* The last attempt timed out. */
-  bool last_reset;      /* The last attempt's connection was reset. */
-  bool refusal_pending; /* The retry timer only delays the refusal. */
-  uint32_t chosen;      /* Index in CONFIG; of the last choice. */
-  bool counted; /* As a request for its service, by an earlier choice. */
+  lt_cost_key_t cost;      /* Set if the pools use costs. */
+  bool timed_out;          /* The last attempt timed out. */
+  bool last_reset;         /* The last attempt's connection was reset. */
+  bool refusal_pending;    /* The retry timer only delays the refusal. */
+  uint32_t busy[BUSY_MAX]; /* Indexes in CONFIG; during a choice only. */
+  uint32_t busy_count;
+  uint32_t chosen; /* Index in CONFIG; of the last choice. */
+  bool counted;    /* As a request for its service, by an earlier choice. */
   /* The wait for a connection; the dispatch queue's.  */
   lt_pending_entry_t queued;
   lt_snapshot_ref_t *queued_config;
@@ -85,8 +89,8 @@
     weight from its traffic splits.  */
 str_t lt_dispatch_choose_service (const lt_request_t *request);
 /** Switches DISPATCH to the pools' configuration and picks an upstream that
-    was not tried yet, within LIMITS unless NULL.  Returns its index,
-    -LT_EUNAVAILABLE or -LT_EFULL.  */
+    was not tried yet and is not busy, within LIMITS unless NULL.  Returns its
+   index, -LT_EUNAVAILABLE or -LT_EFULL.  */
 int64_t lt_dispatch_pick (lt_dispatch_t *dispatch,
                           const lt_choice_limits_t *limits);
 /** Returns whether the route and the workspace of the request allow no region
@@ -99,7 +103,7 @@
 bool lt_dispatch_start_now (lt_dispatch_t *dispatch);
 /** Sends the request to another upstream within LIMITS.  Returns 0,
     -LT_EUNAVAILABLE when none can take it, or -LT_EFULL when all that can are
-    full or the one chosen has no free connection.  */
+    full, or have no free connection.  */
 int lt_dispatch_try (lt_dispatch_t *dispatch,
                      const lt_choice_limits_t *limits);
 /** Returns whether the end of a planned stop could cut the request if it were
@@ -154,6 +158,8 @@
 /** Asks the retry policy whether to hedge the first attempt now, and counts
     the decision.  */
 lt_retry_decision_t lt_dispatch_decide_hedge (lt_dispatch_t *dispatch);
+/** Starts the timer for a hedge of the first attempt, if the route hedges.  */
+void lt_dispatch_start_hedge_timer (lt_dispatch_t *dispatch);
 bool lt_dispatch_is_idempotent (const lt_dispatch_t *dispatch);
 /** Sets the keys of the request's likely cost, once, if the pools use
     costs.  */
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -130,7 +130,7 @@
   lt_request_t *request = dispatch->request;
   lt_pools_t *pools = request->node->pools;
   lt_snapshot_ref_t *config = use_pools_config (dispatch);
-  uint32_t tried[ATTEMPTS_MAX];
+  uint32_t tried[ATTEMPTS_MAX + BUSY_MAX];
   uint32_t count = 0;
   if (config == NULL || dispatch->attempt_count == ATTEMPTS_MAX)
     return -LT_EUNAVAILABLE;
@@ -148,6 +148,8 @@
       if (index != LT_NO_INDEX)
         tried[count++] = index;
     }
+  for (uint32_t i = 0; i < dispatch->busy_count; i++)
+    tried[count++] = dispatch->busy[i];
   lt_dispatch_describe_cost (dispatch);
   lt_pick_t pick = {
     .service = dispatch->service,
@@ -207,6 +209,21 @@
   return decision;
 }
 
+void
+lt_dispatch_start_hedge_timer (lt_dispatch_t *dispatch)
+{
+  lt_node_t *node = dispatch->request->node;
+  if (!dispatch->request->route->hedge
+      || !lt_dispatch_is_idempotent (dispatch))
+    return;
+  int64_t delay_us
+      = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
+  if (delay_us < 0)
+    return;
+  ev_timer_set (&dispatch->hedge_timer, (double)delay_us / LT_US_PER_S, 0.0);
+  ev_timer_start (node->loop, &dispatch->hedge_timer);
+}
+
 lt_retry_failure_t
 lt_dispatch_failure (lt_transfer_end_t end)
 {
--- a/packages/node/src/filter_dispatch.c
+++ b/packages/node/src/filter_dispatch.c
@@ -440,19 +440,25 @@
             STR_ARG (snapshot->upstreams[attempt->upstream].name));
 }
 
-static void
-start_hedge_timer (lt_dispatch_t *dispatch)
+/* Chooses an upstream within LIMITS that has a free connection.  Without
+   limits the request waits for the best one, whose load includes those that
+   wait; with limits, as they bound the load, the next best is as good.  */
+static int64_t
+choose_upstream (lt_dispatch_t *dispatch, const lt_choice_limits_t *limits)
 {
-  lt_node_t *node = dispatch->request->node;
-  if (!dispatch->request->route->hedge
-      || !lt_dispatch_is_idempotent (dispatch))
-    return;
-  int64_t delay_us
-      = lt_retry_hedge_delay_us (node->retry, dispatch->service_hash);
-  if (delay_us < 0)
-    return;
-  ev_timer_set (&dispatch->hedge_timer, (double)delay_us / LT_US_PER_S, 0.0);
-  ev_timer_start (node->loop, &dispatch->hedge_timer);
+  dispatch->busy_count = 0;
+  for (;;)
+    {
+      int64_t picked = lt_dispatch_pick (dispatch, limits);
+      if (picked < 0)
+        return dispatch->busy_count > 0 ? -LT_EFULL : picked;
+      dispatch->chosen = (uint32_t)picked;
+      if (lt_dispatch_queue_admits (dispatch, dispatch->chosen))
+        return picked;
+      if (limits == NULL || dispatch->busy_count == BUSY_MAX)
+        return -LT_EFULL;
+      dispatch->busy[dispatch->busy_count++] = dispatch->chosen;
+    }
 }
 
 int
@@ -463,12 +469,10 @@
   if (dispatch->request->caller_disconnected
       || lt_dispatch_may_be_cut (dispatch))
     return -LT_EUNAVAILABLE;
-  int64_t picked = lt_dispatch_pick (dispatch, limits);
+  int64_t picked = choose_upstream (dispatch, limits);
+  dispatch->busy_count = 0;
   if (picked < 0)
     return (int)picked;
-  dispatch->chosen = (uint32_t)picked;
-  if (!lt_dispatch_queue_admits (dispatch, dispatch->chosen))
-    return -LT_EFULL;
   attempt_t *attempt = &dispatch->attempts[dispatch->attempt_count];
   *attempt = (attempt_t){ .dispatch = dispatch,
                           .config = dispatch->config,
@@ -485,7 +489,7 @@
   pools->vtable->begin (pools, dispatch->config->snapshot, attempt->upstream);
   lt_waiting_end (dispatch->request);
   if (dispatch->attempt_count == 1)
-    start_hedge_timer (dispatch);
+    lt_dispatch_start_hedge_timer (dispatch);
   return 0;
 }
 
