Dispatcher: name the field for what it says, has_waited

Cause: the field `counted' told the choice that a request was counted, and the rule for stops that it had waited for a connection; a reader had to know both.

Change: it is called has_waited, which both follow from.

Result: behaviour is unchanged; platform_test_waiting_requests passes, 7 of 7.

--- a/packages/node/src/dispatch_internal.h
+++ b/packages/node/src/dispatch_internal.h
@@ -67,7 +67,7 @@
   uint32_t busy[BUSY_MAX]; /* Indexes in CONFIG; during a choice only. */
   uint32_t busy_count;
   uint32_t chosen; /* Index in CONFIG; of the last choice. */
-  bool counted;    /* As a request for its service, by an earlier choice. */
+  bool has_waited; /* For a connection, at least once. */
   /* The wait for a connection; the dispatch queue's.  */
   lt_pending_entry_t queued;
   lt_snapshot_ref_t *queued_config;
@@ -90,7 +90,7 @@
 str_t lt_dispatch_choose_service (const lt_request_t *request);
 /** Switches DISPATCH to the pools' configuration and picks an upstream that
     was not tried yet and is not busy, within LIMITS unless NULL.  Returns its
-   index, -LT_EUNAVAILABLE or -LT_EFULL.  */
+    index, -LT_EUNAVAILABLE or -LT_EFULL.  */
 int64_t lt_dispatch_pick (lt_dispatch_t *dispatch,
                           const lt_choice_limits_t *limits);
 /** Returns whether the route and the workspace of the request allow no region
--- a/packages/node/src/dispatch_queue.c
+++ b/packages/node/src/dispatch_queue.c
@@ -76,7 +76,7 @@
                   &dispatch->queued);
   pools->vtable->begin_wait (pools, dispatch->config->snapshot,
                              dispatch->chosen);
-  dispatch->counted = true;
+  dispatch->has_waited = true;
   lt_waiting_begin (dispatch->request, LT_WAIT_CONNECTION);
 }
 
@@ -133,7 +133,7 @@
   if (!lt_node_may_cut (node, request->deadline_us))
     return false;
   int64_t work_us = likely_work_us (dispatch);
-  return !dispatch->counted || work_us == 0
+  return !dispatch->has_waited || work_us == 0
          || !lt_dispatch_is_idempotent (dispatch)
          || lt_node_may_cut (node, lt_node_now_us (node) + work_us);
 }
--- a/packages/node/src/dispatch_retry.c
+++ b/packages/node/src/dispatch_retry.c
@@ -159,7 +159,7 @@
     .allowed_regions = dispatch->allowed_regions,
     .limits = limits,
     .cost = &dispatch->cost,
-    .counted = dispatch->counted,
+    .counted = dispatch->has_waited,
   };
   return pools->vtable->pick (pools, &pick, lt_node_now_us (request->node));
 }
