Bound the choices of waiting requests in one check

What callers saw: nothing; found when the change was read again. Each request that waits for a connection chooses an upstream again every 100 ms, and a choice looks at all upstreams of its service. With thousands of waiting callers and hundreds of upstreams that is 10,000 and more choices a second (by count; its processor time was not measured).

Change: at most 16 choices in a check, so 640 a second. When a connection is free the request chooses as before.

--- a/packages/node/src/waiting.c
+++ b/packages/node/src/waiting.c
@@ -11,11 +11,19 @@
 
 #define CHECK_INTERVAL_S 0.025
 
+enum
+{
+  /* A choice looks at all upstreams of the service, and thousands of requests
+     may wait.  */
+  CHOICES_PER_CHECK = 16
+};
+
 struct lt_waiting
 {
   lt_node_t *node;
   lt_request_t *requests;
   lt_request_t *next; /* To be checked next; NULL: the check ends. */
+  int choices_left;   /* Of this check. */
   ev_timer check;
   lt_gauge_t *gauges[LT_WAIT_PLACES];
   lt_counter_t *ended[LT_WAIT_VERDICTS];
@@ -55,11 +63,13 @@
   if (request->dispatch != NULL)
     lt_dispatch_describe_wait (request->dispatch, &state);
   lt_wait_verdict_t verdict = lt_wait_decide (&state, now_us);
-  if (verdict == LT_WAIT_CONTINUE)
+  if (verdict == LT_WAIT_CONTINUE
+      || (verdict == LT_WAIT_CHOOSE_AGAIN && waiting->choices_left == 0))
     return;
   waiting->ended[verdict]->value++;
   if (verdict == LT_WAIT_CHOOSE_AGAIN)
     {
+      waiting->choices_left--;
       lt_dispatch_choose_again (request->dispatch);
       return;
     }
@@ -83,6 +93,7 @@
   lt_waiting_t *waiting = timer->data;
   int64_t now_us = lt_node_now_us (waiting->node);
   waiting->next = waiting->requests;
+  waiting->choices_left = CHOICES_PER_CHECK;
   while (waiting->next != NULL)
     {
       lt_request_t *request = waiting->next;
