Let the waiting request whose last choice is oldest choose first

Cause: the bound on choices in a check was used up from the head of the list; with more than 64 requests waiting, the first ones were due again before the last ones had a turn, which then kept an upstream that leaves or hangs until a connection was free.

Change: a request that has chosen moves to the end of the list, whose order decides nothing else.

--- a/packages/node/src/waiting.c
+++ b/packages/node/src/waiting.c
@@ -49,6 +49,15 @@
     lt_request_refuse (request, LT_REFUSE_DEADLINE);
 }
 
+/* Moves REQUEST behind those whose last choice is older.  */
+static void
+move_to_end (lt_waiting_t *waiting, lt_request_t *request)
+{
+  DL_DELETE2 (waiting->requests, request, previous_waiting, /* NOLINT */
+              next_waiting);
+  DL_APPEND2 (waiting->requests, request, previous_waiting, next_waiting);
+}
+
 static void
 check_request (lt_waiting_t *waiting, lt_request_t *request, int64_t now_us)
 {
@@ -70,6 +79,7 @@
   if (verdict == LT_WAIT_CHOOSE_AGAIN)
     {
       waiting->choices_left--;
+      move_to_end (waiting, request);
       lt_dispatch_choose_again (request->dispatch);
       return;
     }
